--- /dev/null
+++ b/Makefile
@@ -0,0 +1,23 @@
+# The usual targets; .ci/run calls the same ones.
+GO ?= go
+GOBIN := $(shell $(GO) env GOPATH)/bin
+
+.PHONY: build test lint fmt generate
+build: ## builds every program into bin/
+	$(GO) build -o bin/ ./cmd/...
+
+test: ## all tests, with fixed seeds
+	./scripts/test
+
+lint: ## formatter and linter
+	test -z "$$($(GOBIN)/gofumpt -l cmd pkg internal)"
+	$(GOBIN)/golangci-lint run
+
+fmt:
+	$(GOBIN)/gofumpt -w cmd pkg internal
+
+generate: ## needs protoc, protoc-gen-go and protoc-gen-twirp
+	cd proto && for f in platform peer; do \
+	  PATH="$(GOBIN):$$PATH" protoc --go_out=.. --twirp_out=.. \
+	    --go_opt=module=github.com/buckthornshore/buckthornshore \
+	    --twirp_opt=module=github.com/buckthornshore/buckthornshore $$f.proto || exit 1; done
--- /dev/null
+++ b/pkg/topology/topology.go
@@ -0,0 +1,107 @@
+// Package topology holds the plain records that say which VMs, data centres,
+// groups and targets there are, and who may promote in a group.
+package topology
+
+import "github.com/buckthornshore/buckthornshore/pkg/position"
+
+// VMID names a VM of the system.
+type VMID string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// TargetID names one database of a group.
+type TargetID string
+
+// GroupID names a group as service/group.
+type GroupID string
+
+// Incarnation numbers the starts of one VM's daemon. A daemon that starts again
+// has lost its memory, and so its promises, and takes a new one.
+type Incarnation uint64
+
+// VM is one daemon as the platform's list and its own settings tell.
+type VM struct {
+	ID          VMID        `json:"id"`
+	DataCentre  DataCentre  `json:"data_centre"`
+	Region      string      `json:"region"`
+	PeerAddress string      `json:"peer_address"`
+	Incarnation Incarnation `json:"incarnation"`
+	Leaving     bool        `json:"leaving"`
+}
+
+// Target is one database.
+type Target struct {
+	ID         TargetID   `json:"id"`
+	Group      GroupID    `json:"group"`
+	DataCentre DataCentre `json:"data_centre"`
+	Address    string     `json:"address"`
+	Leaving    bool       `json:"leaving"`
+}
+
+// Promoter is one entry of a group's list: a daemon that promises the pooler of
+// the primary not to promote its replica, and that alone may do so.
+type Promoter struct {
+	VM          VMID        `json:"vm"`
+	Incarnation Incarnation `json:"incarnation"`
+	Replica     TargetID    `json:"replica"`
+	// Synced: classes whose acknowledgement waits for a replica wait for this
+	// one too, so it holds every such write and may be promoted.
+	Synced bool `json:"synced"`
+}
+
+// Group is the group's row in the platform's table. Every change raises
+// Version; Term is raised by a promotion only.
+type Group struct {
+	ID      GroupID  `json:"id"`
+	Version uint64   `json:"version"`
+	Term    uint64   `json:"term"`
+	Primary TargetID `json:"primary"`
+	// Promoters is never empty: an empty list would let a pooler acknowledge
+	// with nobody to withdraw its right.
+	Promoters []Promoter `json:"promoters"`
+	// Unsettled holds earlier lists of this term of which no entry is known to
+	// have stopped promising. A promotion needs one entry of each.
+	Unsettled []PromoterList `json:"unsettled,omitempty"`
+	// History lists the position at which each earlier term ended: what lies
+	// after it in that term is lost.
+	History []TermEnd `json:"history,omitempty"`
+	// ChangeID names the change that wrote this version, so that a writer whose
+	// answer was lost can tell its own change from another's.
+	ChangeID string `json:"change_id"`
+}
+
+// PromoterList is the list of one version of the row.
+type PromoterList struct {
+	Version   uint64     `json:"version"`
+	Promoters []Promoter `json:"promoters"`
+}
+
+// TermEnd is the last position of an earlier term that the next primary held.
+type TermEnd struct {
+	Term uint64            `json:"term"`
+	End  position.Position `json:"end"`
+}
+
+// Lost reports whether an acknowledged write at p is missing from the group's
+// history: its term ended before it.
+func (g *Group) Lost(p position.Position) bool {
+	for _, h := range g.History {
+		if h.Term == p.Term {
+			return h.End.Less(p)
+		}
+	}
+	return false
+}
+
+// Clone returns a copy that shares nothing with g.
+func (g *Group) Clone() *Group {
+	c := *g
+	c.Promoters = append([]Promoter(nil), g.Promoters...)
+	c.History = append([]TermEnd(nil), g.History...)
+	c.Unsettled = nil
+	for _, l := range g.Unsettled {
+		c.Unsettled = append(c.Unsettled, PromoterList{Version: l.Version, Promoters: append([]Promoter(nil), l.Promoters...)})
+	}
+	return &c
+}
