--- /dev/null
+++ b/internal/pgwire/pgwire.go
@@ -0,0 +1,122 @@
+// Package pgwire holds what entry and pooler share about the PostgreSQL
+// protocol: raw frames, which pass through unread, and errors with result codes.
+package pgwire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// headerLength of a frame: its type and its length, which counts itself.
+const (
+	headerLength = 5
+	lengthLength = 4
+)
+
+// ErrFrameTooLarge is returned for a frame above the caller's limit.
+var ErrFrameTooLarge = errors.New("pgwire: frame too large")
+
+// ErrBadFrame is returned for a frame whose length is impossible.
+var ErrBadFrame = errors.New("pgwire: bad frame")
+
+// Types of the backend frames that the pooler looks into.
+const (
+	TypeParameterStatus = 'S'
+	TypeReadyForQuery   = 'Z'
+	TypeError           = 'E'
+	TypeParseComplete   = '1'
+	TypeNotice          = 'N'
+	TypeNotification    = 'A'
+)
+
+// Transaction states in ReadyForQuery.
+const (
+	Idle          byte = 'I'
+	InTransaction byte = 'T'
+	Failed        byte = 'E'
+)
+
+// Frame is one message, header included.
+type Frame []byte
+
+// Type returns the message type.
+func (f Frame) Type() byte { return f[0] }
+
+// Body returns the message without its header.
+func (f Frame) Body() []byte { return f[headerLength:] }
+
+// Append reads one frame from r and appends it to buf, whose length stays at or
+// below limit bytes. It returns the grown buffer and the frame within it.
+func Append(r *bufio.Reader, buf []byte, limit int) ([]byte, Frame, error) {
+	head, err := r.Peek(headerLength)
+	if err != nil {
+		return buf, nil, err
+	}
+	n := int(binary.BigEndian.Uint32(head[1:])) + 1
+	if n < headerLength {
+		return buf, nil, ErrBadFrame
+	}
+	start := len(buf)
+	if start+n > limit {
+		return buf, nil, ErrFrameTooLarge
+	}
+	buf = append(buf, make([]byte, n)...)
+	if _, err := io.ReadFull(r, buf[start:]); err != nil {
+		return buf[:start], nil, err
+	}
+	return buf, Frame(buf[start:]), nil
+}
+
+// Split calls each for every whole frame in buf.
+func Split(buf []byte, each func(Frame) error) error {
+	for len(buf) > 0 {
+		if len(buf) < headerLength {
+			return ErrBadFrame
+		}
+		n := int(binary.BigEndian.Uint32(buf[1:])) + 1
+		if n < headerLength || n > len(buf) {
+			return ErrBadFrame
+		}
+		if err := each(Frame(buf[:n])); err != nil {
+			return err
+		}
+		buf = buf[n:]
+	}
+	return nil
+}
+
+// SQLState returns the state of an ErrorResponse frame, or "".
+func SQLState(f Frame) string {
+	var e pgproto3.ErrorResponse
+	if err := e.Decode(f.Body()); err != nil {
+		return ""
+	}
+	return e.Code
+}
+
+// Severities of an ErrorResponse.
+const (
+	SeverityError = "ERROR"
+	SeverityFatal = "FATAL"
+)
+
+// ErrorResponse turns a result into what a PostgreSQL client understands: the
+// state is the result code, the hint tells when to come back.
+func ErrorResponse(e *result.Error, severity string) *pgproto3.ErrorResponse {
+	resp := &pgproto3.ErrorResponse{
+		Severity:            severity,
+		SeverityUnlocalized: severity,
+		Code:                e.Code.SQLState(),
+		Message:             e.Error(),
+	}
+	if e.RetryAfter > 0 {
+		resp.Hint = "retry_after_ms=" + itoa(e.RetryAfter.Milliseconds())
+	}
+	return resp
+}
--- /dev/null
+++ b/internal/pooler/execute.go
@@ -0,0 +1,246 @@
+package pooler
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/pgwire"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
+)
+
+// SQL states of a target that the pooler understands.
+const (
+	sqlTermRefused     = "BT202"
+	sqlNotReplicated   = "BT208"
+	sqlUniqueViolation = "23505"
+)
+
+// ledgerTable holds a row for each request that may not be repeated.
+const ledgerTable = "buckthornshore_ledger"
+
+// request is one unit on its way through the pooler.
+type request struct {
+	*peerpb.ExecuteRequest
+	class ClassLimits
+	key   txKey
+	group topology.GroupID
+}
+
+func (p *Pooler) execute(ctx context.Context, in *peerpb.ExecuteRequest, resp *peerpb.ExecuteResponse) *result.Error {
+	class, ok := p.o.Directory.Class(in.Service, in.Class)
+	if !ok {
+		return result.New(result.UnknownClass, "%s", in.Class)
+	}
+	tp, err := p.pool(topology.TargetID(in.Target))
+	if err != nil {
+		return err
+	}
+	req := &request{
+		ExecuteRequest: in,
+		class:          class,
+		key:            txKey{in.Entry, in.EntryIncarnation, in.Transaction},
+		group:          topology.GroupID(in.Group),
+	}
+	if err := p.checkRight(req); err != nil {
+		return err
+	}
+	begun := time.Now()
+	if err := tp.gate.enter(ctx); err != nil {
+		return err
+	}
+	defer tp.gate.leave()
+	resp.QueueUs = uint32(time.Since(begun).Microseconds())
+	begun = time.Now()
+	defer func() { resp.RunUs = uint32(time.Since(begun).Microseconds()) }()
+	if in.InTransaction {
+		return p.continueTransaction(ctx, tp, req, resp)
+	}
+	return p.start(ctx, tp, req, resp)
+}
+
+// checkRight guards everything that runs on a primary: its writes, and its
+// reads too, since a replaced primary lacks what its successor acknowledged.
+func (p *Pooler) checkRight(req *request) *result.Error {
+	if req.Term == 0 {
+		return nil
+	}
+	return p.o.Rights.Check(req.group, req.Term)
+}
+
+// start runs a unit outside a transaction; it may open one.
+func (p *Pooler) start(ctx context.Context, tp *targetPool, req *request, resp *peerpb.ExecuteResponse) *result.Error {
+	if err := tp.waitForFloor(ctx, req); err != nil {
+		return err
+	}
+	want, err := p.settingsFor(req)
+	if err != nil {
+		return err
+	}
+	c, err := tp.acquire(ctx, want)
+	if err != nil {
+		return err
+	}
+	if err := c.bind(ctx, want); err != nil {
+		tp.discard(c)
+		return result.New(result.TargetUnreachable, "%s: %v", tp.target.ID, err).After(verifyAfter)
+	}
+	a, failure := p.runUnit(ctx, c, req)
+	if failure != nil {
+		tp.discard(c)
+		return failure
+	}
+	if a.status != pgwire.Idle {
+		tp.hold(req.key, c)
+	} else {
+		tp.release(c)
+	}
+	return p.finish(req, c, a, resp)
+}
+
+// continueTransaction runs a unit on the connection that the transaction holds.
+func (p *Pooler) continueTransaction(ctx context.Context, tp *targetPool, req *request, resp *peerpb.ExecuteResponse) *result.Error {
+	h, failure := tp.claim(req.key)
+	if failure != nil {
+		return failure
+	}
+	a, err := h.conn.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
+	if err != nil {
+		tp.drop(req.key)
+		tp.discard(h.conn)
+		return lostAnswer(tp.target.ID, err)
+	}
+	tp.settle(req.key, h, a.status)
+	return p.finish(req, h.conn, a, resp)
+}
+
+// settle gives the connection back when the transaction has ended.
+func (p *pool) settle(key txKey, h *heldConn, status byte) {
+	if status == pgwire.Idle {
+		p.drop(key)
+		p.release(h.conn)
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h.busy = false
+	h.since = time.Now()
+}
+
+// settingsFor tells what the connection must be bound to for the request.
+func (p *Pooler) settingsFor(req *request) (connSettings, *result.Error) {
+	want := connSettings{term: req.Term, readOnly: !req.class.Write}
+	if !req.class.WaitsForReplica {
+		return want, nil
+	}
+	replicas := p.o.Directory.SyncedReplicas(req.group)
+	if len(replicas) == 0 {
+		return want, result.New(result.NoReplicaForClass, "%s in %s", req.Class, req.group).After(time.Second)
+	}
+	names := make([]string, 0, len(replicas))
+	for _, r := range replicas {
+		names = append(names, string(r))
+	}
+	want.waitFor = strings.Join(names, ",")
+	return want, nil
+}
+
+// runUnit sends the unit; a class that may not be repeated gets its ledger row
+// in the same transaction.
+func (p *Pooler) runUnit(ctx context.Context, c *conn, req *request) (answer, *result.Error) {
+	if req.class.Write && !req.class.Repeatable {
+		return p.runOnce(ctx, c, req)
+	}
+	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
+	if err != nil {
+		return a, lostAnswer(topology.TargetID(req.Target), err)
+	}
+	return a, nil
+}
+
+// runOnce wraps the unit: the ledger row makes a second run of the same request
+// id fail as a whole, whichever proxy it comes through. A unit that opens a
+// transaction itself keeps it open, ledger row included.
+func (p *Pooler) runOnce(ctx context.Context, c *conn, req *request) (answer, *result.Error) {
+	target := topology.TargetID(req.Target)
+	insert := "BEGIN; INSERT INTO " + ledgerTable + " (k, v) VALUES (" + quote(req.CallerRequestId) + ", " + quote(req.Class) + ")"
+	first, err := c.query(ctx, insert)
+	if err != nil {
+		return first, lostAnswer(target, err).provedNotRun()
+	}
+	if first.sqlState != "" {
+		return first, p.ledgerRefused(ctx, c, req, first)
+	}
+	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
+	if err != nil {
+		return a, lostAnswer(target, err)
+	}
+	return a, nil
+}
+
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+// finish checks the right once more and fills the answer.
+func (p *Pooler) finish(req *request, c *conn, a answer, resp *peerpb.ExecuteResponse) *result.Error {
+	if a.sqlState == sqlTermRefused {
+		return result.New(result.TermRefused, "%s", req.Target).After(verifyAfter)
+	}
+	// The holder may have been paused between the target's completion and this
+	// line and its group been given a new primary meanwhile. An acknowledgement
+	// then would promise a write that the new primary may lack.
+	if err := p.checkRight(req); err != nil {
+		return result.New(result.OutcomeUnknown, "%s", err.Error()).After(time.Second)
+	}
+	if a.sqlState == sqlNotReplicated {
+		return result.New(result.NotReplicated, "%s", req.Target).After(time.Second)
+	}
+	if c.position.Less(peers.Position(req.Floor)) {
+		return result.New(result.ReplicaBehind, "%s holds %s", req.Target, c.position).After(verifyAfter)
+	}
+	resp.Messages = a.messages
+	resp.TxStatus = uint32(a.status)
+	resp.Position = peers.PositionTo(c.position)
+	return nil
+}
+
+// floorPoll is how often a replica that is behind is asked again.
+const floorPoll = 2 * time.Millisecond
+
+// waitForFloor waits a short while until the target holds the request's floor.
+func (tp *targetPool) waitForFloor(ctx context.Context, req *request) *result.Error {
+	floor := peers.Position(req.Floor)
+	if floor.IsZero() || !tp.newestPosition().Less(floor) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.FloorWaitMs)*time.Millisecond+verifyTimeout)
+	defer cancel()
+	deadline := time.Now().Add(time.Duration(req.FloorWaitMs) * time.Millisecond)
+	for {
+		s, err := tp.control.Status(ctx)
+		if err != nil {
+			return result.New(result.TargetUnreachable, "%s: %v", req.Target, err).After(verifyAfter)
+		}
+		tp.seen(s.Position)
+		if !s.Position.Less(floor) {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return result.New(result.ReplicaBehind, "%s holds %s, wanted %s", req.Target, s.Position, floor).After(verifyAfter)
+		}
+		time.Sleep(floorPoll)
+	}
+}
+
+func (p *pool) seen(at position.Position) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.notePosition(at)
+}
+
+var _ = pgproto3.Query{}
