--- /dev/null
+++ b/pkg/config/parse.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+
+	"github.com/tailscale/hujson"
+)
+
+const (
+	// MaxBytes is the largest document: 14,000 targets take about 3 MB.
+	MaxBytes = 16 << 20
+	// maxBrackets bounds the nesting. The syntax parser recurses, and a file of
+	// nothing but brackets would end the program by a stack overflow, which Go
+	// can't recover from. So many nested frames fit the stack.
+	maxBrackets = 200_000
+)
+
+// Parse reads a document and returns all its problems, ordered by their place
+// in the file. The document is nil when one of them is an error; with warnings
+// only it is valid. file only names the source in the problems.
+func Parse(file string, raw []byte) (*Document, []Problem) {
+	r := &report{file: file, raw: raw, offsets: map[string]int{}}
+	if !r.sizeAllowed() {
+		return nil, r.problems
+	}
+	tree, err := hujson.Parse(raw)
+	if err != nil {
+		r.syntax(err)
+		return nil, r.problems
+	}
+	doc := &Document{}
+	d := decoder{report: r}
+	d.value(&tree, reflect.ValueOf(doc).Elem(), "")
+	v := validator{report: r, doc: doc}
+	v.document()
+	problems := r.sorted()
+	if HasErrors(problems) {
+		return nil, problems
+	}
+	return doc, problems
+}
+
+func (r *report) sizeAllowed() bool {
+	if len(r.raw) > MaxBytes {
+		r.add("", fmt.Sprintf("the document has %d bytes", len(r.raw)), fmt.Sprintf("at most %d", MaxBytes))
+		return false
+	}
+	brackets := bytes.Count(r.raw, []byte("[")) + bytes.Count(r.raw, []byte("{"))
+	if brackets > maxBrackets {
+		r.add("", fmt.Sprintf("the document has %d opening brackets", brackets), fmt.Sprintf("at most %d", maxBrackets))
+		return false
+	}
+	return true
+}
+
+// syntax reports text that is not JSON; the library names the place in its
+// message only.
+func (r *report) syntax(err error) {
+	p := Problem{File: r.file, Line: 1, Column: 1, Allowed: "JSON with comments"}
+	const format = "hujson: line %d, column %d:"
+	if _, scanErr := fmt.Sscanf(err.Error(), format, &p.Line, &p.Column); scanErr != nil {
+		p.Line, p.Column = 1, 1
+	}
+	p.What = err.Error()
+	r.problems = append(r.problems, p)
+}
--- /dev/null
+++ b/pkg/config/problem.go
@@ -0,0 +1,136 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// Problem is one thing that is wrong with a document.
+type Problem struct {
+	File string `json:"file"`
+	// Line and Column count from 1; the column counts bytes.
+	Line   int `json:"line"`
+	Column int `json:"column"`
+	// Path leads to the value: classes[2].deadline.
+	Path string `json:"path"`
+	// What is wrong.
+	What string `json:"what"`
+	// Allowed says what would be right.
+	Allowed string `json:"allowed"`
+	// Warning: the document is valid in spite of it.
+	Warning bool `json:"warning"`
+}
+
+// String writes the problem in one line, as compilers do.
+func (p Problem) String() string {
+	severity := "error"
+	if p.Warning {
+		severity = "warning"
+	}
+	s := fmt.Sprintf("%s:%d:%d: %s: %s: %s", p.File, p.Line, p.Column, severity, p.Path, p.What)
+	if p.Allowed != "" {
+		s += "; allowed: " + p.Allowed
+	}
+	return s
+}
+
+// HasErrors reports whether a problem is more than a warning.
+func HasErrors(problems []Problem) bool {
+	for _, p := range problems {
+		if !p.Warning {
+			return true
+		}
+	}
+	return false
+}
+
+// Err returns nil when all problems are warnings, or else a ConfigInvalid error
+// that lists the rest.
+func Err(problems []Problem) error {
+	var lines []string
+	for _, p := range problems {
+		if !p.Warning {
+			lines = append(lines, p.String())
+		}
+	}
+	if len(lines) == 0 {
+		return nil
+	}
+	return result.New(result.ConfigInvalid, "%s", strings.Join(lines, "\n"))
+}
+
+// report collects problems and knows where each value lies in the file.
+type report struct {
+	file     string
+	raw      []byte
+	offsets  map[string]int
+	problems []Problem
+}
+
+func (r *report) add(path, what, allowed string) {
+	r.problems = append(r.problems, r.problem(r.offsetOf(path), path, what, allowed))
+}
+
+func (r *report) warn(path, what, allowed string) {
+	p := r.problem(r.offsetOf(path), path, what, allowed)
+	p.Warning = true
+	r.problems = append(r.problems, p)
+}
+
+func (r *report) problem(offset int, path, what, allowed string) Problem {
+	line, column := lineColumn(r.raw, offset)
+	return Problem{File: r.file, Line: line, Column: column, Path: path, What: what, Allowed: allowed}
+}
+
+// offsetOf finds the value, or the nearest record around it when the file
+// leaves the key out.
+func (r *report) offsetOf(path string) int {
+	for path != "" {
+		if offset, ok := r.offsets[path]; ok {
+			return offset
+		}
+		path = parentPath(path)
+	}
+	return r.offsets[""]
+}
+
+func (r *report) has(path string) bool {
+	_, ok := r.offsets[path]
+	return ok
+}
+
+func (r *report) sorted() []Problem {
+	sort.SliceStable(r.problems, func(i, j int) bool {
+		a, b := r.problems[i], r.problems[j]
+		if a.Line != b.Line {
+			return a.Line < b.Line
+		}
+		return a.Column < b.Column
+	})
+	return r.problems
+}
+
+func parentPath(path string) string {
+	return path[:max(strings.LastIndexAny(path, ".["), 0)]
+}
+
+func joinPath(parent, key string) string {
+	if parent == "" {
+		return key
+	}
+	return parent + "." + key
+}
+
+func indexPath(parent string, i int) string { return fmt.Sprintf("%s[%d]", parent, i) }
+
+func lineColumn(raw []byte, offset int) (line, column int) {
+	offset = min(offset, len(raw))
+	before := raw[:offset]
+	line = 1 + bytes.Count(before, []byte("\n"))
+	column = offset - bytes.LastIndexByte(before, '\n')
+	return line, column
+}
