--- /dev/null
+++ b/internal/daemon/settings.go
@@ -0,0 +1,62 @@
+// Package daemon puts the parts of a proxy daemon together.
+package daemon
+
+import (
+	"net"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/settings"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// Settings are a daemon's own: its addresses and its data centre.
+type Settings struct {
+	VM         topology.VMID       `json:"vm"`
+	DataCentre topology.DataCentre `json:"data_centre"`
+	Region     string              `json:"region"`
+	// CallerAddress is where callers connect, ip:port.
+	CallerAddress string `json:"caller_address"`
+	// PeerAddress is where other VMs connect, ip:port.
+	PeerAddress string `json:"peer_address"`
+	// PlatformURL of the platform's service.
+	PlatformURL string `json:"platform_url"`
+	// ConfigFile is used until the platform has a configuration; optional.
+	ConfigFile string `json:"config_file"`
+	// AddressMap replaces addresses before they are dialled, where networks of
+	// two data centres see each other under other numbers.
+	AddressMap map[string]string `json:"address_map"`
+	// PlatformTimeout bounds one call to the platform.
+	PlatformTimeout settings.Duration `json:"platform_timeout"`
+	LogLevel        string            `json:"log_level"`
+}
+
+// defaultPlatformTimeout is used when the settings name none.
+const defaultPlatformTimeout = settings.Duration(time.Second)
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (Settings, error) {
+	s := Settings{PlatformTimeout: defaultPlatformTimeout, LogLevel: "info"}
+	if err := settings.Load(path, &s); err != nil {
+		return s, err
+	}
+	return s, s.check()
+}
+
+func (s *Settings) check() error {
+	for name, value := range map[string]string{
+		"vm": string(s.VM), "data_centre": string(s.DataCentre), "platform_url": s.PlatformURL,
+	} {
+		if value == "" {
+			return result.New(result.ConfigInvalid, "%s is missing", name)
+		}
+	}
+	for name, address := range map[string]string{
+		"caller_address": s.CallerAddress, "peer_address": s.PeerAddress,
+	} {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return result.New(result.ConfigInvalid, "%s: %v; ip:port is wanted", name, err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,126 @@
+// Package entry serves the callers: it speaks the PostgreSQL protocol with them
+// and sends each request to the pooler of a target that may answer it.
+package entry
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/view"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// Options of a Server.
+type Options struct {
+	View  *view.View
+	Peers *peers.Table
+	Log   *slog.Logger
+}
+
+// Server accepts the callers' connections.
+type Server struct {
+	o      Options
+	hopID  atomic.Uint64
+	number atomic.Uint64
+
+	mu       sync.Mutex
+	sessions map[uint64]*session
+	leaving  bool
+	wait     sync.WaitGroup
+}
+
+// New makes a server without a listener.
+func New(o Options) *Server {
+	return &Server{o: o, sessions: map[uint64]*session{}}
+}
+
+// Serve accepts connections until the listener closes.
+func (s *Server) Serve(l net.Listener) error {
+	for {
+		nc, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		s.wait.Add(1)
+		go func() {
+			defer s.wait.Done()
+			s.handle(nc)
+		}()
+	}
+}
+
+// handle serves one connection to its end.
+func (s *Server) handle(nc net.Conn) {
+	defer nc.Close()
+	sess := newSession(s, nc)
+	if err := sess.startUp(); err != nil {
+		s.o.Log.Debug("event=session_refused", "remote", nc.RemoteAddr(), "error", err)
+		return
+	}
+	defer s.remove(sess)
+	err := sess.run()
+	s.o.Log.Debug("event=session_ended", "session", sess.number, "error", err)
+}
+
+// admit registers a session, or says why not.
+func (s *Server) admit(sess *session) *result.Error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conf := s.o.View.Config()
+	switch {
+	case conf == nil:
+		return result.New(result.Overloaded, "no configuration is in force yet").After(comeBack)
+	case s.leaving:
+		return result.New(result.Leaving, "%s", s.o.View.Self().ID).After(comeBack)
+	case len(s.sessions) >= conf.Limits().SessionsPerDaemon:
+		return result.New(result.TooManySessions, "%d", len(s.sessions)).After(comeBack)
+	}
+	s.sessions[sess.number] = sess
+	return nil
+}
+
+func (s *Server) remove(sess *session) {
+	sess.releaseTransaction()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess.number)
+}
+
+// Sessions returns the number of open sessions.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// Drain refuses new sessions, ends idle ones and waits until those in a
+// transaction have finished it or ctx ends.
+func (s *Server) Drain(ctx context.Context) {
+	s.mu.Lock()
+	s.leaving = true
+	open := make([]*session, 0, len(s.sessions))
+	for _, sess := range s.sessions {
+		open = append(open, sess)
+	}
+	s.mu.Unlock()
+	for _, sess := range open {
+		sess.leaveWhenIdle()
+	}
+	done := make(chan struct{})
+	go func() {
+		s.wait.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/entry/session.go
@@ -0,0 +1,171 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/internal/pgwire"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// transaction is the open transaction of a session: where it runs.
+type transaction struct {
+	group  topology.GroupID
+	target topology.TargetID
+	pooler topology.VM
+	term   uint64
+	write  bool
+}
+
+// session is one caller's connection. Only its own goroutine uses it, but for
+// the fields below mu.
+type session struct {
+	server   *Server
+	net      net.Conn
+	backend  *pgproto3.Backend
+	number   uint64
+	secret   []byte
+	options  options
+	prepared map[string]*pgproto3.Parse
+	unit     unit
+	tx       *transaction
+	floors   map[topology.GroupID]position.Position
+
+	mu      sync.Mutex
+	idle    bool
+	leaving bool
+	cancel  context.CancelFunc // of the request under way
+}
+
+func newSession(s *Server, nc net.Conn) *session {
+	secret := make([]byte, secretLength)
+	_, _ = rand.Read(secret) // Never fails on Linux.
+	return &session{
+		server:   s,
+		net:      nc,
+		backend:  pgproto3.NewBackend(nc, nc),
+		number:   s.number.Add(1),
+		secret:   secret,
+		prepared: map[string]*pgproto3.Parse{},
+		floors:   map[topology.GroupID]position.Position{},
+	}
+}
+
+// errLeaving ends an idle session of a daemon that leaves.
+var errLeaving = errors.New("entry: leaving")
+
+// run serves requests until the caller goes.
+func (s *session) run() error {
+	s.backend.SetMaxBodyLen(s.server.o.View.Config().Limits().MessageBytes)
+	for {
+		msg, err := s.receive()
+		if err != nil {
+			return s.endOnReadError(err)
+		}
+		if _, ok := msg.(*pgproto3.Terminate); ok {
+			return nil
+		}
+		whole, failure := s.unit.add(s, msg)
+		if failure != nil {
+			return s.fatal(failure)
+		}
+		if !whole {
+			continue
+		}
+		if err := s.serve(); err != nil {
+			return err
+		}
+	}
+}
+
+// receive waits for a message; a daemon that leaves interrupts it only between
+// requests and outside transactions.
+func (s *session) receive() (pgproto3.FrontendMessage, error) {
+	if s.tx == nil && s.unit.empty() && !s.setIdle(true) {
+		return nil, errLeaving
+	}
+	msg, err := s.backend.Receive()
+	s.setIdle(false)
+	return msg, err
+}
+
+// setIdle returns false when the session is to end now.
+func (s *session) setIdle(idle bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = idle
+	return !idle || !s.leaving
+}
+
+// leaveWhenIdle ends the session between requests.
+func (s *session) leaveWhenIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaving = true
+	if s.idle {
+		_ = s.net.SetReadDeadline(time.Now())
+	}
+}
+
+func (s *session) isLeaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leaving
+}
+
+func (s *session) endOnReadError(err error) error {
+	var tooLarge *pgproto3.ExceededMaxBodyLenErr
+	var timeout net.Error
+	switch {
+	case errors.Is(err, errLeaving), errors.As(err, &timeout) && timeout.Timeout() && s.isLeaving():
+		_ = s.net.SetDeadline(time.Now().Add(startUpTimeout))
+		return s.fatal(result.New(result.Leaving, "%s", s.server.o.View.Self().ID).After(comeBack))
+	case errors.As(err, &tooLarge):
+		return s.fatal(result.New(result.MessageTooLarge, "%v", err))
+	case errors.Is(err, net.ErrClosed):
+		return nil
+	}
+	return err
+}
+
+// fatal tells the caller the result and ends the connection.
+func (s *session) fatal(e *result.Error) error {
+	s.backend.Send(pgwire.ErrorResponse(e, pgwire.SeverityFatal))
+	_ = s.backend.Flush()
+	return e
+}
+
+// refuse tells the caller the result; the session goes on.
+func (s *session) refuse(e *result.Error) error {
+	s.backend.Send(pgwire.ErrorResponse(e, pgwire.SeverityError))
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: pgwire.Idle})
+	return s.backend.Flush()
+}
+
+// setOption changes an option for the requests that follow.
+func (s *session) setOption(name, value string) *result.Error {
+	return s.options.set(name, value)
+}
+
+// cancelRequest ends the request under way, if any.
+func (s *session) cancelRequest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+func (s *session) setCancel(c context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cancel = c
+}
--- /dev/null
+++ b/internal/entry/startup.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"encoding/binary"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/internal/pgwire"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+const (
+	// comeBack is when a caller that was refused for a passing reason may try again.
+	comeBack = time.Second
+	// startUpTimeout bounds how long a connection may take to start a session.
+	startUpTimeout = 5 * time.Second
+	// secretLength of a cancel key in bytes, as protocol 3.0 fixes it.
+	secretLength = 4
+)
+
+var errCancelRequest = errors.New("entry: cancel request")
+
+// startUp answers the start-up message and registers the session.
+func (s *session) startUp() error {
+	_ = s.net.SetDeadline(time.Now().Add(startUpTimeout))
+	startup, err := s.receiveStartUp()
+	if err != nil {
+		return err
+	}
+	if failure := s.takeParameters(startup.Parameters); failure != nil {
+		return s.fatal(failure)
+	}
+	if failure := s.server.admit(s); failure != nil {
+		return s.fatal(failure)
+	}
+	s.greet()
+	if err := s.backend.Flush(); err != nil {
+		s.server.remove(s)
+		return err
+	}
+	return s.net.SetDeadline(time.Time{})
+}
+
+// receiveStartUp refuses encryption and passes cancel requests on.
+func (s *session) receiveStartUp() (*pgproto3.StartupMessage, error) {
+	for {
+		msg, err := s.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, err
+		}
+		switch m := msg.(type) {
+		case *pgproto3.StartupMessage:
+			return m, nil
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := s.net.Write([]byte{'N'}); err != nil {
+				return nil, err
+			}
+		case *pgproto3.CancelRequest:
+			s.server.cancel(m)
+			return nil, errCancelRequest
+		default:
+			return nil, s.fatal(result.New(result.BadProtocol, "unexpected start-up message"))
+		}
+	}
+}
+
+func (s *session) takeParameters(parameters map[string]string) *result.Error {
+	for name, value := range parameters {
+		short, ours := strings.CutPrefix(name, optionPrefix)
+		if !ours {
+			continue
+		}
+		if failure := s.setOption(short, value); failure != nil {
+			return failure
+		}
+	}
+	return s.checkOptions()
+}
+
+// checkOptions finds what a session must name before its first request.
+func (s *session) checkOptions() *result.Error {
+	conf := s.server.o.View.Config()
+	if conf == nil {
+		return nil
+	}
+	service, ok := conf.Service(s.options.service)
+	if !ok {
+		return result.New(result.UnknownService, "%q", s.options.service)
+	}
+	if s.options.member == "" {
+		s.options.member = service.Member
+	}
+	if _, ok := conf.Member(s.options.member); !ok || service.Member != s.options.member {
+		return result.New(result.UnknownMember, "%q does not own service %q", s.options.member, s.options.service)
+	}
+	return nil
+}
+
+// greet sends what a client expects after authentication.
+func (s *session) greet() {
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", "15.0 (buckthornshore)"},
+		{"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"},
+		{"DateStyle", "ISO, MDY"},
+		{"TimeZone", "UTC"},
+		{"integer_datetimes", "on"},
+		{"standard_conforming_strings", "on"},
+	} {
+		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: uint32(s.number), SecretKey: s.secret})
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: pgwire.Idle})
+}
+
+// cancel ends the request that a session has under way. A wrong key is passed
+// over in silence, as the protocol has it.
+func (s *Server) cancel(m *pgproto3.CancelRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sess := range s.sessions {
+		if uint32(sess.number) == m.ProcessID && keysEqual(sess.secret, m.SecretKey) {
+			sess.cancelRequest()
+		}
+	}
+}
+
+func keysEqual(a, b []byte) bool {
+	return len(a) == secretLength && len(b) == secretLength &&
+		binary.BigEndian.Uint32(a) == binary.BigEndian.Uint32(b)
+}
--- /dev/null
+++ b/internal/peers/peers.go
@@ -0,0 +1,97 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
+)
+
+// Limits of the connections to one VM.
+const (
+	// idleConnTimeout is short: a connection that goes silent while idle is
+	// closed before a request can be lost on it.
+	idleConnTimeout     = 2 * time.Second
+	maxIdleConnsPerPeer = 256
+	dialTimeout         = 500 * time.Millisecond
+)
+
+// Dialer opens connections.
+type Dialer interface {
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Client holds the services of one other VM.
+type Client struct {
+	peerpb.Pooler
+	peerpb.Relay
+	peerpb.Failover
+	peerpb.Admin
+	transport *http.Transport
+}
+
+// CloseIdle drops idle connections, after one of them has gone silent.
+func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
+
+// Table makes and keeps the clients by address. Safe for concurrent use.
+type Table struct {
+	dialer Dialer
+
+	mu      sync.Mutex
+	clients map[string]*Client
+}
+
+// NewTable makes an empty table.
+func NewTable(d Dialer) *Table {
+	return &Table{dialer: d, clients: map[string]*Client{}}
+}
+
+// Get returns the client of a VM.
+func (t *Table) Get(vm topology.VM) *Client {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.clients[vm.PeerAddress]
+	if c == nil {
+		c = t.make(vm.PeerAddress)
+		t.clients[vm.PeerAddress] = c
+	}
+	return c
+}
+
+func (t *Table) make(address string) *Client {
+	transport := &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+			defer cancel()
+			return t.dialer.DialContext(ctx, network, address)
+		},
+		MaxIdleConnsPerHost: maxIdleConnsPerPeer,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+	client := &http.Client{Transport: transport}
+	base := "http://" + address
+	return &Client{
+		Pooler:    peerpb.NewPoolerProtobufClient(base, client),
+		Relay:     peerpb.NewRelayProtobufClient(base, client),
+		Failover:  peerpb.NewFailoverProtobufClient(base, client),
+		Admin:     peerpb.NewAdminProtobufClient(base, client),
+		transport: transport,
+	}
+}
+
+// Forget drops the clients of addresses that keep does not name.
+func (t *Table) Forget(keep map[string]bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for address, c := range t.clients {
+		if !keep[address] {
+			c.CloseIdle()
+			delete(t.clients, address)
+		}
+	}
+}
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -5,7 +5,7 @@
 	"strings"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pgwire"
@@ -22,9 +22,6 @@
 	sqlUniqueViolation = "23505"
 )
 
-// ledgerTable holds a row for each request that may not be repeated.
-const ledgerTable = "buckthornshore_ledger"
-
 // request is one unit on its way through the pooler.
 type request struct {
 	*peerpb.ExecuteRequest
@@ -96,12 +93,13 @@
 		tp.discard(c)
 		return failure
 	}
+	at := c.position
 	if a.status != pgwire.Idle {
 		tp.hold(req.key, c)
 	} else {
 		tp.release(c)
 	}
-	return p.finish(req, c, a, resp)
+	return p.conclude(tp, req, at, a, resp)
 }
 
 // continueTransaction runs a unit on the connection that the transaction holds.
@@ -116,8 +114,19 @@
 		tp.discard(h.conn)
 		return lostAnswer(tp.target.ID, err)
 	}
+	at := h.conn.position
 	tp.settle(req.key, h, a.status)
-	return p.finish(req, h.conn, a, resp)
+	return p.conclude(tp, req, at, a, resp)
+}
+
+// conclude finishes the request. When it fails with its transaction open the
+// caller is told that the transaction is gone, so it must be.
+func (p *Pooler) conclude(tp *targetPool, req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
+	failure := p.finish(req, at, a, resp)
+	if failure != nil {
+		tp.abandon(req.key)
+	}
+	return failure
 }
 
 // settle gives the connection back when the transaction has ended.
@@ -164,32 +173,19 @@
 	return a, nil
 }
 
-// runOnce wraps the unit: the ledger row makes a second run of the same request
-// id fail as a whole, whichever proxy it comes through. A unit that opens a
-// transaction itself keeps it open, ledger row included.
-func (p *Pooler) runOnce(ctx context.Context, c *conn, req *request) (answer, *result.Error) {
-	target := topology.TargetID(req.Target)
-	insert := "BEGIN; INSERT INTO " + ledgerTable + " (k, v) VALUES (" + quote(req.CallerRequestId) + ", " + quote(req.Class) + ")"
-	first, err := c.query(ctx, insert)
-	if err != nil {
-		return first, lostAnswer(target, err).provedNotRun()
-	}
-	if first.sqlState != "" {
-		return first, p.ledgerRefused(ctx, c, req, first)
+// lostAnswer says what a failed exchange means: the request was sent, so unless
+// the caller knows better its outcome is unknown.
+func lostAnswer(id topology.TargetID, err error) *result.Error {
+	if errors.Is(err, pgwire.ErrFrameTooLarge) {
+		return result.New(result.ResultTooLarge, "%s", id)
 	}
-	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
-	if err != nil {
-		return a, lostAnswer(target, err)
-	}
-	return a, nil
+	return result.New(result.TargetSilent, "%s: %v", id, err).After(verifyAfter)
 }
 
-func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
-
 // finish checks the right once more and fills the answer.
-func (p *Pooler) finish(req *request, c *conn, a answer, resp *peerpb.ExecuteResponse) *result.Error {
+func (p *Pooler) finish(req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
 	if a.sqlState == sqlTermRefused {
-		return result.New(result.TermRefused, "%s", req.Target).After(verifyAfter)
+		return termRefused(req, a)
 	}
 	// The holder may have been paused between the target's completion and this
 	// line and its group been given a new primary meanwhile. An acknowledgement
@@ -200,12 +196,12 @@
 	if a.sqlState == sqlNotReplicated {
 		return result.New(result.NotReplicated, "%s", req.Target).After(time.Second)
 	}
-	if c.position.Less(peers.Position(req.Floor)) {
-		return result.New(result.ReplicaBehind, "%s holds %s", req.Target, c.position).After(verifyAfter)
+	if at.Less(peers.Position(req.Floor)) {
+		return result.New(result.ReplicaBehind, "%s holds %s", req.Target, at).After(verifyAfter)
 	}
 	resp.Messages = a.messages
 	resp.TxStatus = uint32(a.status)
-	resp.Position = peers.PositionTo(c.position)
+	resp.Position = peers.PositionTo(at)
 	return nil
 }
 
@@ -243,4 +239,12 @@
 	p.notePosition(at)
 }
 
-var _ = pgproto3.Query{}
+// termRefused is "not run" only when the refusal came before anything: a unit
+// of several statements may have had its first ones committed.
+func termRefused(req *request, a answer) *result.Error {
+	e := result.New(result.TermRefused, "%s", req.Target).After(verifyAfter)
+	if len(commandTags(a.messages)) > 0 && !req.InTransaction {
+		e.Ran = result.Unknown
+	}
+	return e
+}
--- /dev/null
+++ b/internal/pooler/once.go
@@ -0,0 +1,121 @@
+package pooler
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/internal/pgwire"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// LedgerTable holds a row for each request that may not be repeated: its id and
+// its class.
+const LedgerTable = "buckthornshore_ledger"
+
+// Command tags that open or end a transaction.
+const (
+	tagBegin    = "BEGIN"
+	tagCommit   = "COMMIT"
+	tagRollback = "ROLLBACK"
+)
+
+// runOnce wraps the unit: the ledger row, in the same transaction, makes a
+// second run of the same request id fail as a whole, whichever proxy it comes
+// through. A unit that opens a transaction of its own keeps it open.
+func (p *Pooler) runOnce(ctx context.Context, c *conn, req *request) (answer, *result.Error) {
+	target := topology.TargetID(req.Target)
+	claim := "BEGIN; INSERT INTO " + LedgerTable + " (k, v) VALUES (" + quote(req.CallerRequestId) + ", " + quote(req.Class) + ")"
+	first, err := c.query(ctx, claim)
+	if err != nil {
+		// No commit was sent, and the connection is closed: rolled back.
+		return first, result.New(result.TargetUnreachable, "%s: %v", target, err).After(verifyAfter)
+	}
+	if first.sqlState != "" {
+		return first, ledgerRefused(req, first)
+	}
+	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
+	if err != nil {
+		return a, lostAnswer(target, err)
+	}
+	if a.status == pgwire.Idle || opensTransaction(a.messages) {
+		return a, nil
+	}
+	return endWrapped(ctx, c, target, a)
+}
+
+// ledgerRefused says why the ledger row could not be written; nothing has run.
+func ledgerRefused(req *request, a answer) *result.Error {
+	switch a.sqlState {
+	case sqlUniqueViolation:
+		return result.New(result.AlreadyRan, "request %s", req.CallerRequestId)
+	case sqlTermRefused:
+		return result.New(result.TermRefused, "%s", req.Target).After(verifyAfter)
+	}
+	return result.New(result.TransactionAborted, "%s: ledger: SQLSTATE %s", req.Target, a.sqlState).After(time.Second)
+}
+
+// endWrapped commits, or rolls back after an error, and gives the caller the
+// unit's own answer with the state that it would have had alone.
+func endWrapped(ctx context.Context, c *conn, target topology.TargetID, a answer) (answer, *result.Error) {
+	sql := tagCommit
+	if a.status == pgwire.Failed {
+		sql = tagRollback
+	}
+	end, err := c.query(ctx, sql)
+	if err != nil {
+		return end, lostAnswer(target, err)
+	}
+	if end.sqlState != "" {
+		return end, nil
+	}
+	a.status = end.status
+	a.messages = setStatus(a.messages, end.status)
+	return a, nil
+}
+
+// setStatus replaces the state in the last ReadyForQuery of messages.
+func setStatus(messages []byte, status byte) []byte {
+	if n := len(messages); n > 0 {
+		messages[n-1] = status
+	}
+	return messages
+}
+
+// commandTags lists the first words of the commands that completed.
+func commandTags(messages []byte) []string {
+	var tags []string
+	_ = pgwire.Split(messages, func(f pgwire.Frame) error {
+		if f.Type() != 'C' {
+			return nil
+		}
+		var done pgproto3.CommandComplete
+		if err := done.Decode(f.Body()); err != nil {
+			return err
+		}
+		word, _, _ := strings.Cut(string(done.CommandTag), " ")
+		tags = append(tags, word)
+		return nil
+	})
+	return tags
+}
+
+// opensTransaction reports whether the unit itself began a transaction that it
+// did not end.
+func opensTransaction(messages []byte) bool {
+	open := false
+	for _, tag := range commandTags(messages) {
+		switch tag {
+		case tagBegin, "START":
+			open = true
+		case tagCommit, tagRollback:
+			open = false
+		}
+	}
+	return open
+}
+
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
