--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -37,7 +37,7 @@
 	}
 	var last *result.Error
 	for range req.class.MaxAttempts {
-		d, failure := s.choose(req, last != nil)
+		d, failure := s.choose(ctx, req, last != nil)
 		if failure == nil {
 			var resp *peerpb.ExecuteResponse
 			resp, failure = s.attempt(ctx, req, d, false)
@@ -54,7 +54,7 @@
 }
 
 // choose picks the primary for writes and, for reads, a replica first.
-func (s *session) choose(req *request, again bool) (destination, *result.Error) {
+func (s *session) choose(ctx context.Context, req *request, again bool) (destination, *result.Error) {
 	v := s.server.o.View
 	row := v.Group(req.group)
 	if row == nil {
@@ -62,7 +62,11 @@
 	}
 	d := destination{target: row.Primary, term: row.Term}
 	if req.class.Kind == config.Read && !again {
-		d = s.replica(row, req)
+		floor, failure := s.floor(ctx, req, row)
+		if failure != nil {
+			return d, failure
+		}
+		d = s.replica(row, floor)
 	}
 	vm, ok := v.PoolerOf(d.target)
 	if !ok {
@@ -72,7 +76,33 @@
 	return d, nil
 }
 
-func (s *session) replica(row *topology.Group, req *request) destination {
+// floor is the position that the request's target must hold. A session that may
+// roam, and a class that wants the newest, ask the primary; the question begins
+// after the request arrived, so it covers whatever was acknowledged before.
+func (s *session) floor(ctx context.Context, req *request, row *topology.Group) (position.Position, *result.Error) {
+	if s.options.session == "" && req.class.Staleness > 0 {
+		return s.floors[row.ID], nil
+	}
+	vm, ok := s.server.o.View.PoolerOf(row.Primary)
+	if !ok {
+		return position.Position{}, result.New(result.PoolerUnreachable, "no VM for %s", row.Primary).After(comeBack)
+	}
+	resp, err := s.server.o.Peers.Get(vm).ReadPosition(ctx, &peerpb.PositionRequest{
+		Group:   string(row.ID),
+		Target:  string(row.Primary),
+		Term:    row.Term,
+		Session: s.options.session,
+	})
+	if err != nil {
+		return position.Position{}, peers.HopResult(vm, err)
+	}
+	if failure := peers.Result(resp.Failure); failure != nil {
+		return position.Position{}, failure
+	}
+	return peers.Position(resp.Floor), nil
+}
+
+func (s *session) replica(row *topology.Group, floor position.Position) destination {
 	conf := s.server.o.View.Config()
 	g, _ := conf.Group(row.ID)
 	var replicas []topology.TargetID
@@ -84,7 +114,7 @@
 	if len(replicas) == 0 {
 		return destination{target: row.Primary, term: row.Term}
 	}
-	return destination{target: replicas[rand.IntN(len(replicas))], floor: s.floors[row.ID]}
+	return destination{target: replicas[rand.IntN(len(replicas))], floor: floor}
 }
 
 // attempt sends the request to one pooler.
--- /dev/null
+++ b/internal/integration/deployment_test.go
@@ -0,0 +1,196 @@
+package integration_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/buckthornshore/buckthornshore/internal/daemon"
+	"github.com/buckthornshore/buckthornshore/internal/settings"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/platform"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+	"github.com/buckthornshore/buckthornshore/rpc/platformpb"
+)
+
+// deployment is the example of one member: a platform, its databases and proxies.
+type deployment struct {
+	dir       string
+	doc       *config.Document
+	platform  *process
+	url       string
+	databases map[topology.TargetID]*process
+	proxies   []*process
+	callers   []string // caller addresses, as proxies
+	standIn   platformpb.StandIn
+}
+
+// shape of a deployment under test.
+type shape struct {
+	groups  int
+	proxies int
+	// databaseArgs are added to every database's flags.
+	databaseArgs []string
+}
+
+// deploy starts everything and waits until a write goes through.
+func deploy(s shape) *deployment {
+	d := &deployment{dir: GinkgoT().TempDir(), databases: map[topology.TargetID]*process{}}
+	DeferCleanup(d.end)
+	d.readExample(s.groups)
+	d.startPlatform()
+	d.startDatabases(s.databaseArgs)
+	for i := range s.proxies {
+		d.addProxy(i)
+	}
+	d.awaitWrites()
+	return d
+}
+
+// readExample takes the shipped example with addresses of this run.
+func (d *deployment) readExample(groups int) {
+	raw, err := os.ReadFile("../../examples/kalakvoot.json")
+	Expect(err).NotTo(HaveOccurred())
+	doc, problems := config.Parse("kalakvoot.json", raw)
+	Expect(config.Err(problems)).To(Succeed())
+	doc.Groups = doc.Groups[:groups]
+	for i := range doc.Groups {
+		for j := range doc.Groups[i].Targets {
+			doc.Groups[i].Targets[j].Address = freeAddress()
+		}
+	}
+	d.doc = doc
+	raw, err = json.Marshal(doc)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(os.WriteFile(d.configFile(), raw, 0o600)).To(Succeed())
+}
+
+func (d *deployment) configFile() string { return filepath.Join(d.dir, "config.json") }
+
+func (d *deployment) process(name string, args ...string) *process {
+	p := &process{name: name, args: args, log: filepath.Join(d.dir, name+".log")}
+	p.start()
+	return p
+}
+
+func (d *deployment) startPlatform() {
+	address := freeAddress()
+	d.platform = d.process("platform", "bts-platform", "--listen", address)
+	d.url = "http://" + address
+	d.standIn = platformpb.NewStandInProtobufClient(d.url, http.DefaultClient)
+	table := platform.NewRemote(d.url, "test", http.DefaultClient)
+	Eventually(func() error {
+		_, _, err := table.Scan(context.Background(), "", 0)
+		return err
+	}).WithTimeout(10 * time.Second).Should(Succeed())
+}
+
+func (d *deployment) startDatabases(extra []string) {
+	for _, g := range d.doc.Groups {
+		for _, t := range g.Targets {
+			args := []string{
+				"bts-database", "--id", string(t.ID), "--listen", t.Address,
+				"--data-centre", string(t.DataCentre),
+				"--data-file", filepath.Join(d.dir, string(t.ID)+".data"),
+			}
+			d.databases[t.ID] = d.process(string(t.ID), append(args, extra...)...)
+		}
+	}
+}
+
+// addProxy starts the i-th proxy, in the data centres by turns.
+func (d *deployment) addProxy(i int) {
+	s := daemon.Settings{
+		VM:              topology.VMID(fmt.Sprintf("vm-%d", i+1)),
+		DataCentre:      d.doc.DataCentres[i%len(d.doc.DataCentres)].Name,
+		Region:          "ee-north",
+		CallerAddress:   freeAddress(),
+		PeerAddress:     freeAddress(),
+		PlatformURL:     d.url,
+		ConfigFile:      d.configFile(),
+		PlatformTimeout: settings.Duration(time.Second),
+		LogLevel:        "debug",
+	}
+	raw, err := json.Marshal(s)
+	Expect(err).NotTo(HaveOccurred())
+	file := filepath.Join(d.dir, string(s.VM)+".json")
+	Expect(os.WriteFile(file, raw, 0o600)).To(Succeed())
+	d.proxies = append(d.proxies, d.process(string(s.VM), "bts-proxy", file))
+	d.callers = append(d.callers, s.CallerAddress)
+}
+
+// awaitWrites returns once every group takes a write.
+func (d *deployment) awaitWrites() {
+	for _, g := range d.doc.Groups {
+		Eventually(func() error {
+			c, err := d.connect(0, "landing-report", "group", g.Name)
+			if err != nil {
+				return err
+			}
+			defer c.Close(context.Background())
+			return put(c, "ready", "yes")
+		}).WithTimeout(20 * time.Second).WithPolling(100 * time.Millisecond).Should(Succeed())
+	}
+}
+
+// connect opens a session at the i-th proxy; options are name, value pairs.
+func (d *deployment) connect(i int, class string, options ...string) (*pgx.Conn, error) {
+	conf, err := pgx.ParseConfig("postgres://caller@" + d.callers[i] + "/quota?sslmode=disable")
+	Expect(err).NotTo(HaveOccurred())
+	conf.RuntimeParams["buckthornshore.service"] = "quota-ledger"
+	conf.RuntimeParams["buckthornshore.class"] = class
+	for n := 0; n+1 < len(options); n += 2 {
+		conf.RuntimeParams["buckthornshore."+options[n]] = options[n+1]
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, conf)
+}
+
+func (d *deployment) mustConnect(i int, class string, options ...string) *pgx.Conn {
+	c, err := d.connect(i, class, options...)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+func (d *deployment) end() {
+	all := append([]*process{d.platform}, d.proxies...)
+	for _, p := range d.databases {
+		all = append(all, p)
+	}
+	for _, p := range all {
+		if p == nil {
+			continue
+		}
+		if CurrentSpecReport().Failed() {
+			dumpLog(p)
+		}
+		p.kill()
+	}
+}
+
+const putSQL = "insert into quota (k, v) values ($1, $2) on conflict (k) do update set v = excluded.v"
+
+func put(c *pgx.Conn, key, value string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	_, err := c.Exec(ctx, putSQL, key, value)
+	return err
+}
+
+func get(c *pgx.Conn, key string) (string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var value string
+	err := c.QueryRow(ctx, "select v from quota where k = $1", key).Scan(&value)
+	return value, err
+}
--- /dev/null
+++ b/internal/integration/process_test.go
@@ -0,0 +1,81 @@
+package integration_test
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+// binDir holds the programs, built once for the suite.
+var binDir string
+
+var programs = []string{"bts-platform", "bts-database", "bts-proxy"}
+
+func buildPrograms() {
+	binDir = GinkgoT().TempDir()
+	for _, p := range programs {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(binDir, p), "../../cmd/"+p).CombinedOutput()
+		Expect(err).NotTo(HaveOccurred(), string(out))
+	}
+}
+
+// process is one running program; its log is kept for a failed test.
+type process struct {
+	name string
+	args []string
+	log  string
+	cmd  *exec.Cmd
+}
+
+func (p *process) start() {
+	file, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	Expect(err).NotTo(HaveOccurred())
+	defer file.Close()
+	p.cmd = exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
+	p.cmd.Stdout = file
+	p.cmd.Stderr = file
+	Expect(p.cmd.Start()).To(Succeed())
+}
+
+func (p *process) signal(s syscall.Signal) { Expect(p.cmd.Process.Signal(s)).To(Succeed()) }
+
+// kill ends the process as a failed VM would.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	_, _ = p.cmd.Process.Wait()
+}
+
+func (p *process) freeze() { p.signal(syscall.SIGSTOP) }
+func (p *process) thaw()   { p.signal(syscall.SIGCONT) }
+
+// stop asks for a planned stop and returns how long it took.
+func (p *process) stop() time.Duration {
+	begun := time.Now()
+	p.signal(syscall.SIGTERM)
+	_, _ = p.cmd.Process.Wait()
+	return time.Since(begun)
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress() string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+func dumpLog(p *process) {
+	raw, _ := os.ReadFile(p.log)
+	const most = 4000
+	if len(raw) > most {
+		raw = raw[len(raw)-most:]
+	}
+	fmt.Fprintf(GinkgoWriter, "--- %s\n%s\n", p.name, raw)
+}
