Database stand-in: first working version

Ruled out: a real PostgreSQL (no terms per statement, heavy for tests); a bounded queue in front of the replication delay (a full queue stops the answers to heartbeats, the primary drops the link, and nothing is applied); PROMOTE at a replica of the same term and FOLLOW at its primary (two logs of one term cannot be told apart any more), both refused with BT202. Before: nothing.

--- /dev/null
+++ b/internal/standin/database/conn.go
@@ -0,0 +1,207 @@
+package database
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+const (
+	// startupTimeout bounds how long a connection may take to say who it is.
+	startupTimeout = 10 * time.Second
+	// maxMessage bounds what one message may cost in memory: a length made
+	// of garbage bytes would otherwise reserve gigabytes.
+	maxMessage   = 16 << 20
+	receiveAhead = 64
+	secretLength = 4
+)
+
+// conn is one connection. A goroutine of its own reads ahead, so that a closed
+// connection is noticed while a statement runs.
+type conn struct {
+	db      *Database
+	nc      net.Conn
+	be      *pgproto3.Backend
+	pid     uint32
+	secret  []byte
+	counted bool // holds a place of the connection limit; guarded by db.connMu
+	control bool
+
+	ctx    context.Context
+	stop   context.CancelCauseFunc
+	msgs   chan pgproto3.FrontendMessage
+	peeked pgproto3.FrontendMessage
+
+	mu        sync.Mutex
+	cancelOne context.CancelCauseFunc
+}
+
+func newConn(d *Database, nc net.Conn, pid uint32) *conn {
+	secret := make([]byte, secretLength)
+	_, err := rand.Read(secret)
+	invariant(err == nil, "no randomness: %v", err)
+	c := &conn{
+		db: d, nc: nc, pid: pid, secret: secret,
+		be:   pgproto3.NewBackend(nc, nc),
+		msgs: make(chan pgproto3.FrontendMessage, receiveAhead),
+	}
+	c.be.SetMaxBodyLen(maxMessage)
+	c.ctx, c.stop = context.WithCancelCause(context.Background())
+	return c
+}
+
+// abort ends the connection at once; a running statement fails with cause.
+func (c *conn) abort(cause error) {
+	c.stop(cause)
+	c.nc.Close()
+}
+
+func (c *conn) serve() {
+	defer c.abort(errClosed)
+	start, err := c.startUp()
+	if err != nil {
+		c.fatal(err)
+		return
+	}
+	if start == nil {
+		return
+	}
+	reading := make(chan struct{})
+	go func() {
+		defer close(reading)
+		c.readAll()
+	}()
+	defer func() {
+		c.abort(errClosed)
+		<-reading
+	}()
+	if start.Parameters[paramReplication] == valueOn {
+		c.serveReplication()
+		return
+	}
+	newSession(c, start.Parameters).run()
+}
+
+// readAll hands the messages over until the connection ends.
+func (c *conn) readAll() {
+	for {
+		msg, err := c.be.Receive()
+		if err != nil {
+			c.abort(errClosed)
+			return
+		}
+		select {
+		case c.msgs <- cloneMessage(msg):
+		case <-c.ctx.Done():
+			return
+		}
+	}
+}
+
+// cloneMessage copies what the backend uses again for the next message.
+func cloneMessage(msg pgproto3.FrontendMessage) pgproto3.FrontendMessage {
+	switch m := msg.(type) {
+	case *pgproto3.Query:
+		c := *m
+		return &c
+	case *pgproto3.Parse:
+		c := *m
+		c.ParameterOIDs = slices.Clone(m.ParameterOIDs)
+		return &c
+	case *pgproto3.Bind:
+		return cloneBind(m)
+	case *pgproto3.Describe:
+		c := *m
+		return &c
+	case *pgproto3.Execute:
+		c := *m
+		return &c
+	case *pgproto3.Close:
+		c := *m
+		return &c
+	case *pgproto3.CopyData:
+		return &pgproto3.CopyData{Data: slices.Clone(m.Data)}
+	}
+	return msg
+}
+
+func cloneBind(m *pgproto3.Bind) *pgproto3.Bind {
+	c := *m
+	c.ParameterFormatCodes = slices.Clone(m.ParameterFormatCodes)
+	c.ResultFormatCodes = slices.Clone(m.ResultFormatCodes)
+	c.Parameters = make([][]byte, len(m.Parameters))
+	for i, p := range m.Parameters {
+		c.Parameters[i] = slices.Clone(p)
+	}
+	return &c
+}
+
+// receive returns the next message, or false when the connection is over.
+func (c *conn) receive() (pgproto3.FrontendMessage, bool) {
+	if msg := c.peeked; msg != nil {
+		c.peeked = nil
+		return msg, true
+	}
+	select {
+	case msg := <-c.msgs:
+		return msg, true
+	case <-c.ctx.Done():
+		return nil, false
+	}
+}
+
+// receiveWithin is receive with a time-out.
+func (c *conn) receiveWithin(timeout time.Duration) (pgproto3.FrontendMessage, bool) {
+	timer := time.AfterFunc(timeout, func() { c.abort(errClosed) })
+	defer timer.Stop()
+	return c.receive()
+}
+
+// peek returns the next message and leaves it in place; nil at the end.
+func (c *conn) peek() pgproto3.FrontendMessage {
+	if c.peeked == nil {
+		c.peeked, _ = c.receive()
+	}
+	return c.peeked
+}
+
+// send queues a message until the next flush.
+func (c *conn) send(msg pgproto3.BackendMessage) { c.be.Send(msg) }
+
+func (c *conn) flush() error { return c.be.Flush() }
+
+// fatal reports an error that ends the connection.
+func (c *conn) fatal(err error) {
+	c.send(responseTo(err, "FATAL"))
+	// The client may be gone already; there is nobody else to tell.
+	_ = c.flush()
+}
+
+// statementContext returns a context that a cancel request ends.
+func (c *conn) statementContext() (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	c.setCancel(cancel)
+	return ctx, func() {
+		c.setCancel(nil)
+		cancel(nil)
+	}
+}
+
+func (c *conn) setCancel(cancel context.CancelCauseFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancelOne = cancel
+}
+
+func (c *conn) cancelStatement() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancelOne != nil {
+		c.cancelOne(errCanceled)
+	}
+}
--- /dev/null
+++ b/internal/standin/database/replication_test.go
@@ -0,0 +1,130 @@
+package database_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/buckthornshore/buckthornshore/internal/standin/database"
+)
+
+// follow sends the control statement that makes db a replica of primary.
+func follow(db, primary *database.Database, term uint64) {
+	GinkgoHelper()
+	id := primary.Status().ID
+	row := status(control(db), fmt.Sprintf("BTS FOLLOW %d %s %s", term, id, primary.Address()))
+	Expect(row["role"]).To(Equal("replica"))
+}
+
+// status runs a control statement that answers the status row.
+func status(c *pgx.Conn, sql string) map[string]string {
+	GinkgoHelper()
+	rows, err := c.Query(ctx, sql, pgx.QueryExecModeSimpleProtocol)
+	Expect(err).NotTo(HaveOccurred())
+	row, err := pgx.CollectExactlyOneRow(rows, pgx.RowToMap)
+	Expect(err).NotTo(HaveOccurred())
+	out := map[string]string{}
+	for name, value := range row {
+		out[name] = value.(string)
+	}
+	return out
+}
+
+const showStatus = "SHOW buckthornshore.status"
+
+var _ = Describe("Replication", func() {
+	var primary, replica *database.Database
+	BeforeEach(func() {
+		primary = startPrimary(database.Config{ID: "a"})
+		replica = start(database.Config{ID: "b"})
+	})
+
+	It("brings a replica up to date, which refuses writes", func() {
+		w := connect(primary)
+		run(w, "insert into t (k, v) values ('x', '1')")
+		follow(replica, primary, 1)
+		run(w, "update t set v = '2' where k = 'x'")
+		r := connect(replica)
+		Eventually(func() string { return get(r, "x") }).Should(Equal("2"))
+		Expect(execCode(r, "delete from t where k = 'x'")).To(Equal("25006"))
+		Eventually(func() string { return status(control(primary), showStatus)["replicas"] }).Should(Equal("b=1/3"))
+	})
+
+	It("completes a commit when the named replicas hold it", func() {
+		follow(replica, primary, 1)
+		w := connect(primary)
+		run(w, "set buckthornshore.wait_for = 'b'")
+		run(w, "set buckthornshore.wait_timeout_ms = 10000")
+		run(w, "insert into t (k, v) values ('x', '1')")
+		Expect(get(connect(replica), "x")).To(Equal("1"))
+	})
+
+	// The caller sees BT208 on a write that stays. The primary commits and
+	// waits for a replica that nobody started; the time-out ends the wait but
+	// cannot undo the commit. In a transaction the COMMIT is what fails.
+	It("answers BT208 for a commit that is not replicated in time", func() {
+		w := connect(primary)
+		run(w, "set buckthornshore.wait_for = 'b, c'")
+		run(w, "set buckthornshore.wait_timeout_ms = '20'")
+		Expect(execCode(w, "insert into t (k, v) values ('x', '1')")).To(Equal("BT208"))
+		run(w, "begin")
+		run(w, "insert into t (k, v) values ('y', '1')")
+		Expect(execCode(w, "commit")).To(Equal("BT208"))
+		Expect(w.PgConn().TxStatus()).To(BeEquivalentTo('I'))
+		Expect(get(w, "x") + get(w, "y")).To(Equal("11"))
+	})
+
+	It("lags by the delay that was set", func() {
+		follow(replica, primary, 1)
+		Eventually(replica.Position).Should(Equal(primary.Position()))
+		run(control(replica), "BTS SET replication_delay 1h", pgx.QueryExecModeSimpleProtocol)
+		w, r := connect(primary), connect(replica)
+		run(w, "insert into t (k, v) values ('x', '1')")
+		Consistently(func() string { return get(r, "x") }, 200*time.Millisecond).Should(BeEmpty())
+		run(control(replica), "BTS SET replication_delay 0s", pgx.QueryExecModeSimpleProtocol)
+		Eventually(func() string { return get(r, "x") }).Should(Equal("1"))
+	})
+
+	// The caller loses the last write of the old primary, and operators see
+	// which. The replica lags behind, the primary is cut off and commits "lost",
+	// the replica is promoted without it; when the old primary follows the new
+	// one, its log differs from there on and is cut back.
+	It("discards and reports what a replaced primary had in surplus", func() {
+		w := connect(primary)
+		run(w, "insert into t (k, v) values ('kept', '1')")
+		follow(replica, primary, 1)
+		Eventually(replica.Position).Should(Equal(primary.Position()))
+		Expect(status(control(replica), "BTS FENCE 2")).To(HaveKeyWithValue("role", "fenced"))
+		run(w, "insert into t (k, v) values ('lost', '1')")
+
+		Expect(status(control(replica), "BTS PROMOTE 2")).To(HaveKeyWithValue("position", "2/3"))
+		run(connect(replica), "insert into t (k, v) values ('new', '1')")
+		follow(primary, replica, 2)
+		Eventually(primary.Position).Should(Equal(replica.Position()))
+		Expect(status(control(primary), showStatus)).To(HaveKeyWithValue("surplus", "1/3"))
+		r := connect(primary)
+		Expect(get(r, "kept") + get(r, "new")).To(Equal("11"))
+		Expect(get(r, "lost")).To(BeEmpty())
+	})
+
+	// Readers of the replica notice nothing: the primary goes away, the
+	// replica keeps trying to reach it, and its own state stays as it is.
+	It("serves reads while its primary is gone", func() {
+		run(connect(primary), "insert into t (k, v) values ('x', '1')")
+		follow(replica, primary, 1)
+		Eventually(replica.Position).Should(Equal(primary.Position()))
+		primary.Close()
+		r := connect(replica)
+		Consistently(func() string { return get(r, "x") }, 300*time.Millisecond).Should(Equal("1"))
+	})
+
+	It("waits for a primary that is not in its term yet", func() {
+		follow(replica, primary, 2)
+		Consistently(replica.Position, 200*time.Millisecond).Should(BeZero())
+		Expect(primary.Promote(2)).To(Succeed())
+		Eventually(replica.Position).Should(Equal(primary.Position()))
+	})
+})
--- /dev/null
+++ b/internal/standin/database/startup.go
@@ -0,0 +1,102 @@
+package database
+
+import (
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Names of start-up parameters, variables and reported parameters.
+const (
+	paramControl     = "buckthornshore.control"
+	paramReplication = "buckthornshore.replication"
+	varTerm          = "buckthornshore.term"
+	varWaitFor       = "buckthornshore.wait_for"
+	varWaitTimeout   = "buckthornshore.wait_timeout_ms"
+	varPosition      = "buckthornshore.position"
+	varStatus        = "buckthornshore.status"
+	valueOn          = "on"
+	valueOff         = "off"
+)
+
+// serverVersion is what clients see as the version of the server.
+const serverVersion = "15.0 (buckthornshore stand-in)"
+
+type parameter struct {
+	name  string
+	value string
+}
+
+// reported are the parameters that common clients want to know.
+var reported = []parameter{
+	{"server_version", serverVersion},
+	{"server_encoding", "UTF8"},
+	{"client_encoding", "UTF8"},
+	{"standard_conforming_strings", valueOn},
+	{"integer_datetimes", valueOn},
+	{"DateStyle", "ISO, MDY"},
+	{"IntervalStyle", "postgres"},
+	{"TimeZone", "UTC"},
+	{"is_superuser", valueOff},
+}
+
+// startUp answers the start of a connection. It returns nil without an error
+// when the connection was a cancel request or was closed.
+func (c *conn) startUp() (*pgproto3.StartupMessage, error) {
+	if err := c.nc.SetDeadline(time.Now().Add(startupTimeout)); err != nil {
+		return nil, nil
+	}
+	start := c.receiveStart()
+	if start == nil {
+		return nil, nil
+	}
+	c.control = start.Parameters[paramControl] == valueOn
+	if !c.control && start.Parameters[paramReplication] != valueOn {
+		if err := c.db.admit(c); err != nil {
+			return nil, err
+		}
+	}
+	time.Sleep(c.db.cfg.ConnectTime)
+	c.welcome()
+	if err := c.nc.SetDeadline(time.Time{}); err != nil {
+		return nil, nil
+	}
+	return start, nil
+}
+
+func (c *conn) receiveStart() *pgproto3.StartupMessage {
+	for {
+		msg, err := c.be.ReceiveStartupMessage()
+		if err != nil {
+			return nil
+		}
+		switch m := msg.(type) {
+		case *pgproto3.SSLRequest, *pgproto3.GSSEncRequest:
+			if _, err := c.nc.Write([]byte{'N'}); err != nil {
+				return nil
+			}
+		case *pgproto3.CancelRequest:
+			c.db.cancel(m.ProcessID, m.SecretKey)
+			return nil
+		case *pgproto3.StartupMessage:
+			return m
+		}
+	}
+}
+
+func (c *conn) welcome() {
+	c.send(&pgproto3.AuthenticationOk{})
+	for _, p := range reported {
+		c.send(&pgproto3.ParameterStatus{Name: p.name, Value: p.value})
+	}
+	c.send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: c.secret})
+	c.ready(statusIdle)
+	// A broken connection is noticed by the reader.
+	_ = c.flush()
+}
+
+// ready reports the position and that the next statement may come.
+func (c *conn) ready(status byte) {
+	c.send(&pgproto3.ParameterStatus{Name: varPosition, Value: c.db.Position().String()})
+	c.send(&pgproto3.ReadyForQuery{TxStatus: status})
+}
