--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -36,11 +36,11 @@
 		return s.attempt(ctx, req, d, true)
 	}
 	var last *result.Error
-	for range req.class.MaxAttempts {
+	for left := req.class.MaxAttempts; left > 0; left-- {
 		d, failure := s.choose(ctx, req, last != nil)
 		if failure == nil {
 			var resp *peerpb.ExecuteResponse
-			resp, failure = s.attempt(ctx, req, d, false)
+			resp, failure = s.attemptWithin(ctx, req, d, left)
 			if failure == nil {
 				return resp, nil
 			}
@@ -117,6 +117,19 @@
 	return destination{target: replicas[rand.IntN(len(replicas))], floor: floor}
 }
 
+// attemptWithin gives a read an equal share of the time left: a target that
+// hangs would else use up the whole deadline, and the caller get no answer that
+// another target could have given. A write has one attempt that may run.
+func (s *session) attemptWithin(ctx context.Context, req *request, d destination, left int) (*peerpb.ExecuteResponse, *result.Error) {
+	if req.class.Kind == config.Read {
+		deadline, _ := ctx.Deadline()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/time.Duration(left))
+		defer cancel()
+	}
+	return s.attempt(ctx, req, d, false)
+}
+
 // attempt sends the request to one pooler.
 func (s *session) attempt(ctx context.Context, req *request, d destination, inTransaction bool) (*peerpb.ExecuteResponse, *result.Error) {
 	self := s.server.o.View.Self()
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -213,17 +213,14 @@
 
 // abandon ends a transaction whose session has gone: its connection is closed,
 // which rolls it back at the target.
-func (p *pool) abandon(key txKey) bool {
+func (p *pool) abandon(key txKey) {
 	p.mu.Lock()
 	h := p.held[key]
-	if h == nil {
-		p.mu.Unlock()
-		return false
-	}
 	delete(p.held, key)
 	p.mu.Unlock()
-	p.discard(h.conn)
-	return true
+	if h != nil {
+		p.discard(h.conn)
+	}
 }
 
 // sweep closes transactions idle for longer than txIdle and connections idle
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -61,9 +61,8 @@
 type Pooler struct {
 	o Options
 
-	mu      sync.Mutex
-	pools   map[topology.TargetID]*targetPool
-	leaving bool
+	mu    sync.Mutex
+	pools map[topology.TargetID]*targetPool
 }
 
 // targetPool is one target: its connections, its queue and its control connection.
