--- a/pkg/config/decode.go
+++ b/pkg/config/decode.go
@@ -39,10 +39,16 @@
 	}
 }
 
+// fail reports a value that can't be used.
+func (d *decoder) fail(path, what, allowed string) {
+	d.failed[path] = true
+	d.add(path, what, allowed)
+}
+
 func (d *decoder) object(v *hujson.Value, out reflect.Value, path string) {
 	object, ok := v.Value.(*hujson.Object)
 	if !ok {
-		d.add(path, "is "+kindName(v), "an object")
+		d.fail(path, "is "+kindName(v), "an object")
 		return
 	}
 	if record, ok := out.Addr().Interface().(defaulter); ok {
@@ -55,7 +61,7 @@
 	}
 	for _, f := range fields {
 		if f.required && !seen[f.key] {
-			d.add(path, fmt.Sprintf("key %q is missing", f.key), "")
+			d.add(path, fmt.Sprintf("key %q is missing", f.key), "it is required")
 		}
 	}
 }
@@ -85,7 +91,7 @@
 func (d *decoder) array(v *hujson.Value, out reflect.Value, path string) {
 	array, ok := v.Value.(*hujson.Array)
 	if !ok {
-		d.add(path, "is "+kindName(v), "a list")
+		d.fail(path, "is "+kindName(v), "a list")
 		return
 	}
 	out.Set(reflect.MakeSlice(out.Type(), len(array.Elements), len(array.Elements)))
@@ -97,12 +103,12 @@
 func (d *decoder) text(v *hujson.Value, out reflect.Value, path string) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
-		d.add(path, "is "+kindName(v), "a string")
+		d.fail(path, "is "+kindName(v), "a string")
 		return
 	}
 	s := literal.String()
 	if e, ok := out.Interface().(enum); ok && !slices.Contains(e.allowed(), s) {
-		d.add(path, fmt.Sprintf("%q is not a value of this key", s), listAndSuggest(s, e.allowed()))
+		d.fail(path, fmt.Sprintf("%q is not a value of this key", s), listAndSuggest(s, e.allowed()))
 		return
 	}
 	out.SetString(s)
@@ -111,7 +117,7 @@
 func (d *decoder) boolean(v *hujson.Value, out reflect.Value, path string) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || (literal.Kind() != 't' && literal.Kind() != 'f') {
-		d.add(path, "is "+kindName(v), "true or false")
+		d.fail(path, "is "+kindName(v), "true or false")
 		return
 	}
 	out.SetBool(literal.Bool())
@@ -120,12 +126,12 @@
 func (d *decoder) integer(v *hujson.Value, out reflect.Value, path string) {
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '0' {
-		d.add(path, "is "+kindName(v), "a whole number, without a unit")
+		d.fail(path, "is "+kindName(v), "a whole number, without a unit")
 		return
 	}
 	n, err := strconv.ParseInt(string(literal), 10, 32)
 	if err != nil {
-		d.add(path, fmt.Sprintf("%s is not a whole number of 32 bits", literal), "a whole number, without a unit")
+		d.fail(path, fmt.Sprintf("%s is not a whole number of 32 bits", literal), "a whole number, without a unit")
 		return
 	}
 	out.SetInt(n)
@@ -135,12 +141,12 @@
 	const allowed = `a string with a unit: ns, us, ms, s, m or h, such as "250ms"`
 	literal, ok := v.Value.(hujson.Literal)
 	if !ok || literal.Kind() != '"' {
-		d.add(path, "is "+kindName(v), allowed)
+		d.fail(path, "is "+kindName(v), allowed)
 		return
 	}
 	parsed, err := time.ParseDuration(literal.String())
 	if err != nil {
-		d.add(path, fmt.Sprintf("%q is not a duration", literal.String()), allowed)
+		d.fail(path, fmt.Sprintf("%q is not a duration", literal.String()), allowed)
 		return
 	}
 	out.SetInt(int64(parsed))
@@ -158,7 +164,7 @@
 	tooLow := f.min != "" && n < boundOf(f.min)
 	tooHigh := f.max != "" && n > boundOf(f.max)
 	if tooLow || tooHigh {
-		d.add(path, fmt.Sprintf("%v is out of bounds", out.Interface()), f.boundsText())
+		d.fail(path, fmt.Sprintf("%v is out of bounds", out.Interface()), f.boundsText())
 	}
 }
 
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -21,7 +21,7 @@
 // in the file. The document is nil when one of them is an error; with warnings
 // only it is valid. file only names the source in the problems.
 func Parse(file string, raw []byte) (*Document, []Problem) {
-	r := &report{file: file, raw: raw, offsets: map[string]int{}}
+	r := newReport(file, raw)
 	if !r.sizeAllowed() {
 		return nil, r.problems
 	}
--- a/pkg/config/problem.go
+++ b/pkg/config/problem.go
@@ -1,7 +1,6 @@
 package config
 
 import (
-	"bytes"
 	"fmt"
 	"sort"
 	"strings"
@@ -69,6 +68,15 @@
 	raw      []byte
 	offsets  map[string]int
 	problems []Problem
+	// failed holds the paths whose value could not be read: checks of the value
+	// would only repeat the problem.
+	failed map[string]bool
+	// lineStarts are the offsets of the lines, found when first needed.
+	lineStarts []int
+}
+
+func newReport(file string, raw []byte) *report {
+	return &report{file: file, raw: raw, offsets: map[string]int{}, failed: map[string]bool{}}
 }
 
 func (r *report) add(path, what, allowed string) {
@@ -82,7 +90,7 @@
 }
 
 func (r *report) problem(offset int, path, what, allowed string) Problem {
-	line, column := lineColumn(r.raw, offset)
+	line, column := r.lineColumn(offset)
 	return Problem{File: r.file, Line: line, Column: column, Path: path, What: what, Allowed: allowed}
 }
 
@@ -98,9 +106,10 @@
 	return r.offsets[""]
 }
 
-func (r *report) has(path string) bool {
+// given reports whether the file has a value at path that could be read.
+func (r *report) given(path string) bool {
 	_, ok := r.offsets[path]
-	return ok
+	return ok && !r.failed[path]
 }
 
 func (r *report) sorted() []Problem {
@@ -127,10 +136,20 @@
 
 func indexPath(parent string, i int) string { return fmt.Sprintf("%s[%d]", parent, i) }
 
-func lineColumn(raw []byte, offset int) (line, column int) {
-	offset = min(offset, len(raw))
-	before := raw[:offset]
-	line = 1 + bytes.Count(before, []byte("\n"))
-	column = offset - bytes.LastIndexByte(before, '\n')
-	return line, column
+func (r *report) lineColumn(offset int) (line, column int) {
+	if r.lineStarts == nil {
+		r.lineStarts = findLineStarts(r.raw)
+	}
+	line = sort.SearchInts(r.lineStarts, offset+1)
+	return line, offset - r.lineStarts[line-1] + 1
+}
+
+func findLineStarts(raw []byte) []int {
+	starts := []int{0}
+	for i, b := range raw {
+		if b == '\n' {
+			starts = append(starts, i+1)
+		}
+	}
+	return starts
 }
--- a/pkg/config/suggest.go
+++ b/pkg/config/suggest.go
@@ -19,7 +19,8 @@
 }
 
 func nearest(name string, allowed []string) string {
-	best, bestDistance := "", maxSuggestDistance+1
+	// A name of which half the letters differ is another name.
+	best, bestDistance := "", min(maxSuggestDistance, len(name)/2)+1
 	for _, a := range allowed {
 		if d := editDistance(name, a); d < bestDistance {
 			best, bestDistance = a, d
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/netip"
 	"regexp"
-	"strings"
 
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -48,7 +47,7 @@
 
 // declare checks a new name; key is what must be unique.
 func (n *names) declare(path, name, key string) {
-	if !n.v.has(path) {
+	if !n.v.given(path) {
 		return
 	}
 	if !validName.MatchString(name) {
@@ -65,7 +64,7 @@
 
 // refer checks a reference to a name.
 func (v *validator) refer(path, what, name string, known []string) {
-	if !v.has(path) || name == "" {
+	if !v.given(path) {
 		return
 	}
 	for _, k := range known {
@@ -89,7 +88,7 @@
 		path := indexPath("data_centres", i)
 		n.declare(joinPath(path, "name"), string(dc.Name), string(dc.Name))
 		region := joinPath(path, "region")
-		if v.has(region) && !validName.MatchString(dc.Region) {
+		if v.given(region) && !validName.MatchString(dc.Region) {
 			v.add(region, fmt.Sprintf("%q is not a valid name", dc.Region), nameRule)
 		}
 	}
@@ -144,7 +143,7 @@
 
 // spread warns of a group that one data centre's loss would end.
 func (v *validator) spread(g *Group, path string) {
-	if !v.has(path) {
+	if !v.given(path) {
 		return
 	}
 	if len(g.Targets) == 0 {
@@ -161,7 +160,7 @@
 }
 
 func (v *validator) address(path, address string, taken map[string]string) {
-	if !v.has(path) {
+	if !v.given(path) {
 		return
 	}
 	parsed, err := netip.ParseAddrPort(address)
@@ -204,7 +203,7 @@
 // readClass fills in that reads are repeatable, and refuses what only writes have.
 func (v *validator) readClass(path string, c *Class) {
 	repeatable := joinPath(path, "repeatable")
-	if v.has(repeatable) && !c.Repeatable {
+	if v.given(repeatable) && !c.Repeatable {
 		v.add(repeatable, "a read class is always repeatable", "leave the key out, or true")
 	}
 	c.Repeatable = true
@@ -243,7 +242,7 @@
 func namesOf[T any](records []T, name func(T) string) []string {
 	out := make([]string, 0, len(records))
 	for _, r := range records {
-		out = append(out, strings.Clone(name(r)))
+		out = append(out, name(r))
 	}
 	return out
 }
--- a/pkg/config/validate_presets.go
+++ b/pkg/config/validate_presets.go
@@ -14,7 +14,7 @@
 		v.classOverrides(path, p)
 		v.memberOverrides(path, p)
 	}
-	if v.has("presets") && !slices.Contains(n.order, OrdinaryPreset) {
+	if v.given("presets") && !slices.Contains(n.order, OrdinaryPreset) {
 		v.add("presets", fmt.Sprintf("there is no preset %q", OrdinaryPreset), "it is in force until an operator switches")
 	}
 }
