--- /dev/null
+++ b/pkg/authority/holder_systems.go
@@ -0,0 +1,421 @@
+package authority
+
+import (
+	"slices"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const (
+	// shunFor keeps a VM that fell silent out of the list, so that a flapping
+	// path does not cost two writes of the row each time.
+	shunFor = 10 * time.Second
+	// unsyncAfter is how long a synced replica may stay behind one position of
+	// the primary before waiting writes stop waiting for it.
+	unsyncAfter = 700 * time.Millisecond
+	// freshPrimary is how old the known position of the primary may be for a
+	// replica to count as caught up with it.
+	freshPrimary = time.Second
+	// renewAfter is how long a released version waits for a promotion before the
+	// holder renews the list.
+	renewAfter = 3 * time.Second
+	// caretakerAfter is how long all promoters must be silent before the holder
+	// goes on without any: a promotion on their side takes less.
+	caretakerAfter = 5 * time.Second
+	// drainLimit ends a switchover that brought no promotion.
+	drainLimit = 5 * time.Second
+)
+
+// replicaView is a replica as its promoter reports it.
+type replicaView struct {
+	position  position.Position
+	reachable bool
+	at        mono.Time
+	// mark is the primary's position that the replica did not hold at behindAt.
+	mark     position.Position
+	behindAt mono.Time
+	behind   bool
+}
+
+// drain is a planned switchover as the holder sees it.
+type drain struct {
+	to      topology.TargetID
+	began   mono.Time
+	drained bool
+	asked   mono.Time
+}
+
+// RequestSwitchover asks the VM to promote: the primary admits no write and the
+// VM's replica holds all of them. It goes to Promoter.Switchover there.
+type RequestSwitchover struct {
+	To    topology.VMID
+	Group topology.GroupID
+}
+
+func (RequestSwitchover) action() {}
+
+// Candidates names the VMs that should stand in the group's list, with their
+// present incarnations and replicas: reachable, not leaving. An entry whose
+// replica is the primary itself keeps the list non-empty and never promotes.
+// Synced is ignored.
+func (h *Holder) Candidates(group topology.GroupID, list []topology.Promoter) {
+	if g, ok := h.groups[group]; ok {
+		g.candidates = slices.Clone(list)
+	}
+}
+
+// ObservePrimary takes the primary's position from a fetch begun at began.
+func (h *Holder) ObservePrimary(group topology.GroupID, p position.Position, began mono.Time) {
+	g, ok := h.groups[group]
+	if !ok || began.Before(g.primaryAt) {
+		return
+	}
+	g.primary = p
+	g.primaryAt = began
+}
+
+// SetHealth tells how the primary looks from here; a change goes out at once.
+func (h *Holder) SetHealth(group topology.GroupID, health Health) {
+	g, ok := h.groups[group]
+	if !ok || g.health == health {
+		return
+	}
+	g.health = health
+	g.urgent = true
+}
+
+// Drain starts a switchover to the target: Right admits nothing more. It ends
+// with the next term, or after five seconds.
+func (h *Holder) Drain(group topology.GroupID, to topology.TargetID, now mono.Time) {
+	if g, ok := h.groups[group]; ok {
+		g.drain = &drain{to: to, began: now}
+	}
+}
+
+// Drained tells that every write admitted before Drain has ended.
+func (h *Holder) Drained(group topology.GroupID) {
+	if g, ok := h.groups[group]; ok && g.drain != nil {
+		g.drain.drained = true
+	}
+}
+
+// Tick runs the systems and returns what is to be carried out.
+func (h *Holder) Tick(now mono.Time) []Action {
+	out := h.heartbeats(now)
+	for _, id := range sortedKeys(h.groups) {
+		g := h.groups[id]
+		out = append(out, h.confirmRow(id, g, now)...)
+		if g.now.row == nil || g.now.row.Primary != g.target {
+			continue
+		}
+		out = append(out, h.promote(g, now)...)
+		out = append(out, h.propose(g, now)...)
+		out = append(out, h.settlement(g, now)...)
+		out = append(out, h.switchover(g, now)...)
+	}
+	return out
+}
+
+// ObservePromoted tells that the target confirmed to be the primary of the term.
+func (h *Holder) ObservePromoted(group topology.GroupID, term uint64) {
+	if g, ok := h.groups[group]; ok {
+		g.inTerm = max(g.inTerm, term)
+	}
+}
+
+// promote has the target follow the row. Whoever pools the target does so, and
+// not the VM that committed the row, which may have died since.
+func (h *Holder) promote(g *held, now mono.Time) []Action {
+	row := g.now.row
+	if g.inTerm >= row.Term || (g.promoteAsked != 0 && now.Sub(g.promoteAsked) < h.opts.RetryEvery) {
+		return nil
+	}
+	g.promoteAsked = now
+	return []Action{PromoteReplica{Group: row.ID, Target: g.target, Term: row.Term}}
+}
+
+func (h *Holder) settlement(g *held, now mono.Time) []Action {
+	if len(g.now.row.Unsettled) == 0 {
+		return nil
+	}
+	return g.settlement.ask(&h.opts, g.now.row, now)
+}
+
+// heartbeats batches the promise requests of all groups by VM.
+func (h *Holder) heartbeats(now mono.Time) []Action {
+	all := !h.beaten || now.Sub(h.lastBeat) >= h.opts.Heartbeat
+	if all {
+		h.lastBeat = now
+		h.beaten = true
+	}
+	batch := map[topology.VMID][]PromiseRequest{}
+	for _, id := range sortedKeys(h.groups) {
+		g := h.groups[id]
+		row := g.now.row
+		if row == nil || row.Primary != g.target || (!all && !g.urgent) {
+			continue
+		}
+		g.urgent = false
+		for _, p := range row.Promoters {
+			req := PromiseRequest{Group: id, Version: row.Version, Health: g.health}
+			if _, ok := g.promises[promiseKey{p.VM, p.Incarnation, row.Version}]; !ok {
+				req.Row = row.Clone()
+			}
+			batch[p.VM] = append(batch[p.VM], req)
+		}
+	}
+	var out []Action
+	for _, vm := range sortedKeys(batch) {
+		out = append(out, SendHeartbeat{To: vm, Request: h.heartbeat(vm, batch[vm], now)})
+	}
+	return out
+}
+
+func (h *Holder) heartbeat(to topology.VMID, promises []PromiseRequest, now mono.Time) HeartbeatRequest {
+	h.sequence++
+	s, ok := h.sent[to]
+	if !ok {
+		s = &sentTimes{at: map[uint64]mono.Time{}}
+		h.sent[to] = s
+	}
+	s.at[h.sequence] = now
+	s.order = append(s.order, h.sequence)
+	if len(s.order) > keptHeartbeats {
+		delete(s.at, s.order[0])
+		s.order = s.order[1:]
+	}
+	return HeartbeatRequest{VM: h.self.ID, Incarnation: h.self.Incarnation, Sequence: h.sequence, Promises: promises}
+}
+
+// confirmRow asks for a platform read that shows the row as current.
+func (h *Holder) confirmRow(id topology.GroupID, g *held, now mono.Time) []Action {
+	fresh := g.now.known && now.Sub(g.now.asOf) < h.opts.ConfirmRowEvery
+	if fresh || (g.readAsked != 0 && now.Sub(g.readAsked) < h.opts.RetryEvery) {
+		return nil
+	}
+	g.readAsked = now
+	return []Action{ReadRow{Group: id}}
+}
+
+// propose changes the row: one change at a time, the most urgent first.
+func (h *Holder) propose(g *held, now mono.Time) []Action {
+	if g.proposal == nil {
+		next := h.nextRow(g, now)
+		if next == nil {
+			return nil
+		}
+		g.proposal = &proposal{row: next, again: true}
+	}
+	if !g.proposal.due(&h.opts, now) {
+		return nil
+	}
+	return []Action{CommitRow{Row: g.proposal.row.Clone()}}
+}
+
+func (h *Holder) nextRow(g *held, now mono.Time) *topology.Group {
+	row := g.now.row
+	list := h.wantedList(g, now)
+	if !slices.Equal(list, row.Promoters) {
+		if next := ChangeList(row, list, h.changeID()); next != nil {
+			return next
+		}
+	}
+	// The promotion that the right was released for did not come: without a new
+	// version nobody could acknowledge again.
+	released := h.released[row.ID]
+	stuck := released.version >= row.Version && now.Sub(released.at) > renewAfter
+	if stuck {
+		return ChangeList(row, row.Promoters, h.changeID())
+	}
+	return h.settle(g, now)
+}
+
+// wantedList is the list without those that fell silent and those not wanted any
+// more, with the candidates that are missing, and with what is synced by now.
+func (h *Holder) wantedList(g *held, now mono.Time) []topology.Promoter {
+	row := g.now.row
+	var list []topology.Promoter
+	for _, p := range row.Promoters {
+		silent := now.Sub(g.granted[p.VM]) > h.opts.ReplaceAfter
+		if silent {
+			g.shunned[p.VM] = now.Add(shunFor)
+		}
+		if !silent && g.wants(p) {
+			list = append(list, p)
+		}
+	}
+	for _, c := range g.candidates {
+		_, listed := entryOf(list, c.VM, c.Incarnation)
+		_, old := entryOf(row.Promoters, c.VM, c.Incarnation)
+		shunned := old && g.shunned[c.VM].After(now)
+		shunned = shunned || (!restarted(row, c) && g.shunned[c.VM].After(now))
+		if listed || shunned {
+			continue
+		}
+		c.Synced = slices.Contains(Synced(row.Promoters), c.Replica)
+		list = append(list, c)
+	}
+	list = h.keepOne(g, list, now)
+	for i, p := range list {
+		list[i].Synced = g.wantSynced(p, now)
+	}
+	return list
+}
+
+// wants reports whether the entry may stay.
+func (g *held) wants(p topology.Promoter) bool {
+	if g.candidates == nil {
+		return true
+	}
+	return slices.ContainsFunc(g.candidates, func(c topology.Promoter) bool {
+		return sameDaemon(c, p) && c.Replica == p.Replica
+	})
+}
+
+// keepOne makes this VM itself the list's caretaker when every other entry has
+// been silent for long. Not at once: those that are merely cut off from here, and
+// reach the platform, are to promote on their side first. An entry for the
+// primary itself never promotes; it goes once another entry promises.
+func (h *Holder) keepOne(g *held, list []topology.Promoter, now mono.Time) []topology.Promoter {
+	row := g.now.row
+	self := topology.Promoter{VM: h.self.ID, Incarnation: h.self.Incarnation, Replica: g.target}
+	_, caretaker := entryOf(row.Promoters, self.VM, self.Incarnation)
+	if caretaker && len(row.Promoters) > 1 && len(list) > 0 && h.promising(g, list) {
+		return list
+	}
+	if caretaker {
+		return append(list, self)
+	}
+	if len(list) > 0 {
+		return list
+	}
+	for _, at := range g.granted {
+		if now.Sub(at) <= caretakerAfter {
+			return slices.Clone(row.Promoters)
+		}
+	}
+	return []topology.Promoter{self}
+}
+
+// promising reports whether each entry has promised under the current version.
+func (h *Holder) promising(g *held, list []topology.Promoter) bool {
+	for _, p := range list {
+		if _, ok := g.promises[promiseKey{p.VM, p.Incarnation, g.now.row.Version}]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// restarted reports whether the VM stands in the row with another incarnation:
+// then its silence is explained and it may come back at once.
+func restarted(row *topology.Group, c topology.Promoter) bool {
+	return slices.ContainsFunc(row.Promoters, func(p topology.Promoter) bool {
+		return p.VM == c.VM && p.Incarnation != c.Incarnation
+	})
+}
+
+// observeReplica keeps what a promoter says of its replica.
+func (g *held) observeReplica(target topology.TargetID, p Promise, now mono.Time) {
+	v := g.replicas[target]
+	v.reachable = p.ReplicaReachable
+	v.at = now
+	if p.ReplicaReachable {
+		v.position = position.Max(v.position, p.Position)
+	}
+	g.replicas[target] = v
+}
+
+// wantSynced decides whether waiting writes should wait for the entry's replica.
+func (g *held) wantSynced(p topology.Promoter, now mono.Time) bool {
+	if p.Replica == g.now.row.Primary || g.primaryAt == 0 {
+		return p.Synced && p.Replica != g.now.row.Primary
+	}
+	v := g.replicas[p.Replica]
+	caughtUp := v.reachable && !v.position.Less(g.primary)
+	if !p.Synced {
+		return caughtUp && now.Sub(g.primaryAt) < freshPrimary && now.Sub(v.at) < freshPrimary
+	}
+	switch {
+	case caughtUp, v.behind && v.reachable && !v.position.Less(v.mark):
+		v.behind = false
+	case !v.behind:
+		v.behind = true
+		v.mark = g.primary
+		v.behindAt = now
+	}
+	g.replicas[p.Replica] = v
+	return !v.behind || now.Sub(v.behindAt) < unsyncAfter
+}
+
+// settle clears the unsettled lists under which no right is left. A replica that
+// becomes eligible by it must first hold what the primary held after the last
+// right under the list ended: that holds every write acknowledged without it.
+func (h *Holder) settle(g *held, now mono.Time) *topology.Group {
+	row := g.now.row
+	var done []uint64
+	for _, l := range row.Unsettled {
+		at, ok := g.settlement.provenAt(&h.opts, l.Version, now)
+		if ok && g.caughtUpSince(l.Promoters, at) {
+			done = append(done, l.Version)
+		}
+	}
+	done = keepCompleteness(row, done)
+	if len(done) == 0 {
+		return nil
+	}
+	return Settle(row, done, h.changeID())
+}
+
+// keepCompleteness leaves the newest list with a synced entry in place while the
+// current one has none: it alone tells which replicas are complete.
+func keepCompleteness(row *topology.Group, done []uint64) []uint64 {
+	if len(Synced(row.Promoters)) > 0 {
+		return done
+	}
+	for _, l := range slices.Backward(row.Unsettled) {
+		if len(Synced(l.Promoters)) > 0 {
+			return slices.DeleteFunc(done, func(v uint64) bool { return v == l.Version })
+		}
+	}
+	return done
+}
+
+func (g *held) caughtUpSince(old []topology.Promoter, at mono.Time) bool {
+	for _, t := range Synced(g.now.row.Promoters) {
+		if slices.Contains(Synced(old), t) {
+			continue
+		}
+		if g.primaryAt.Before(at) || g.replicas[t].position.Less(g.primary) {
+			return false
+		}
+	}
+	return true
+}
+
+// switchover asks the target's promoter to promote once it holds every write.
+func (h *Holder) switchover(g *held, now mono.Time) []Action {
+	d := g.drain
+	if d == nil {
+		return nil
+	}
+	if now.Sub(d.began) > drainLimit {
+		g.drain = nil
+		return nil
+	}
+	held := g.primaryAt.After(d.began) && !g.replicas[d.to].position.Less(g.primary)
+	if !d.drained || !held || now.Sub(d.asked) < h.opts.RetryEvery {
+		return nil
+	}
+	var out []Action
+	for _, p := range g.now.row.Promoters {
+		if p.Replica == d.to && Complete(g.now.row, p.Replica) {
+			d.asked = now
+			out = append(out, RequestSwitchover{To: p.VM, Group: g.now.row.ID})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/authority/row.go
@@ -0,0 +1,174 @@
+package authority
+
+import (
+	"slices"
+
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// sameDaemon reports whether two entries are one start of one VM.
+func sameDaemon(a, b topology.Promoter) bool {
+	return a.VM == b.VM && a.Incarnation == b.Incarnation
+}
+
+// entryOf finds the entry of one start of a VM.
+func entryOf(list []topology.Promoter, vm topology.VMID, inc topology.Incarnation) (topology.Promoter, bool) {
+	for _, p := range list {
+		if p.VM == vm && p.Incarnation == inc {
+			return p, true
+		}
+	}
+	return topology.Promoter{}, false
+}
+
+// Synced returns the replicas that waiting acknowledgements wait for.
+func Synced(list []topology.Promoter) []topology.TargetID {
+	var out []topology.TargetID
+	for _, p := range list {
+		if p.Synced && !slices.Contains(out, p.Replica) {
+			out = append(out, p.Replica)
+		}
+	}
+	return out
+}
+
+// listOf returns the list of a version that the row still knows.
+func listOf(row *topology.Group, version uint64) []topology.Promoter {
+	if row.Version == version {
+		return row.Promoters
+	}
+	for _, l := range row.Unsettled {
+		if l.Version == version {
+			return l.Promoters
+		}
+	}
+	return nil
+}
+
+// Complete reports whether the replica holds every write whose acknowledgement
+// waited for a replica: it is synced in each list that has any synced entry, and
+// there is such a list. Under a list without one, classes that wait are refused,
+// so the replicas synced before stay complete.
+//
+// Failure: a second pooler still relies on an older version, whose list did not
+// have this replica synced, and acknowledges a write it lacks. So the unsettled
+// lists count too; they stay until no right under them is left and the replica
+// has caught up with what came before that.
+func Complete(row *topology.Group, replica topology.TargetID) bool {
+	if replica == row.Primary {
+		return false
+	}
+	found := false
+	for _, list := range lists(row) {
+		synced := Synced(list)
+		if len(synced) == 0 {
+			continue
+		}
+		if !slices.Contains(synced, replica) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
+
+// lists returns the current list and the unsettled ones.
+func lists(row *topology.Group) [][]topology.Promoter {
+	out := [][]topology.Promoter{row.Promoters}
+	for _, l := range row.Unsettled {
+		out = append(out, l.Promoters)
+	}
+	return out
+}
+
+// covered reports whether any member of list can speak for old too, and old says
+// nothing about completeness that list does not: each member of list was in old,
+// no replica becomes synced that was not, and some stay so if any were.
+func covered(list, old []topology.Promoter) bool {
+	for _, p := range list {
+		if !slices.ContainsFunc(old, func(q topology.Promoter) bool { return sameDaemon(p, q) }) {
+			return false
+		}
+	}
+	now, before := Synced(list), Synced(old)
+	return subset(now, before) && (len(now) > 0 || len(before) == 0)
+}
+
+// subset reports whether b holds every element of a.
+func subset(a, b []topology.TargetID) bool {
+	for _, t := range a {
+		if !slices.Contains(b, t) {
+			return false
+		}
+	}
+	return true
+}
+
+// ChangeList returns the row with another list, or nil when the list is empty or
+// too many lists are unsettled. The old list becomes unsettled unless every
+// member of the new one was in it: a confirmation speaks for the earlier
+// versions too, so the new list's members cover the old one.
+func ChangeList(row *topology.Group, list []topology.Promoter, changeID string) *topology.Group {
+	if len(list) == 0 {
+		return nil
+	}
+	next := row.Clone()
+	if !covered(list, row.Promoters) {
+		if len(next.Unsettled) >= maxUnsettled {
+			return nil
+		}
+		old := topology.PromoterList{Version: row.Version, Promoters: row.Clone().Promoters}
+		next.Unsettled = append(next.Unsettled, old)
+	}
+	next.Version++
+	next.Promoters = slices.Clone(list)
+	next.ChangeID = changeID
+	return next
+}
+
+// Settle returns the row without the unsettled lists of the given versions.
+func Settle(row *topology.Group, versions []uint64, changeID string) *topology.Group {
+	next := row.Clone()
+	next.Unsettled = slices.DeleteFunc(next.Unsettled, func(l topology.PromoterList) bool {
+		return slices.Contains(versions, l.Version)
+	})
+	next.Version++
+	next.ChangeID = changeID
+	return next
+}
+
+// Promote returns the row of the next term, with the promoted replica's position
+// as the end of the present one.
+func Promote(row *topology.Group, to topology.TargetID, end position.Position, list []topology.Promoter, changeID string) *topology.Group {
+	next := row.Clone()
+	next.Version++
+	next.Term++
+	next.Primary = to
+	next.Promoters = slices.Clone(list)
+	next.Unsettled = nil
+	next.History = append(next.History, topology.TermEnd{Term: row.Term, End: end})
+	next.ChangeID = changeID
+	return next
+}
+
+// Surplus is what a target holds that the group's history does not.
+type Surplus struct {
+	// From is the last position that the target shares with the history.
+	From position.Position
+	// To is the target's own newest position.
+	To position.Position
+}
+
+// SurplusOf tells which positions of a returning target are lost writes. A
+// target that held (t, i) lost what lies after the end of term t, or of an
+// earlier end that its term did not contain.
+func SurplusOf(row *topology.Group, target position.Position) (Surplus, bool) {
+	for _, h := range row.History {
+		if h.Term != target.Term {
+			continue
+		}
+		return Surplus{From: h.End, To: target}, h.End.Less(target)
+	}
+	return Surplus{}, false
+}
