--- /dev/null
+++ b/internal/failover/driver.go
@@ -0,0 +1,334 @@
+// Package failover drives pkg/authority: it carries out the actions that the
+// tables return and feeds their results back.
+package failover
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/pooler"
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/platform"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// Periods and time-outs.
+const (
+	// tickPeriod of the systems; promotions have steps of tens of milliseconds.
+	tickPeriod = 25 * time.Millisecond
+	// assignPeriod is how often this VM's parts are worked out anew.
+	assignPeriod = 250 * time.Millisecond
+	// statusPeriod is how often this VM's targets tell their positions.
+	statusPeriod = 250 * time.Millisecond
+	// peerTimeout of one message to another VM.
+	peerTimeout = 400 * time.Millisecond
+	// controlTimeout of one control statement.
+	controlTimeout = 500 * time.Millisecond
+	// commitTimeout of one commit to the platform's table.
+	commitTimeout = 2 * time.Second
+)
+
+// Directory tells what the driver must know of the world.
+type Directory interface {
+	Self() topology.VM
+	VM(topology.VMID) (topology.VM, bool)
+	// Parts lists the groups in which this VM pools a target.
+	Parts() []Part
+	Target(topology.TargetID) (pooler.TargetLimits, bool)
+	// Witness picks a VM of another data centre than this one's and target's.
+	Witness(topology.TargetID) (topology.VM, bool)
+	Group(topology.GroupID) *topology.Group
+}
+
+// Part is a group with what this VM does for it.
+type Part struct {
+	Group topology.GroupID
+	// Targets of the group that this VM pools.
+	Targets []topology.TargetID
+	// Candidates are the poolers of the group's targets.
+	Candidates []topology.Promoter
+}
+
+// Options of a Driver.
+type Options struct {
+	Directory Directory
+	Peers     *peers.Table
+	Pooler    *pooler.Pooler
+	Dialer    pooler.Dialer
+	Table     platform.Table
+	// Publish takes in a row just committed, for this VM and its peers.
+	Publish   func(platform.Row)
+	Clock     mono.Clock
+	Authority authority.Options
+	Log       *slog.Logger
+}
+
+// Driver owns the tables of this VM.
+type Driver struct {
+	o Options
+
+	mu       sync.Mutex
+	holder   *authority.Holder
+	promoter *authority.Promoter
+	detector *authority.Detector
+	parts    map[topology.GroupID]Part
+	held     map[topology.GroupID]topology.TargetID
+	seen     map[topology.GroupID]uint64 // term last logged
+}
+
+// New makes a driver.
+func New(o Options) *Driver {
+	self := o.Directory.Self()
+	seed := uint64(self.Incarnation)
+	return &Driver{
+		o:        o,
+		holder:   authority.NewHolder(self, o.Authority),
+		promoter: authority.NewPromoter(self, o.Authority, rand.New(rand.NewPCG(seed, seed)), o.Clock.Now()),
+		detector: authority.NewDetector(),
+		parts:    map[topology.GroupID]Part{},
+		held:     map[topology.GroupID]topology.TargetID{},
+		seen:     map[topology.GroupID]uint64{},
+	}
+}
+
+// Run ticks until ctx ends.
+func (d *Driver) Run(ctx context.Context) {
+	go d.loop(ctx, assignPeriod, d.assign)
+	go d.loop(ctx, statusPeriod, d.askTargets)
+	d.loop(ctx, tickPeriod, d.tick)
+}
+
+func (d *Driver) loop(ctx context.Context, period time.Duration, f func(context.Context)) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		f(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tick runs the systems and starts what they ask for.
+func (d *Driver) tick(ctx context.Context) {
+	d.mu.Lock()
+	now := d.o.Clock.Now()
+	for id, part := range d.parts {
+		d.judge(id, part, now)
+	}
+	actions := d.detector.Tick(now)
+	actions = append(actions, d.holder.Tick(now)...)
+	holderActions := len(actions)
+	actions = append(actions, d.promoter.Tick(now)...)
+	d.mu.Unlock()
+	for i, a := range actions {
+		go d.perform(ctx, a, i < holderActions)
+	}
+}
+
+// judge tells the tables how the group's primary looks from here.
+func (d *Driver) judge(id topology.GroupID, part Part, now mono.Time) {
+	row := d.o.Directory.Group(id)
+	if row == nil {
+		return
+	}
+	health := d.detector.Health(row.Primary, now)
+	if _, ok := d.held[id]; ok {
+		d.holder.SetHealth(id, health)
+	}
+	for _, t := range part.Targets {
+		if t != row.Primary {
+			d.promoter.Judge(id, health, now)
+		}
+	}
+}
+
+// assign works out which groups this VM holds and stands in.
+func (d *Driver) assign(context.Context) {
+	parts := d.o.Directory.Parts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.o.Clock.Now()
+	present := map[topology.GroupID]bool{}
+	for _, part := range parts {
+		present[part.Group] = true
+		d.assignPart(part, now)
+	}
+	for id := range d.parts {
+		if !present[id] {
+			d.dropPart(id)
+		}
+	}
+}
+
+func (d *Driver) assignPart(part Part, now mono.Time) {
+	d.parts[part.Group] = part
+	row := d.o.Directory.Group(part.Group)
+	if row == nil {
+		return
+	}
+	read := authority.RowRead{Row: row}
+	d.holder.ObserveRow(read, now)
+	d.promoter.ObserveRow(read, now)
+	d.detector.Watch(row.Primary, now)
+	holds := false
+	for _, t := range part.Targets {
+		if t == row.Primary {
+			holds = true
+			continue
+		}
+		d.promoter.Stand(part.Group, t)
+	}
+	if holds {
+		d.held[part.Group] = row.Primary
+		d.holder.Serve(part.Group, row.Primary)
+		d.holder.Candidates(part.Group, candidatesFor(row, part.Candidates))
+	} else if _, ok := d.held[part.Group]; ok {
+		delete(d.held, part.Group)
+		d.holder.Drop(part.Group)
+	}
+	d.logTerm(row)
+}
+
+// candidatesFor leaves out the primary itself.
+func candidatesFor(row *topology.Group, all []topology.Promoter) []topology.Promoter {
+	var list []topology.Promoter
+	for _, p := range all {
+		if p.Replica != row.Primary {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func (d *Driver) logTerm(row *topology.Group) {
+	if d.seen[row.ID] == row.Term {
+		return
+	}
+	d.seen[row.ID] = row.Term
+	d.o.Log.Info("event=primary", "group", row.ID, "term", row.Term, "primary", row.Primary, "version", row.Version)
+}
+
+func (d *Driver) dropPart(id topology.GroupID) {
+	delete(d.parts, id)
+	if _, ok := d.held[id]; ok {
+		delete(d.held, id)
+		d.holder.Drop(id)
+	}
+}
+
+// ObserveRows takes rows in; began is the instant before the platform read that
+// showed them, or the zero time when they were heard from a peer.
+func (d *Driver) ObserveRows(rows []*topology.Group, began time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.o.Clock.Now()
+	var at mono.Time
+	if !began.IsZero() {
+		at = now.Add(-time.Since(began))
+	}
+	for _, row := range rows {
+		if _, ok := d.parts[row.ID]; !ok {
+			continue
+		}
+		d.observeRow(authority.RowRead{Row: row, Began: at}, now)
+	}
+}
+
+func (d *Driver) observeRow(read authority.RowRead, now mono.Time) {
+	d.holder.ObserveRow(read, now)
+	d.promoter.ObserveRow(read, now)
+	d.detector.Watch(read.Row.Primary, now)
+}
+
+// Right implements pooler.Rights.
+func (d *Driver) Right(group topology.GroupID, term uint64) (authority.Right, *result.Error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holder.Right(group, term, d.o.Clock.Now())
+}
+
+// Confirm implements pooler.Rights.
+func (d *Driver) Confirm(r authority.Right, waited bool) *result.Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.holder.Confirm(r, waited, d.o.Clock.Now())
+}
+
+// Answered implements pooler.Evidence: the target answered on some connection.
+func (d *Driver) Answered(t topology.TargetID, latency time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.detector.ObserveAnswer(t, latency, d.o.Clock.Now())
+}
+
+// Doubted implements pooler.Evidence: a connection broke or an answer is overdue.
+func (d *Driver) Doubted(t topology.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.detector.Doubt(t)
+}
+
+// Health tells how a target looks from here.
+func (d *Driver) Health(t topology.TargetID) authority.Health {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.detector.Health(t, d.o.Clock.Now())
+}
+
+// Attempting reports whether this VM is promoting its replica of the group.
+func (d *Driver) Attempting(group topology.GroupID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.promoter.Attempting(group)
+}
+
+// Switchover drains the group's primary and has to promoted.
+func (d *Driver) Switchover(group topology.GroupID, to topology.TargetID) *result.Error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, ok := d.held[group]; !ok {
+		return result.New(result.WrongPooler, "%s", group)
+	}
+	d.holder.Drain(group, to, d.o.Clock.Now())
+	return nil
+}
+
+// Drained tells that every write admitted before Switchover has ended.
+func (d *Driver) Drained(group topology.GroupID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.holder.Drained(group)
+}
+
+func encodeRow(row *topology.Group) []byte {
+	if row == nil {
+		return nil
+	}
+	raw, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // A plain struct of strings and numbers always encodes.
+	}
+	return raw
+}
+
+// decodeRow returns nil for none and for a row that can't be read.
+func decodeRow(raw []byte) *topology.Group {
+	if len(raw) == 0 {
+		return nil
+	}
+	var g topology.Group
+	if err := json.Unmarshal(raw, &g); err != nil {
+		return nil
+	}
+	return &g
+}
--- /dev/null
+++ b/internal/failover/messages.go
@@ -0,0 +1,81 @@
+package failover
+
+import (
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
+)
+
+func heartbeatTo(r authority.HeartbeatRequest) *peerpb.HeartbeatRequest {
+	out := &peerpb.HeartbeatRequest{Vm: string(r.VM), Incarnation: uint64(r.Incarnation), Sequence: r.Sequence}
+	for _, p := range r.Promises {
+		out.Promises = append(out.Promises, &peerpb.PromiseRequest{
+			Group:        string(p.Group),
+			Version:      p.Version,
+			TargetHealth: uint32(p.Health),
+			Row:          encodeRow(p.Row),
+		})
+	}
+	return out
+}
+
+func heartbeatFrom(r *peerpb.HeartbeatRequest) authority.HeartbeatRequest {
+	out := authority.HeartbeatRequest{
+		VM:          topology.VMID(r.Vm),
+		Incarnation: topology.Incarnation(r.Incarnation),
+		Sequence:    r.Sequence,
+	}
+	for _, p := range r.Promises {
+		out.Promises = append(out.Promises, authority.PromiseRequest{
+			Group:   topology.GroupID(p.Group),
+			Version: p.Version,
+			Health:  authority.Health(p.TargetHealth),
+			Row:     decodeRow(p.Row),
+		})
+	}
+	return out
+}
+
+func heartbeatAnswerTo(r authority.HeartbeatResponse) *peerpb.HeartbeatResponse {
+	out := &peerpb.HeartbeatResponse{Sequence: r.Sequence, Incarnation: uint64(r.Incarnation)}
+	for _, p := range r.Promises {
+		out.Promises = append(out.Promises, &peerpb.Promise{
+			Group:            string(p.Group),
+			Version:          p.Version,
+			Granted:          p.Granted,
+			Position:         peers.PositionTo(p.Position),
+			ReplicaReachable: p.ReplicaReachable,
+			Row:              encodeRow(p.Row),
+		})
+	}
+	return out
+}
+
+func heartbeatAnswerFrom(r *peerpb.HeartbeatResponse) authority.HeartbeatResponse {
+	out := authority.HeartbeatResponse{Sequence: r.Sequence, Incarnation: topology.Incarnation(r.Incarnation)}
+	for _, p := range r.Promises {
+		out.Promises = append(out.Promises, authority.Promise{
+			Group:            topology.GroupID(p.Group),
+			Version:          p.Version,
+			Granted:          p.Granted,
+			Position:         peers.Position(p.Position),
+			ReplicaReachable: p.ReplicaReachable,
+			Row:              decodeRow(p.Row),
+		})
+	}
+	return out
+}
+
+func withdrawAnswerFrom(req authority.WithdrawRequest, r *peerpb.WithdrawResponse) authority.WithdrawResponse {
+	return authority.WithdrawResponse{
+		Group:            req.Group,
+		Version:          req.Version,
+		Withdrawn:        r.Withdrawn,
+		LapsesIn:         time.Duration(r.LapsesInMs) * time.Millisecond,
+		Position:         peers.Position(r.Position),
+		ReplicaReachable: r.ReplicaReachable,
+	}
+}
--- /dev/null
+++ b/internal/relay/follower.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/pkg/platform"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
+)
+
+// Periods of spreading. A change is in force everywhere after a relay's next
+// poll and one answered watch.
+const (
+	// pollPeriod of a relay: 2 relays in each of 24 data centres make 96 reads/s.
+	pollPeriod = 500 * time.Millisecond
+	// pollTimeout of one read; in an outage it frees the loop for the peers.
+	pollTimeout = time.Second
+	// watchWait of the others.
+	watchWait = 3 * time.Second
+	// watchSlack is added to it before a watch counts as lost.
+	watchSlack = time.Second
+	// retryPause after a source failed.
+	retryPause = 200 * time.Millisecond
+)
+
+// Directory names the sources of a daemon.
+type Directory interface {
+	// IsRelay tells whether this VM reads the platform for its data centre.
+	IsRelay() bool
+	// Relays returns the VMs to watch, the best first: the relays of this data
+	// centre, then some of others, for when this one has lost the platform.
+	Relays() []topology.VM
+}
+
+// Follower keeps a store fresh.
+type Follower struct {
+	Self      topology.VM
+	Store     *Store
+	Table     platform.Table
+	Directory Directory
+	Peers     *peers.Table
+	Log       *slog.Logger
+
+	next int // the source that a watch tries next
+}
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.Directory.IsRelay() {
+			f.pollOrWatch(ctx)
+			pause(ctx, pollPeriod)
+			continue
+		}
+		if !f.watch(ctx, watchWait) {
+			f.poll(ctx)
+			pause(ctx, retryPause)
+		}
+	}
+}
+
+// pollOrWatch asks another relay when the platform does not answer: this data
+// centre alone may have lost it.
+func (f *Follower) pollOrWatch(ctx context.Context) {
+	if !f.poll(ctx) {
+		f.watch(ctx, 0)
+	}
+}
+
+func (f *Follower) poll(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	began := time.Now()
+	rows, revision, err := f.Table.Scan(ctx, "", f.Store.Revision())
+	if err != nil {
+		f.Log.Debug("event=platform_unreachable", "error", err)
+		return false
+	}
+	f.Store.Reached(began)
+	f.Store.Apply(rows, revision, began)
+	return true
+}
+
+// watch asks one source; a failed one has the next asked next time.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) bool {
+	relays := f.Directory.Relays()
+	if len(relays) == 0 {
+		return false
+	}
+	vm := relays[f.next%len(relays)]
+	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
+	defer cancel()
+	resp, err := f.Peers.Get(vm).Watch(ctx, &peerpb.WatchRequest{
+		Vm:          string(f.Self.ID),
+		Incarnation: uint64(f.Self.Incarnation),
+		Revision:    f.Store.Revision(),
+		WaitMs:      uint32(wait.Milliseconds()),
+	})
+	if err != nil {
+		f.next++
+		return false
+	}
+	f.Store.Reached(time.Now().Add(-time.Duration(resp.PlatformAgeMs) * time.Millisecond))
+	f.Store.Apply(RowsFrom(resp.Rows), resp.Revision, time.Time{})
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
