invariant: assert inside the program

Cause: the pure packages need one way to assert what must always hold. Ruled out: a build tag (daemons turn checks on by a flag) and returned errors (a broken invariant has no caller that can mend it). Before/after: none measured; the check is a branch and an atomic load. Conclusion: a panic that carries code 1901, on by default.

--- /dev/null
+++ b/pkg/invariant/invariant.go
@@ -0,0 +1,28 @@
+// Package invariant asserts, inside the running program, what must always hold.
+package invariant
+
+import (
+	"sync/atomic"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// disabled is inverted so that the zero value leaves the checks on.
+var disabled atomic.Bool
+
+// Enable turns the checks on or off for the whole program; they start on.
+// Safe for concurrent use.
+func Enable(on bool) { disabled.Store(!on) }
+
+// Enabled reports whether the checks are on, so that a caller can skip the work
+// of an expensive one.
+func Enabled() bool { return !disabled.Load() }
+
+// Check panics with a *result.Error of code InvariantBroken when the checks are
+// on and ok is false. format and args say what was expected and found.
+func Check(ok bool, format string, args ...any) {
+	if ok || disabled.Load() {
+		return
+	}
+	panic(result.New(result.InvariantBroken, format, args...))
+}
--- /dev/null
+++ b/pkg/invariant/invariant_test.go
@@ -0,0 +1,26 @@
+package invariant_test
+
+import (
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/buckthornshore/buckthornshore/pkg/invariant"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+func TestInvariant(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "invariant")
+}
+
+var _ = Describe("Check", func() {
+	It("panics with code 1901 unless it is turned off", func() {
+		broken := func() { invariant.Check(false, "slots %d", 3) }
+		Expect(broken).To(PanicWith(HaveField("Code", result.InvariantBroken)))
+		invariant.Enable(false)
+		DeferCleanup(invariant.Enable, true)
+		Expect(broken).NotTo(Panic())
+	})
+})
