--- a/internal/standin/database/limits_test.go
+++ b/internal/standin/database/limits_test.go
@@ -55,6 +55,8 @@
 		Expect(sleeper.PgConn().CancelRequest(ctx)).To(Succeed())
 		Eventually(codes).Should(Receive(Equal("57014")))
 		Eventually(done).Should(Receive(BeEmpty()))
+		Expect(second.PgConn().CancelRequest(ctx)).To(Succeed())
+		Eventually(codes).Should(Receive(Equal("57014")))
 	})
 
 	// The other caller must not notice anything: a port scanner or a broken
--- a/internal/standin/database/startup.go
+++ b/internal/standin/database/startup.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -50,6 +51,7 @@
 	if start == nil {
 		return nil, nil
 	}
+	readOptions(start.Parameters)
 	c.control = start.Parameters[paramControl] == valueOn
 	if !c.control && start.Parameters[paramReplication] != valueOn {
 		if err := c.db.admit(c); err != nil {
@@ -64,6 +66,17 @@
 	return start, nil
 }
 
+// readOptions adds the settings of the options parameter ("-c name=value"),
+// the one way to give start-up parameters from psql.
+func readOptions(params map[string]string) {
+	for _, word := range strings.Fields(params["options"]) {
+		word = strings.TrimLeft(strings.TrimPrefix(word, "-c"), "-")
+		if name, value, ok := strings.Cut(word, "="); ok {
+			params[name] = value
+		}
+	}
+}
+
 func (c *conn) receiveStart() *pgproto3.StartupMessage {
 	for {
 		msg, err := c.be.ReceiveStartupMessage()
