Database stand-in: no follower after Close; silent links and frozen primaries

Cause: reading the code again. A FOLLOW under way during Close could start a follower that nobody stops; a FOLLOW to a new address in the same term rolled back open reads although the term had not changed. Ruled out: a lock around both, since a flag read under the mutex that Close already takes is enough. Before: neither had a test or was seen to happen. After: go test -race passes with tests of a silent replication link and of a frozen primary; log lines for refused connections and for the start of replication. Conclusion: found by reading, not by a run; the first has no test of its own.

--- a/internal/standin/database/config.go
+++ b/internal/standin/database/config.go
@@ -1,7 +1,3 @@
-// Package database is a stand-in for one replicated database: a key-value
-// store with transactions, terms and log shipping, spoken over the PostgreSQL
-// protocol. It serves the tests and the load tool and is no part of a
-// deployment.
 package database
 
 import (
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -47,6 +47,7 @@
 	// role or the term changes.
 	changed chan struct{}
 	file    *os.File
+	stopped bool // no follower may be started any more
 	// following is the follower of the current role, if it has one.
 	following *follower
 
@@ -117,6 +118,7 @@
 // Close cuts all connections and waits until nothing runs any more.
 func (d *Database) Close() {
 	d.mu.Lock()
+	d.stopped = true
 	d.stopFollowerLocked()
 	d.mu.Unlock()
 	d.connMu.Lock()
@@ -186,6 +188,7 @@
 	d.connMu.Lock()
 	defer d.connMu.Unlock()
 	if d.ordinary >= d.cfg.Connections {
+		d.cfg.Log.Warn("connection refused", "event", "connection_refused", "id", d.cfg.ID, "limit", d.cfg.Connections)
 		return sqlError(CodeTooManyClients, "sorry, too many clients already")
 	}
 	d.ordinary++
--- a/internal/standin/database/follower.go
+++ b/internal/standin/database/follower.go
@@ -157,6 +157,8 @@
 		return false
 	}
 	if b.Common != nil {
+		d.cfg.Log.Info("replication started", "event", "replication_started", "id", d.cfg.ID,
+			"primary", f.upstream.ID, "term", f.term, "common", *b.Common, "newest", b.Newest.String())
 		d.cutLocked(*b.Common)
 	}
 	if len(b.Entries) > 0 {
--- a/internal/standin/database/replication_test.go
+++ b/internal/standin/database/replication_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/jackc/pgx/v5"
@@ -121,6 +122,34 @@
 		Consistently(func() string { return get(r, "x") }, 300*time.Millisecond).Should(Equal("1"))
 	})
 
+	// Readers of the replica see old data for a while, then new data again.
+	// Something between the two loses track of the connection: it stays open
+	// and carries nothing, while new ones work. The silence ends it.
+	It("replaces a replication connection that went silent", func() {
+		link := newForwarder(primary.Address())
+		Expect(replica.Follow(1, "a", link.address())).To(Succeed())
+		Eventually(replica.Position).Should(Equal(primary.Position()))
+		link.silence()
+		run(connect(primary), "insert into t (k, v) values ('x', '1')")
+		r := connect(replica)
+		Expect(get(r, "x")).To(BeEmpty())
+		Eventually(func() string { return get(r, "x") }, "20s").Should(Equal("1"))
+	})
+
+	// The replica keeps its state and serves it, also when what it takes for
+	// its primary accepts connections and never says a word.
+	It("serves reads while its primary is frozen", func() {
+		run(connect(primary), "insert into t (k, v) values ('x', '1')")
+		follow(replica, primary, 1)
+		Eventually(replica.Position).Should(Equal(primary.Position()))
+		frozen, err := net.Listen("tcp", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(frozen.Close)
+		Expect(replica.Follow(2, "c", frozen.Addr().String())).To(Succeed())
+		Expect(get(connect(replica), "x")).To(Equal("1"))
+		Expect(replica.Fence(3)).To(Succeed())
+	})
+
 	It("waits for a primary that is not in its term yet", func() {
 		follow(replica, primary, 2)
 		Consistently(replica.Position, 200*time.Millisecond).Should(BeZero())
--- a/internal/standin/database/role.go
+++ b/internal/standin/database/role.go
@@ -109,7 +109,9 @@
 func (d *Database) changeRoleLocked(term uint64, role Role, primary endpoint) {
 	invariant(term >= d.term, "term falls from %d to %d", d.term, term)
 	d.stopFollowerLocked()
-	d.endAllLocked()
+	if term != d.term || role != d.role {
+		d.endAllLocked()
+	}
 	d.term, d.role, d.primary = term, role, primary
 	d.acked = map[string]position.Position{}
 	d.ackedBy = map[string]*conn{}
@@ -126,7 +128,13 @@
 	}
 }
 
+// startFollowerLocked starts to follow the primary. After Close it does
+// nothing: a FOLLOW that was under way would otherwise start a follower that
+// nobody stops, and Close would wait for it for good.
 func (d *Database) startFollowerLocked() {
+	if d.stopped {
+		return
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	f := &follower{db: d, term: d.term, upstream: d.primary, stop: stop}
 	d.following = f
