--- /dev/null
+++ b/pkg/authority/holder_changes.go
@@ -0,0 +1,205 @@
+package authority
+
+import (
+	"slices"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// propose changes the row: one change at a time, the most urgent first.
+func (h *Holder) propose(g *held, now mono.Time) []Action {
+	if g.proposal == nil {
+		next := h.nextRow(g, now)
+		if next == nil {
+			return nil
+		}
+		g.proposal = &proposal{row: next, again: true}
+	}
+	if !g.proposal.due(&h.opts, now) {
+		return nil
+	}
+	return []Action{CommitRow{Row: g.proposal.row.Clone()}}
+}
+
+func (h *Holder) nextRow(g *held, now mono.Time) *topology.Group {
+	row := g.now.row
+	list := h.wantedList(g, now)
+	if !slices.Equal(list, row.Promoters) {
+		if next := ChangeList(row, list, h.changeID()); next != nil {
+			return next
+		}
+	}
+	// The promotion that the right was released for did not come: without a new
+	// version nobody could acknowledge again.
+	released := h.released[row.ID]
+	stuck := released.version >= row.Version && now.Sub(released.at) > renewAfter
+	if stuck {
+		return ChangeList(row, row.Promoters, h.changeID())
+	}
+	return h.settle(g, now)
+}
+
+// wantedList is the list without those that fell silent and those not wanted any
+// more, with the candidates that are missing, and with what is synced by now.
+func (h *Holder) wantedList(g *held, now mono.Time) []topology.Promoter {
+	row := g.now.row
+	var list []topology.Promoter
+	for _, p := range row.Promoters {
+		silent := now.Sub(g.granted[p.VM]) > h.opts.ReplaceAfter
+		if silent {
+			g.shunned[p.VM] = now.Add(shunFor)
+		}
+		if !silent && g.wants(p) {
+			list = append(list, p)
+		}
+	}
+	for _, c := range g.candidates {
+		_, listed := entryOf(list, c.VM, c.Incarnation)
+		_, old := entryOf(row.Promoters, c.VM, c.Incarnation)
+		shunned := old && g.shunned[c.VM].After(now)
+		shunned = shunned || (!restarted(row, c) && g.shunned[c.VM].After(now))
+		if listed || shunned {
+			continue
+		}
+		c.Synced = slices.Contains(Synced(row.Promoters), c.Replica)
+		list = append(list, c)
+	}
+	list = h.keepOne(g, list, now)
+	for i, p := range list {
+		list[i].Synced = g.wantSynced(p, now)
+	}
+	return list
+}
+
+// wants reports whether the entry may stay.
+func (g *held) wants(p topology.Promoter) bool {
+	if g.candidates == nil {
+		return true
+	}
+	return slices.ContainsFunc(g.candidates, func(c topology.Promoter) bool {
+		return sameDaemon(c, p) && c.Replica == p.Replica
+	})
+}
+
+// keepOne makes this VM itself the list's caretaker when every other entry has
+// been silent for long. Not at once: those that are merely cut off from here, and
+// reach the platform, are to promote on their side first. An entry for the
+// primary itself never promotes; it goes once another entry promises.
+func (h *Holder) keepOne(g *held, list []topology.Promoter, now mono.Time) []topology.Promoter {
+	row := g.now.row
+	self := topology.Promoter{VM: h.self.ID, Incarnation: h.self.Incarnation, Replica: g.target}
+	_, caretaker := entryOf(row.Promoters, self.VM, self.Incarnation)
+	if caretaker && len(row.Promoters) > 1 && len(list) > 0 && h.promising(g, list) {
+		return list
+	}
+	if caretaker {
+		return append(list, self)
+	}
+	if len(list) > 0 {
+		return list
+	}
+	for _, at := range g.granted {
+		if now.Sub(at) <= caretakerAfter {
+			return slices.Clone(row.Promoters)
+		}
+	}
+	return []topology.Promoter{self}
+}
+
+// promising reports whether each entry has promised under the current version.
+func (h *Holder) promising(g *held, list []topology.Promoter) bool {
+	for _, p := range list {
+		if _, ok := g.promises[promiseKey{p.VM, p.Incarnation, g.now.row.Version}]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// restarted reports whether the VM stands in the row with another incarnation:
+// then its silence is explained and it may come back at once.
+func restarted(row *topology.Group, c topology.Promoter) bool {
+	return slices.ContainsFunc(row.Promoters, func(p topology.Promoter) bool {
+		return p.VM == c.VM && p.Incarnation != c.Incarnation
+	})
+}
+
+// observeReplica keeps what a promoter says of its replica.
+func (g *held) observeReplica(target topology.TargetID, p Promise, now mono.Time) {
+	v := g.replicas[target]
+	v.reachable = p.ReplicaReachable
+	v.at = now
+	if p.ReplicaReachable {
+		v.position = position.Max(v.position, p.Position)
+	}
+	g.replicas[target] = v
+}
+
+// wantSynced decides whether waiting writes should wait for the entry's replica.
+func (g *held) wantSynced(p topology.Promoter, now mono.Time) bool {
+	if p.Replica == g.now.row.Primary || g.primaryAt == 0 {
+		return p.Synced && p.Replica != g.now.row.Primary
+	}
+	v := g.replicas[p.Replica]
+	caughtUp := v.reachable && !v.position.Less(g.primary)
+	if !p.Synced {
+		return caughtUp && now.Sub(g.primaryAt) < freshPrimary && now.Sub(v.at) < freshPrimary
+	}
+	switch {
+	case caughtUp, v.behind && v.reachable && !v.position.Less(v.mark):
+		v.behind = false
+	case !v.behind:
+		v.behind = true
+		v.mark = g.primary
+		v.behindAt = now
+	}
+	g.replicas[p.Replica] = v
+	return !v.behind || now.Sub(v.behindAt) < unsyncAfter
+}
+
+// settle clears the unsettled lists under which no right is left. A replica that
+// becomes eligible by it must first hold what the primary held after the last
+// right under the list ended: that holds every write acknowledged without it.
+func (h *Holder) settle(g *held, now mono.Time) *topology.Group {
+	row := g.now.row
+	var done []uint64
+	for _, l := range row.Unsettled {
+		at, ok := g.settlement.provenAt(&h.opts, l.Version, now)
+		if ok && g.caughtUpSince(l.Promoters, at) {
+			done = append(done, l.Version)
+		}
+	}
+	done = keepCompleteness(row, done)
+	if len(done) == 0 {
+		return nil
+	}
+	return Settle(row, done, h.changeID())
+}
+
+// keepCompleteness leaves the newest list with a synced entry in place while the
+// current one has none: it alone tells which replicas are complete.
+func keepCompleteness(row *topology.Group, done []uint64) []uint64 {
+	if len(Synced(row.Promoters)) > 0 {
+		return done
+	}
+	for _, l := range slices.Backward(row.Unsettled) {
+		if len(Synced(l.Promoters)) > 0 {
+			return slices.DeleteFunc(done, func(v uint64) bool { return v == l.Version })
+		}
+	}
+	return done
+}
+
+func (g *held) caughtUpSince(old []topology.Promoter, at mono.Time) bool {
+	for _, t := range Synced(g.now.row.Promoters) {
+		if slices.Contains(Synced(old), t) {
+			continue
+		}
+		if g.primaryAt.Before(at) || g.replicas[t].position.Less(g.primary) {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/authority/promoter.go
+++ b/pkg/authority/promoter.go
@@ -130,6 +130,13 @@
 	return s.status.Reachable && s.row != nil && s.status.Term == s.row.Term && s.status.Primary == s.row.Primary
 }
 
+// Attempting reports whether this VM is promoting its replica. Without an attempt
+// a replica that is still fenced is to follow the row's primary again.
+func (p *Promoter) Attempting(group topology.GroupID) bool {
+	s, ok := p.groups[group]
+	return ok && s.attempt != nil
+}
+
 // member finds the entry of this start of the VM.
 func (p *Promoter) member(list []topology.Promoter) (topology.Promoter, bool) {
 	if p.opts.faults.keepOldIncarnation {
