--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -9,6 +9,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pgwire"
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -28,6 +29,7 @@
 	class ClassLimits
 	key   txKey
 	group topology.GroupID
+	right authority.Right // of a request to a primary
 }
 
 func (p *Pooler) execute(ctx context.Context, in *peerpb.ExecuteRequest, resp *peerpb.ExecuteResponse) *result.Error {
@@ -45,9 +47,6 @@
 		key:            txKey{in.Entry, in.EntryIncarnation, in.Transaction},
 		group:          topology.GroupID(in.Group),
 	}
-	if err := p.checkRight(req); err != nil {
-		return err
-	}
 	begun := time.Now()
 	if err := tp.gate.enter(ctx); err != nil {
 		return err
@@ -56,19 +55,32 @@
 	resp.QueueUs = uint32(time.Since(begun).Microseconds())
 	begun = time.Now()
 	defer func() { resp.RunUs = uint32(time.Since(begun).Microseconds()) }()
+	if err := p.takeRight(req); err != nil {
+		return err
+	}
 	if in.InTransaction {
 		return p.continueTransaction(ctx, tp, req, resp)
 	}
 	return p.start(ctx, tp, req, resp)
 }
 
-// checkRight guards everything that runs on a primary: its writes, and its
-// reads too, since a replaced primary lacks what its successor acknowledged.
-func (p *Pooler) checkRight(req *request) *result.Error {
+// takeRight guards everything that runs on a primary: its writes, and its reads
+// too, since a replaced primary lacks what its successor acknowledged. It is
+// asked for after the queue, so that it is fresh when the request goes out.
+func (p *Pooler) takeRight(req *request) (failure *result.Error) {
+	if req.Term == 0 {
+		return nil
+	}
+	req.right, failure = p.rights.Right(req.group, req.Term)
+	return failure
+}
+
+// confirmRight is asked for before the answer goes out.
+func (p *Pooler) confirmRight(req *request) *result.Error {
 	if req.Term == 0 {
 		return nil
 	}
-	return p.o.Rights.Check(req.group, req.Term)
+	return p.rights.Confirm(req.right, req.class.Write && req.class.WaitsForReplica)
 }
 
 // start runs a unit outside a transaction; it may open one.
@@ -82,17 +94,21 @@
 	}
 	c, err := tp.acquire(ctx, want)
 	if err != nil {
+		p.evidence.Doubted(tp.target.ID)
 		return err
 	}
 	if err := c.bind(ctx, want); err != nil {
 		tp.discard(c)
 		return result.New(result.TargetUnreachable, "%s: %v", tp.target.ID, err).After(verifyAfter)
 	}
+	begun := time.Now()
 	a, failure := p.runUnit(ctx, c, req)
 	if failure != nil {
 		tp.discard(c)
+		p.doubtAfter(tp, failure)
 		return failure
 	}
+	p.evidence.Answered(tp.target.ID, time.Since(begun))
 	at := c.position
 	if a.status != pgwire.Idle {
 		tp.hold(req.key, c)
@@ -102,23 +118,51 @@
 	return p.conclude(tp, req, at, a, resp)
 }
 
+// doubtAfter has the target probed after a failure of its connection.
+func (p *Pooler) doubtAfter(tp *targetPool, failure *result.Error) {
+	if failure.Code == result.TargetSilent || failure.Code == result.TargetUnreachable {
+		p.evidence.Doubted(tp.target.ID)
+	}
+}
+
 // continueTransaction runs a unit on the connection that the transaction holds.
 func (p *Pooler) continueTransaction(ctx context.Context, tp *targetPool, req *request, resp *peerpb.ExecuteResponse) *result.Error {
 	h, failure := tp.claim(req.key)
 	if failure != nil {
 		return failure
 	}
+	if failure := p.rebind(ctx, h.conn, req); failure != nil {
+		tp.drop(req.key)
+		tp.discard(h.conn)
+		return failure
+	}
+	begun := time.Now()
 	a, err := h.conn.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
 	if err != nil {
 		tp.drop(req.key)
 		tp.discard(h.conn)
+		p.evidence.Doubted(tp.target.ID)
 		return lostAnswer(tp.target.ID, err)
 	}
+	p.evidence.Answered(tp.target.ID, time.Since(begun))
 	at := h.conn.position
 	tp.settle(req.key, h, a.status)
 	return p.conclude(tp, req, at, a, resp)
 }
 
+// rebind has the transaction's commit wait for the replicas that count by now:
+// they may have changed since it began.
+func (p *Pooler) rebind(ctx context.Context, c *conn, req *request) *result.Error {
+	want, failure := p.settingsFor(req)
+	if failure != nil {
+		return failure
+	}
+	if err := c.bind(ctx, want); err != nil {
+		return result.New(result.TransactionAborted, "%s: %v", req.Target, err).After(verifyAfter)
+	}
+	return nil
+}
+
 // conclude finishes the request. When it fails with its transaction open the
 // caller is told that the transaction is gone, so it must be.
 func (p *Pooler) conclude(tp *targetPool, req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
@@ -148,12 +192,11 @@
 	if !req.class.WaitsForReplica {
 		return want, nil
 	}
-	replicas := p.o.Directory.SyncedReplicas(req.group)
-	if len(replicas) == 0 {
+	if len(req.right.WaitFor) == 0 {
 		return want, result.New(result.NoReplicaForClass, "%s in %s", req.Class, req.group).After(time.Second)
 	}
-	names := make([]string, 0, len(replicas))
-	for _, r := range replicas {
+	names := make([]string, 0, len(req.right.WaitFor))
+	for _, r := range req.right.WaitFor {
 		names = append(names, string(r))
 	}
 	want.waitFor = strings.Join(names, ",")
@@ -190,8 +233,8 @@
 	// The holder may have been paused between the target's completion and this
 	// line and its group been given a new primary meanwhile. An acknowledgement
 	// then would promise a write that the new primary may lack.
-	if err := p.checkRight(req); err != nil {
-		return result.New(result.OutcomeUnknown, "%s", err.Error()).After(time.Second)
+	if failure := p.confirmRight(req); failure != nil {
+		return failure
 	}
 	if a.sqlState == sqlNotReplicated {
 		return result.New(result.NotReplicated, "%s", req.Target).After(time.Second)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
@@ -16,8 +17,18 @@
 
 // Rights tells whether this VM may acknowledge for a group's primary now.
 type Rights interface {
-	// Check returns nil while every promise for the term is valid.
-	Check(group topology.GroupID, term uint64) *result.Error
+	// Right is asked before a request goes to the primary.
+	Right(group topology.GroupID, term uint64) (authority.Right, *result.Error)
+	// Confirm is asked before its answer goes out; waited: the write waited for
+	// the replicas of the right.
+	Confirm(right authority.Right, waited bool) *result.Error
+}
+
+// Evidence hears how targets behave, so that no probe is needed while they are
+// busy.
+type Evidence interface {
+	Answered(target topology.TargetID, latency time.Duration)
+	Doubted(target topology.TargetID)
 }
 
 // ClassLimits is what the pooler needs of a request's class.
@@ -34,8 +45,6 @@
 type Directory interface {
 	Target(id topology.TargetID) (TargetLimits, bool)
 	Class(service, class string) (ClassLimits, bool)
-	// SyncedReplicas lists the replicas that a waiting class waits for.
-	SyncedReplicas(group topology.GroupID) []topology.TargetID
 }
 
 // TargetLimits is a target with its limits.
@@ -48,7 +57,6 @@
 // Options of a Pooler.
 type Options struct {
 	Dialer    Dialer
-	Rights    Rights
 	Directory Directory
 	Log       *slog.Logger
 	// TransactionIdle is how long a transaction may sit idle.
@@ -59,7 +67,9 @@
 
 // Pooler serves the other VMs' requests to its targets. Safe for concurrent use.
 type Pooler struct {
-	o Options
+	o        Options
+	rights   Rights
+	evidence Evidence
 
 	mu    sync.Mutex
 	pools map[topology.TargetID]*targetPool
@@ -77,6 +87,13 @@
 	return &Pooler{o: o, pools: map[topology.TargetID]*targetPool{}}
 }
 
+// Guard names what guards the pooler's primaries; it is called once, before the
+// first request.
+func (p *Pooler) Guard(r Rights, e Evidence) {
+	p.rights = r
+	p.evidence = e
+}
+
 // pool returns the target's pool, making it on first use.
 func (p *Pooler) pool(id topology.TargetID) (*targetPool, *result.Error) {
 	p.mu.Lock()
@@ -165,7 +182,7 @@
 		resp.Failure = peers.Failure(result.New(result.TermRefused, "%s is %s in term %d", req.Target, status.Role, status.Term).After(verifyAfter))
 		return resp, nil
 	}
-	if failure := p.o.Rights.Check(topology.GroupID(req.Group), req.Term); failure != nil {
+	if _, failure := p.rights.Right(topology.GroupID(req.Group), req.Term); failure != nil {
 		resp.Failure = peers.Failure(failure)
 		return resp, nil
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -161,18 +161,3 @@
 		Priority:        c.Priority.Rank(),
 	}, ok
 }
-
-// SyncedReplicas implements pooler.Directory.
-func (v *View) SyncedReplicas(id topology.GroupID) []topology.TargetID {
-	g := v.Group(id)
-	if g == nil {
-		return nil
-	}
-	var replicas []topology.TargetID
-	for _, p := range g.Promoters {
-		if p.Synced {
-			replicas = append(replicas, p.Replica)
-		}
-	}
-	return replicas
-}
