--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
@@ -39,15 +40,17 @@
 
 // Table makes and keeps the clients by address. Safe for concurrent use.
 type Table struct {
-	dialer Dialer
+	dialer   Dialer
+	observer Observer
+	clock    mono.Clock
 
 	mu      sync.Mutex
 	clients map[string]*Client
 }
 
 // NewTable makes an empty table.
-func NewTable(d Dialer) *Table {
-	return &Table{dialer: d, clients: map[string]*Client{}}
+func NewTable(d Dialer, o Observer, clock mono.Clock) *Table {
+	return &Table{dialer: d, observer: o, clock: clock, clients: map[string]*Client{}}
 }
 
 // Get returns the client of a VM.
@@ -56,13 +59,13 @@
 	defer t.mu.Unlock()
 	c := t.clients[vm.PeerAddress]
 	if c == nil {
-		c = t.make(vm.PeerAddress)
+		c = t.make(vm)
 		t.clients[vm.PeerAddress] = c
 	}
 	return c
 }
 
-func (t *Table) make(address string) *Client {
+func (t *Table) make(vm topology.VM) *Client {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -73,8 +76,13 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	client := &http.Client{Transport: transport}
-	base := "http://" + address
+	client := &http.Client{Transport: &observingTransport{
+		next:     transport,
+		vm:       vm.ID,
+		observer: t.observer,
+		clock:    t.clock,
+	}}
+	base := "http://" + vm.PeerAddress
 	return &Client{
 		Pooler:    peerpb.NewPoolerProtobufClient(base, client),
 		Relay:     peerpb.NewRelayProtobufClient(base, client),
--- /dev/null
+++ b/internal/view/members.go
@@ -0,0 +1,176 @@
+package view
+
+import (
+	"slices"
+
+	"github.com/buckthornshore/buckthornshore/internal/failover"
+	"github.com/buckthornshore/buckthornshore/pkg/membership"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// SetList takes in the platform's list of VMs, a hint.
+func (v *View) SetList(vms []topology.VM) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.members.MergeList(vms, v.clock.Now()) {
+		v.refresh()
+	}
+}
+
+// Observe takes in what this VM saw of another.
+func (v *View) Observe(ev membership.Evidence) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.members.Observe(ev) {
+		v.refresh()
+	}
+}
+
+// Leave marks this VM as leaving: it is chosen for nothing new.
+func (v *View) Leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.self.Leaving = true
+	v.members.Leave(v.clock.Now())
+	v.refresh()
+}
+
+// Statuses returns what is known of all VMs.
+func (v *View) Statuses() []membership.Status {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.members.Statuses()
+}
+
+// VM finds a VM by its id.
+func (v *View) VM(id topology.VMID) (topology.VM, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	vm, ok := v.vms[id]
+	return vm, ok
+}
+
+// PoolerOf returns the VM that pools the target's connections.
+func (v *View) PoolerOf(id topology.TargetID) (topology.VM, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.poolerOf(id)
+}
+
+func (v *View) poolerOf(id topology.TargetID) (topology.VM, bool) {
+	if v.conf == nil {
+		return topology.VM{}, false
+	}
+	t, ok := v.conf.Target(id)
+	if !ok {
+		return topology.VM{}, false
+	}
+	vm, ok := v.live.PoolerOf(id, t.DataCentre)
+	if !ok {
+		return topology.VM{}, false
+	}
+	return v.vms[vm], true
+}
+
+// Parts implements failover.Directory: the groups in which this VM pools a
+// target. They are worked out once after each change of the VMs or the
+// configuration, since that takes a look at every group.
+func (v *View) Parts() []failover.Part {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.partsKnown {
+		v.parts = v.workOutParts()
+		v.partsKnown = true
+	}
+	return v.parts
+}
+
+func (v *View) workOutParts() []failover.Part {
+	if v.conf == nil {
+		return nil
+	}
+	var parts []failover.Part
+	for _, g := range v.conf.AllGroups() {
+		part := failover.Part{Group: g.ID()}
+		for _, t := range g.Targets {
+			vm, ok := v.poolerOf(t.ID)
+			if !ok {
+				continue
+			}
+			if vm.ID == v.self.ID {
+				part.Targets = append(part.Targets, t.ID)
+			}
+			part.Candidates = append(part.Candidates, topology.Promoter{VM: vm.ID, Incarnation: vm.Incarnation, Replica: t.ID})
+		}
+		if len(part.Targets) > 0 {
+			parts = append(parts, part)
+		}
+	}
+	return parts
+}
+
+// Witness implements failover.Directory: a live VM of a data centre that is
+// neither this VM's nor the target's, or else one of neither this VM's.
+func (v *View) Witness(id topology.TargetID) (topology.VM, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	if v.conf == nil {
+		return topology.VM{}, false
+	}
+	t, _ := v.conf.Target(id)
+	var second topology.VM
+	for _, vm := range v.liveVMs() {
+		if vm.DataCentre == v.self.DataCentre {
+			continue
+		}
+		if vm.DataCentre != t.DataCentre {
+			return vm, true
+		}
+		second = vm
+	}
+	return second, second.ID != ""
+}
+
+// liveVMs returns the other live VMs by id; the caller holds the lock.
+func (v *View) liveVMs() []topology.VM {
+	var vms []topology.VM
+	for _, s := range v.members.Statuses() {
+		if s.State == membership.Live && s.VM.ID != v.self.ID {
+			vms = append(vms, s.VM)
+		}
+	}
+	return vms
+}
+
+// IsRelay implements relay.Directory.
+func (v *View) IsRelay() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return slices.Contains(v.live.Relays(v.self.DataCentre), v.self.ID)
+}
+
+// Relays implements relay.Directory: those of this data centre first.
+func (v *View) Relays() []topology.VM {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	vms := v.relaysIn(v.self.DataCentre)
+	if v.conf == nil {
+		return vms
+	}
+	for _, dc := range v.conf.DataCentres() {
+		if dc.Name != v.self.DataCentre {
+			vms = append(vms, v.relaysIn(dc.Name)...)
+		}
+	}
+	return vms
+}
+
+func (v *View) relaysIn(dc topology.DataCentre) []topology.VM {
+	var vms []topology.VM
+	for _, id := range v.live.Relays(dc) {
+		if id != v.self.ID {
+			vms = append(vms, v.vms[id])
+		}
+	}
+	return vms
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -7,12 +7,12 @@
 	"strings"
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
-	"github.com/dgryski/go-rendezvous"
 
-	"github.com/buckthornshore/buckthornshore/internal/pooler"
+	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/membership"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -22,31 +22,45 @@
 
 // View is safe for concurrent use.
 type View struct {
-	self topology.VM
-
-	mu     sync.RWMutex
-	conf   *config.View
-	groups map[topology.GroupID]*topology.Group
-	vms    map[topology.VMID]topology.VM
+	clock mono.Clock
+
+	mu      sync.RWMutex
+	self    topology.VM
+	conf    *config.View
+	groups  map[topology.GroupID]*topology.Group
+	members *membership.Table
+	live    *membership.View
+	vms     map[topology.VMID]topology.VM
+
+	parts      []failover.Part
+	partsKnown bool
 }
 
 // New makes a view that knows only its own VM.
-func New(self topology.VM) *View {
-	return &View{
-		self:   self,
-		groups: map[topology.GroupID]*topology.Group{},
-		vms:    map[topology.VMID]topology.VM{self.ID: self},
+func New(self topology.VM, clock mono.Clock) *View {
+	v := &View{
+		clock:   clock,
+		self:    self,
+		groups:  map[topology.GroupID]*topology.Group{},
+		members: membership.NewTable(self, clock.Now()),
 	}
+	v.refresh()
+	return v
 }
 
 // Self returns this daemon's VM.
-func (v *View) Self() topology.VM { return v.self }
+func (v *View) Self() topology.VM {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.self
+}
 
 // SetConfig puts a configuration in force.
 func (v *View) SetConfig(c *config.View) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.conf = c
+	v.refresh()
 }
 
 // Config returns the configuration in force, nil before the first.
@@ -56,24 +70,25 @@
 	return v.conf
 }
 
-// SetVMs replaces the other VMs.
-func (v *View) SetVMs(vms []topology.VM) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.vms = map[topology.VMID]topology.VM{v.self.ID: v.self}
-	for _, vm := range vms {
-		if vm.ID != v.self.ID {
-			v.vms[vm.ID] = vm
-		}
+// refresh works out anew which VMs may be chosen; the caller holds the lock.
+func (v *View) refresh() {
+	v.vms = map[topology.VMID]topology.VM{}
+	for _, s := range v.members.Statuses() {
+		v.vms[s.VM.ID] = s.VM
 	}
+	v.live = v.members.View(v.regions())
+	v.partsKnown = false
 }
 
-// VM finds a VM by its id.
-func (v *View) VM(id topology.VMID) (topology.VM, bool) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	vm, ok := v.vms[id]
-	return vm, ok
+func (v *View) regions() map[topology.DataCentre]string {
+	regions := map[topology.DataCentre]string{v.self.DataCentre: v.self.Region}
+	if v.conf == nil {
+		return regions
+	}
+	for _, dc := range v.conf.DataCentres() {
+		regions[dc.Name] = dc.Region
+	}
+	return regions
 }
 
 // Group returns the newest known row of a group; nil when there is none.
@@ -83,81 +98,39 @@
 	return v.groups[id]
 }
 
-// ApplyRows takes in changed rows of the table; rows of other kinds are passed
-// over. An older version of a group's row is ignored: answers may come late.
-func (v *View) ApplyRows(rows []platform.Row) error {
+// Groups returns the newest known rows, in no order.
+func (v *View) Groups() []*topology.Group {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	rows := make([]*topology.Group, 0, len(v.groups))
+	for _, g := range v.groups {
+		rows = append(rows, g)
+	}
+	return rows
+}
+
+// ApplyRows takes in changed rows of the table and returns the groups among
+// them. An older version of a group's row is ignored: answers may come late.
+func (v *View) ApplyRows(rows []platform.Row) ([]*topology.Group, error) {
+	var groups []*topology.Group
 	for _, row := range rows {
 		if !strings.HasPrefix(row.Key, GroupPrefix) || row.Deleted {
 			continue
 		}
 		var g topology.Group
 		if err := json.Unmarshal(row.Value, &g); err != nil {
-			return errors.Wrapf(err, "row %s", row.Key)
+			return groups, errors.Wrapf(err, "row %s", row.Key)
 		}
-		v.ApplyGroup(&g)
+		v.applyGroup(&g)
+		groups = append(groups, &g)
 	}
-	return nil
+	return groups, nil
 }
 
-// ApplyGroup takes in a group's row unless a newer one is known.
-func (v *View) ApplyGroup(g *topology.Group) {
+func (v *View) applyGroup(g *topology.Group) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if old := v.groups[g.ID]; old == nil || old.Version < g.Version {
 		v.groups[g.ID] = g
 	}
 }
-
-// PoolerOf returns the VM that pools the target's connections: the first in
-// rendezvous order among the VMs of the target's data centre.
-func (v *View) PoolerOf(id topology.TargetID) (topology.VM, bool) {
-	v.mu.RLock()
-	defer v.mu.RUnlock()
-	if v.conf == nil {
-		return topology.VM{}, false
-	}
-	t, ok := v.conf.Target(id)
-	if !ok {
-		return topology.VM{}, false
-	}
-	var names []string
-	for _, vm := range v.vms {
-		if vm.DataCentre == t.DataCentre && !vm.Leaving {
-			names = append(names, string(vm.ID))
-		}
-	}
-	if len(names) == 0 {
-		return topology.VM{}, false
-	}
-	first := rendezvous.New(names, xxhash.Sum64String).Lookup(string(id))
-	return v.vms[topology.VMID(first)], true
-}
-
-// Target implements pooler.Directory.
-func (v *View) Target(id topology.TargetID) (pooler.TargetLimits, bool) {
-	conf := v.Config()
-	if conf == nil {
-		return pooler.TargetLimits{}, false
-	}
-	t, ok := conf.Target(id)
-	return pooler.TargetLimits{
-		Target:      topology.Target{ID: t.ID, Group: t.Group, DataCentre: t.DataCentre, Address: t.Address},
-		Slots:       t.Slots,
-		Connections: t.Connections,
-	}, ok
-}
-
-// Class implements pooler.Directory.
-func (v *View) Class(service, class string) (pooler.ClassLimits, bool) {
-	conf := v.Config()
-	if conf == nil {
-		return pooler.ClassLimits{}, false
-	}
-	c, ok := conf.Class(service, class)
-	return pooler.ClassLimits{
-		Write:           c.Kind == config.Write,
-		Repeatable:      c.Repeatable || c.Kind == config.Read,
-		WaitsForReplica: c.AckWaitsForReplica,
-		Priority:        c.Priority.Rank(),
-	}, ok
-}
--- /dev/null
+++ b/pkg/config/view_lists.go
@@ -0,0 +1,28 @@
+package config
+
+import (
+	"slices"
+	"strings"
+
+)
+
+// DataCentres returns all data centres by name.
+func (v *View) DataCentres() []DataCentre {
+	out := make([]DataCentre, 0, len(v.dataCentres))
+	for _, dc := range v.dataCentres {
+		out = append(out, dc)
+	}
+	slices.SortFunc(out, func(a, b DataCentre) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return out
+}
+
+// AllGroups returns the groups of all services by id.
+func (v *View) AllGroups() []Group {
+	out := make([]Group, 0, len(v.groups))
+	for _, g := range v.groups {
+		out = append(out, g)
+	}
+	slices.SortFunc(out, func(a, b Group) int { return strings.Compare(string(a.ID()), string(b.ID())) })
+	return out
+}
+
