authority: caught-up by samples, caretaker listed once

Ruled out: comparing with the newest position only; a bound in entries, which says nothing in time. Conclusion: caught up means to hold a position of the last second; settling asks for one fetched after the proof.

--- a/pkg/authority/holder.go
+++ b/pkg/authority/holder.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
-	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -76,8 +75,7 @@
 	settlement settlement
 	candidates []topology.Promoter
 	replicas   map[topology.TargetID]replicaView
-	primary    position.Position
-	primaryAt  mono.Time
+	primary    []primarySample
 	readAsked  mono.Time
 	// inTerm is the term in which the target has confirmed to be the primary.
 	inTerm       uint64
@@ -171,7 +169,7 @@
 		g.drain = nil
 		g.settlement = newSettlement()
 		g.replicas = map[topology.TargetID]replicaView{}
-		g.primaryAt = 0
+		g.primary = nil
 	}
 	g.now = relied{row: row.Clone()}
 	g.settlement.note(row, now)
--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -58,9 +58,8 @@
 	for _, c := range g.candidates {
 		_, listed := entryOf(list, c.VM, c.Incarnation)
 		_, old := entryOf(row.Promoters, c.VM, c.Incarnation)
-		shunned := old && g.shunned[c.VM].After(now)
-		shunned = shunned || (!restarted(row, c) && g.shunned[c.VM].After(now))
-		if listed || shunned {
+		shunned := (old || !restarted(row, c)) && g.shunned[c.VM].After(now)
+		if listed || shunned || c.Replica == row.Primary {
 			continue
 		}
 		c.Synced = slices.Contains(Synced(row.Promoters), c.Replica)
@@ -91,10 +90,11 @@
 	row := g.now.row
 	self := topology.Promoter{VM: h.self.ID, Incarnation: h.self.Incarnation, Replica: g.target}
 	_, caretaker := entryOf(row.Promoters, self.VM, self.Incarnation)
-	if caretaker && len(row.Promoters) > 1 && len(list) > 0 && h.promising(g, list) {
-		return list
+	if caretaker && h.promising(g, withoutVM(list, self.VM)) {
+		return withoutVM(list, self.VM)
 	}
-	if caretaker {
+	_, listed := entryOf(list, self.VM, self.Incarnation)
+	if caretaker && !listed {
 		return append(list, self)
 	}
 	if len(list) > 0 {
@@ -108,8 +108,16 @@
 	return []topology.Promoter{self}
 }
 
-// promising reports whether each entry has promised under the current version.
+func withoutVM(list []topology.Promoter, vm topology.VMID) []topology.Promoter {
+	return slices.DeleteFunc(slices.Clone(list), func(p topology.Promoter) bool { return p.VM == vm })
+}
+
+// promising reports whether there are entries and each has promised under the
+// current version.
 func (h *Holder) promising(g *held, list []topology.Promoter) bool {
+	if len(list) == 0 {
+		return false
+	}
 	for _, p := range list {
 		if _, ok := g.promises[promiseKey{p.VM, p.Incarnation, g.now.row.Version}]; !ok {
 			return false
@@ -138,25 +146,30 @@
 }
 
 // wantSynced decides whether waiting writes should wait for the entry's replica.
+// Positions are reported at intervals, so under writes a replica that is well
+// holds what the primary held a moment ago, never its newest position.
 func (g *held) wantSynced(p topology.Promoter, now mono.Time) bool {
-	if p.Replica == g.now.row.Primary || g.primaryAt == 0 {
-		return p.Synced && p.Replica != g.now.row.Primary
+	if p.Replica == g.now.row.Primary {
+		return false
 	}
 	v := g.replicas[p.Replica]
-	caughtUp := v.reachable && !v.position.Less(g.primary)
 	if !p.Synced {
-		return caughtUp && now.Sub(g.primaryAt) < freshPrimary && now.Sub(v.at) < freshPrimary
-	}
-	switch {
-	case caughtUp, v.behind && v.reachable && !v.position.Less(v.mark):
-		v.behind = false
-	case !v.behind:
-		v.behind = true
-		v.mark = g.primary
-		v.behindAt = now
-	}
-	g.replicas[p.Replica] = v
-	return !v.behind || now.Sub(v.behindAt) < unsyncAfter
+		return v.reachable && now.Sub(v.at) < freshPrimary && g.holdsSince(p.Replica, now.Add(-freshPrimary))
+	}
+	sampled := len(g.primary) > 0 && now.Sub(g.primary[len(g.primary)-1].began) < freshPrimary/2
+	return !sampled || g.holdsSince(p.Replica, now.Add(-unsyncAfter))
+}
+
+// holdsSince reports whether the replica holds a position that the primary had
+// in a fetch begun at or after at.
+func (g *held) holdsSince(target topology.TargetID, at mono.Time) bool {
+	v, ok := g.replicas[target]
+	if !ok {
+		return false
+	}
+	return slices.ContainsFunc(g.primary, func(s primarySample) bool {
+		return !s.began.Before(at) && !v.position.Less(s.position)
+	})
 }
 
 // settle clears the unsettled lists under which no right is left. A replica that
@@ -197,7 +210,7 @@
 		if slices.Contains(Synced(old), t) {
 			continue
 		}
-		if g.primaryAt.Before(at) || g.replicas[t].position.Less(g.primary) {
+		if !g.holdsSince(t, at) {
 			return false
 		}
 	}
--- a/pkg/authority/holder_systems.go
+++ b/pkg/authority/holder_systems.go
@@ -13,9 +13,11 @@
 	// shunFor keeps a VM that fell silent out of the list, so that a flapping
 	// path does not cost two writes of the row each time.
 	shunFor = 10 * time.Second
-	// unsyncAfter is how long a synced replica may stay behind one position of
-	// the primary before waiting writes stop waiting for it.
-	unsyncAfter = 700 * time.Millisecond
+	// unsyncAfter is how far back a synced replica may be, in time, before
+	// waiting writes stop waiting for it.
+	unsyncAfter = time.Second
+	// keptSamples bounds the remembered positions of the primary.
+	keptSamples = 32
 	// freshPrimary is how old the known position of the primary may be for a
 	// replica to count as caught up with it.
 	freshPrimary = time.Second
@@ -34,17 +36,19 @@
 	position  position.Position
 	reachable bool
 	at        mono.Time
-	// mark is the primary's position that the replica did not hold at behindAt.
-	mark     position.Position
-	behindAt mono.Time
-	behind   bool
+}
+
+// primarySample is what the primary held in a fetch begun at began.
+type primarySample struct {
+	position position.Position
+	began    mono.Time
 }
 
 // drain is a planned switchover as the holder sees it.
 type drain struct {
 	to      topology.TargetID
 	began   mono.Time
-	drained bool
+	drained mono.Time
 	asked   mono.Time
 }
 
@@ -67,14 +71,17 @@
 	}
 }
 
-// ObservePrimary takes the primary's position from a fetch begun at began.
+// ObservePrimary takes the primary's position, in the row's term, from a fetch
+// begun at began.
 func (h *Holder) ObservePrimary(group topology.GroupID, p position.Position, began mono.Time) {
 	g, ok := h.groups[group]
-	if !ok || began.Before(g.primaryAt) {
+	if !ok || (len(g.primary) > 0 && began.Before(g.primary[len(g.primary)-1].began)) {
 		return
 	}
-	g.primary = p
-	g.primaryAt = began
+	g.primary = append(g.primary, primarySample{position: p, began: began})
+	if len(g.primary) > keptSamples {
+		g.primary = g.primary[1:]
+	}
 }
 
 // SetHealth tells how the primary looks from here; a change goes out at once.
@@ -96,9 +103,9 @@
 }
 
 // Drained tells that every write admitted before Drain has ended.
-func (h *Holder) Drained(group topology.GroupID) {
-	if g, ok := h.groups[group]; ok && g.drain != nil {
-		g.drain.drained = true
+func (h *Holder) Drained(group topology.GroupID, now mono.Time) {
+	if g, ok := h.groups[group]; ok && g.drain != nil && g.drain.drained == 0 {
+		g.drain.drained = now
 	}
 }
 
@@ -210,8 +217,7 @@
 		g.drain = nil
 		return nil
 	}
-	held := g.primaryAt.After(d.began) && !g.replicas[d.to].position.Less(g.primary)
-	if !d.drained || !held || now.Sub(d.asked) < h.opts.RetryEvery {
+	if d.drained == 0 || !g.holdsSince(d.to, d.drained) || now.Sub(d.asked) < h.opts.RetryEvery {
 		return nil
 	}
 	var out []Action
