Failover wired: promises guard every request to a primary

Cause: rights came from the group's row alone, so a replaced primary's pooler would have gone on. Now each request takes a right before it goes out and confirms it before its answer does; a planned stop keeps its transactions.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -1,9 +1,7 @@
 package daemon
 
 import (
-	"context"
 	"log/slog"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -12,14 +10,17 @@
 	"go.uber.org/fx/fxevent"
 
 	"github.com/buckthornshore/buckthornshore/internal/entry"
+	"github.com/buckthornshore/buckthornshore/internal/failover"
+	"github.com/buckthornshore/buckthornshore/internal/liveness"
 	"github.com/buckthornshore/buckthornshore/internal/logging"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
+	"github.com/buckthornshore/buckthornshore/internal/relay"
 	"github.com/buckthornshore/buckthornshore/internal/view"
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
-	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
 
 // drainTime bounds a planned stop.
@@ -31,16 +32,26 @@
 		fx.Supply(s),
 		fx.Provide(
 			newLog,
+			newClock,
 			newVM,
 			view.New,
 			newDialers,
+			newPeers,
 			newPlatform,
+			newSink,
+			newRows,
+			newRelayServer,
+			newPublisher,
+			newConfigKeeper,
 			newPooler,
+			newDriver,
+			newFollower,
+			newProber,
+			newLister,
+			newRoles,
 			newEntry,
-			peers.NewTable,
-			newSync,
 		),
-		fx.Invoke(servePeers, serveCallers, runSync),
+		fx.Invoke(wire, runSystems, servePeers, serveCallers),
 		fx.StopTimeout(drainTime+time.Second),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -50,6 +61,8 @@
 	return logging.New(os.Stderr, "bts-proxy", s.LogLevel).With("vm", s.VM)
 }
 
+func newClock() mono.Clock { return mono.System{} }
+
 // newVM takes the start-up time as the incarnation: it rises with every start,
 // and a VM has no disk that could keep a counter.
 func newVM(s Settings) topology.VM {
@@ -73,6 +86,10 @@
 	return dialers{Pooler: d, Peers: d}
 }
 
+func newPeers(d peers.Dialer, v *view.View, clock mono.Clock) *peers.Table {
+	return peers.NewTable(d, v, clock)
+}
+
 func newPlatform(s Settings, d peers.Dialer) platform.Service {
 	client := &http.Client{
 		Transport: &http.Transport{DialContext: d.DialContext},
@@ -81,6 +98,18 @@
 	return platform.NewRemote(s.PlatformURL, string(s.VM), client)
 }
 
+func newSink(v *view.View, log *slog.Logger) *rowSink { return &rowSink{view: v, log: log} }
+
+func newRows(sink *rowSink) *relay.Store { return relay.NewStore(sink.take) }
+
+func newRelayServer(rows *relay.Store, p platform.Service) *relay.Server {
+	return relay.NewServer(rows, p)
+}
+
+func newFollower(rows *relay.Store, p platform.Service, v *view.View, table *peers.Table, log *slog.Logger) *relay.Follower {
+	return &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
+}
+
 // Defaults of the pooler until the configuration says otherwise.
 const (
 	transactionIdle = 10 * time.Second
@@ -90,7 +119,6 @@
 func newPooler(d pooler.Dialer, v *view.View, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
 		Dialer:          d,
-		Rights:          rowRights{v},
 		Directory:       v,
 		Log:             log,
 		TransactionIdle: transactionIdle,
@@ -98,56 +126,46 @@
 	})
 }
 
-func newEntry(v *view.View, p *peers.Table, log *slog.Logger) *entry.Server {
-	return entry.New(entry.Options{View: v, Peers: p, Log: log})
+func newProber(v *view.View, p *peers.Table) *liveness.Prober { return liveness.New(v, p) }
+
+type driverParts struct {
+	fx.In
+	Settings Settings
+	View     *view.View
+	Peers    *peers.Table
+	Pooler   *pooler.Pooler
+	Dialer   pooler.Dialer
+	Platform platform.Service
+	Publish  publisher
+	Prober   *liveness.Prober
+	Clock    mono.Clock
+	Log      *slog.Logger
 }
 
-// servePeers answers the other VMs.
-func servePeers(lc fx.Lifecycle, s Settings, p *pooler.Pooler, log *slog.Logger) {
-	mux := http.NewServeMux()
-	handler := peerpb.NewPoolerServer(p)
-	mux.Handle(handler.PathPrefix(), handler)
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			l, err := net.Listen("tcp", s.PeerAddress)
-			if err != nil {
-				return err
-			}
-			log.Info("event=peers_served", "address", s.PeerAddress)
-			go func() { _ = server.Serve(l) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			defer p.Close()
-			return server.Shutdown(ctx)
-		},
+func newDriver(p driverParts) *failover.Driver {
+	options := authority.DefaultOptions()
+	options.CheckInvariants = p.Settings.CheckInvariants
+	return failover.New(failover.Options{
+		Directory: p.View,
+		Peers:     p.Peers,
+		Pooler:    p.Pooler,
+		Dialer:    p.Dialer,
+		Table:     p.Platform,
+		Publish:   p.Publish,
+		Doubt:     p.Prober,
+		Clock:     p.Clock,
+		Authority: options,
+		Log:       p.Log,
 	})
 }
 
-// headerTimeout bounds how long a peer may take to send a request's header.
-const headerTimeout = 5 * time.Second
-
-// serveCallers accepts sessions; a planned stop drains them before the peers'
-// server goes, since their last requests may run on this VM's own targets.
-func serveCallers(lc fx.Lifecycle, s Settings, e *entry.Server, log *slog.Logger) {
-	var l net.Listener
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) (err error) {
-			l, err = net.Listen("tcp", s.CallerAddress)
-			if err != nil {
-				return err
-			}
-			log.Info("event=callers_served", "address", s.CallerAddress)
-			go func() { _ = e.Serve(l) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			l.Close()
-			e.Drain(ctx)
-			return nil
-		},
-	})
+func newEntry(v *view.View, p *peers.Table, log *slog.Logger) *entry.Server {
+	return entry.New(entry.Options{View: v, Peers: p, Log: log})
 }
 
-var _ mono.Clock = mono.System{}
+// wire joins the parts that know each other both ways.
+func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler) {
+	sink.driver = driver
+	sink.keeper = keeper
+	p.Guard(driver, driver)
+}
--- /dev/null
+++ b/internal/daemon/roles.go
@@ -0,0 +1,136 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/failover"
+	"github.com/buckthornshore/buckthornshore/internal/pooler"
+	"github.com/buckthornshore/buckthornshore/internal/view"
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/platform"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// Periods of the roles system.
+const (
+	rolesPeriod    = 250 * time.Millisecond
+	controlTimeout = time.Second
+)
+
+// roles brings the targets that this VM pools into the roles that the group rows
+// give them, and writes the first row of a group that has none.
+type roles struct {
+	view     *view.View
+	platform platform.Service
+	pooler   *pooler.Pooler
+	driver   *failover.Driver
+	publish  publisher
+	log      *slog.Logger
+}
+
+func newRoles(v *view.View, p platform.Service, pl *pooler.Pooler, d *failover.Driver, pub publisher, log *slog.Logger) *roles {
+	return &roles{view: v, platform: p, pooler: pl, driver: d, publish: pub, log: log}
+}
+
+// tick looks at every target that this VM pools.
+func (r *roles) tick(ctx context.Context) {
+	conf := r.view.Config()
+	if conf == nil {
+		return
+	}
+	for _, part := range r.view.Parts() {
+		row := r.view.Group(part.Group)
+		if row == nil {
+			r.create(ctx, conf, part)
+			continue
+		}
+		for _, id := range part.Targets {
+			go r.assign(ctx, conf, row, id)
+		}
+	}
+}
+
+// create writes the first row of a group whose first target this VM pools. The
+// condition that there is none makes a second writer lose.
+func (r *roles) create(ctx context.Context, conf *config.View, part failover.Part) {
+	g, _ := conf.Group(part.Group)
+	first := g.Targets[0].ID
+	if !contains(part.Targets, first) {
+		return
+	}
+	row := topology.Group{ID: part.Group, Version: 1, Term: 1, Primary: first, ChangeID: "create/" + string(r.view.Self().ID)}
+	for _, c := range part.Candidates {
+		if c.Replica != first {
+			c.Synced = true // Nothing was acknowledged yet, so nothing is missing.
+			row.Promoters = append(row.Promoters, c)
+		}
+	}
+	if len(row.Promoters) < len(g.Targets)-1 {
+		return // The list is never empty, so the group waits for its VMs.
+	}
+	value, err := json.Marshal(row)
+	if err != nil {
+		r.log.Error("event=group_create_failed", "group", part.Group, "error", err)
+		return
+	}
+	key := view.GroupPrefix + string(part.Group)
+	out, err := r.platform.Commit(ctx, platform.Txn{
+		Conditions: []platform.Condition{{Key: key}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	})
+	if err == nil && out.Committed {
+		r.publish(platform.Row{Key: key, Value: value, Revision: out.Revision})
+	}
+	r.log.Info("event=group_created", "group", part.Group, "primary", first, "committed", out.Committed, "error", err)
+}
+
+func contains(ids []topology.TargetID, id topology.TargetID) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
+
+// assign gives a target the role that the row has for it. A replica that this VM
+// is promoting is left alone: it is fenced on purpose.
+func (r *roles) assign(ctx context.Context, conf *config.View, row *topology.Group, id topology.TargetID) {
+	control, failure := r.pooler.Control(id)
+	if failure != nil || r.driver.Attempting(row.ID) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	status, err := control.Status(ctx)
+	if err != nil {
+		return // The detector looks after targets that do not answer.
+	}
+	switch {
+	case status.Term > row.Term:
+		return // A row newer than this one is on its way.
+	case row.Primary == id && (status.Role != pooler.RolePrimary || status.Term < row.Term):
+		_, err = control.Promote(ctx, row.Term)
+	case row.Primary != id && (status.Role != pooler.RoleReplica || status.Term < row.Term || status.Primary != row.Primary):
+		r.reportSurplus(row, id, status)
+		primary, _ := conf.Target(row.Primary)
+		_, err = control.Follow(ctx, row.Term, row.Primary, primary.Address)
+	default:
+		return
+	}
+	r.log.Info("event=target_assigned", "target", id, "role_before", status.Role, "primary", row.Primary, "term", row.Term, "error", err)
+}
+
+// reportSurplus tells which writes of a returning primary are lost: its new
+// primary cuts them off.
+func (r *roles) reportSurplus(row *topology.Group, id topology.TargetID, status pooler.TargetStatus) {
+	surplus, lost := authority.SurplusOf(row, status.Position)
+	if !lost {
+		return
+	}
+	r.log.Warn("event=writes_lost", "group", row.ID, "target", id, "after", surplus.From, "to", surplus.To)
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -29,6 +29,9 @@
 	// PlatformTimeout bounds one call to the platform.
 	PlatformTimeout settings.Duration `json:"platform_timeout"`
 	LogLevel        string            `json:"log_level"`
+	// CheckInvariants has a broken invariant end the process instead of being
+	// carried on with.
+	CheckInvariants bool `json:"check_invariants"`
 }
 
 // defaultPlatformTimeout is used when the settings name none.
--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -42,6 +42,7 @@
 	// Parts lists the groups in which this VM pools a target.
 	Parts() []Part
 	Target(topology.TargetID) (pooler.TargetLimits, bool)
+	PoolerOf(topology.TargetID) (topology.VM, bool)
 	// Witness picks a VM of another data centre than this one's and target's.
 	Witness(topology.TargetID) (topology.VM, bool)
 	Group(topology.GroupID) *topology.Group
@@ -56,6 +57,11 @@
 	Candidates []topology.Promoter
 }
 
+// Doubter asks a VM whether it lives.
+type Doubter interface {
+	Ask(ctx context.Context, vm topology.VMID)
+}
+
 // Options of a Driver.
 type Options struct {
 	Directory Directory
@@ -64,7 +70,9 @@
 	Dialer    pooler.Dialer
 	Table     platform.Table
 	// Publish takes in a row just committed, for this VM and its peers.
-	Publish   func(platform.Row)
+	Publish func(platform.Row)
+	// Doubt has a VM asked whether it lives.
+	Doubt     Doubter
 	Clock     mono.Clock
 	Authority authority.Options
 	Log       *slog.Logger
@@ -192,9 +200,8 @@
 		d.held[part.Group] = row.Primary
 		d.holder.Serve(part.Group, row.Primary)
 		d.holder.Candidates(part.Group, candidatesFor(row, part.Candidates))
-	} else if _, ok := d.held[part.Group]; ok {
-		delete(d.held, part.Group)
-		d.holder.Drop(part.Group)
+	} else {
+		d.dropHeld(part.Group)
 	}
 	d.logTerm(row)
 }
@@ -219,11 +226,22 @@
 }
 
 func (d *Driver) dropPart(id topology.GroupID) {
-	delete(d.parts, id)
-	if _, ok := d.held[id]; ok {
-		delete(d.held, id)
-		d.holder.Drop(id)
+	d.dropHeld(id)
+	if _, held := d.held[id]; !held {
+		delete(d.parts, id)
+	}
+}
+
+// dropHeld ends this VM's part as the primary's pooler, but not while
+// a transaction is open here: its commit would be refused although nothing is
+// wrong. Until then two VMs hold for the same term, which is harmless.
+func (d *Driver) dropHeld(id topology.GroupID) {
+	target, ok := d.held[id]
+	if !ok || d.o.Pooler.OpenTransactions(target) > 0 {
+		return
 	}
+	delete(d.held, id)
+	d.holder.Drop(id)
 }
 
 // ObserveRows takes rows in; began is the instant before the platform read that
@@ -254,9 +272,25 @@
 func (d *Driver) Right(group topology.GroupID, term uint64) (authority.Right, *result.Error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if _, ok := d.held[group]; !ok {
+		d.doubtPooler(group)
+	}
 	return d.holder.Right(group, term, d.o.Clock.Now())
 }
 
+// doubtPooler asks the VM that this one takes for the primary's pooler whether
+// it lives. Somebody sent its request here instead, so it may be dead, and then
+// this VM has to take over without waiting for the platform's list.
+func (d *Driver) doubtPooler(group topology.GroupID) {
+	row := d.o.Directory.Group(group)
+	if row == nil {
+		return
+	}
+	if vm, ok := d.o.Directory.PoolerOf(row.Primary); ok {
+		d.o.Doubt.Ask(context.Background(), vm.ID)
+	}
+}
+
 // Confirm implements pooler.Rights.
 func (d *Driver) Confirm(r authority.Right, waited bool) *result.Error {
 	d.mu.Lock()
@@ -307,7 +341,7 @@
 func (d *Driver) Drained(group topology.GroupID) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.holder.Drained(group)
+	d.holder.Drained(group, d.o.Clock.Now())
 }
 
 func encodeRow(row *topology.Group) []byte {
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -204,6 +204,12 @@
 	p.held[key] = &heldConn{conn: c, since: time.Now()}
 }
 
+func (p *pool) openTransactions() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.held)
+}
+
 // drop forgets the transaction; the caller has its connection.
 func (p *pool) drop(key txKey) {
 	p.mu.Lock()
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -140,6 +140,42 @@
 	return pools
 }
 
+// OpenTransactions counts the transactions that hold a connection to the target.
+func (p *Pooler) OpenTransactions(id topology.TargetID) int {
+	p.mu.Lock()
+	tp := p.pools[id]
+	p.mu.Unlock()
+	if tp == nil {
+		return 0
+	}
+	return tp.openTransactions()
+}
+
+// Drain waits until no transaction is open or ctx ends.
+func (p *Pooler) Drain(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for p.anyTransaction() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drainPoll is how often Drain looks.
+const drainPoll = 20 * time.Millisecond
+
+func (p *Pooler) anyTransaction() bool {
+	for _, tp := range p.all() {
+		if tp.openTransactions() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends all idle connections.
 func (p *Pooler) Close() {
 	for _, tp := range p.all() {
