--- /dev/null
+++ b/pkg/admission/level.go
@@ -0,0 +1,202 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+)
+
+// entry is a request that waits.
+type entry struct {
+	Request
+	arrived mono.Time
+	// sequence numbers the arrivals.
+	sequence uint64
+	// cost is the expected time in the slot, fixed at arrival so that the sums
+	// of waiting work stay exact.
+	cost time.Duration
+}
+
+// The places within a priority, first served first.
+const (
+	placeOpen = iota // requests of open transactions
+	placeNew
+	placeLower
+	places
+)
+
+func placeOf(r *Request) int {
+	switch {
+	case r.continues():
+		return placeOpen
+	case r.LowerPlace:
+		return placeLower
+	}
+	return placeNew
+}
+
+// flowKey names a flow: requests that open a transaction have one of their own,
+// so that the limit on transactions holds back only them.
+type flowKey struct {
+	member string
+	opens  bool
+}
+
+// flow is the FIFO of one member at one place.
+type flow struct {
+	key     flowKey
+	waiting []*entry
+	// start is the virtual time at which the first waiting request starts.
+	start float64
+	work  time.Duration
+}
+
+// place holds the flows of one place of a priority and shares it among members
+// by start-time fair queueing: the flow with the earliest start goes next, and
+// each request moves its flow's start on by cost over weight.
+type place struct {
+	flows   []*flow
+	virtual float64
+}
+
+func (p *place) flow(key flowKey) *flow {
+	for _, f := range p.flows {
+		if f.key == key {
+			return f
+		}
+	}
+	f := &flow{key: key}
+	p.flows = append(p.flows, f)
+	return f
+}
+
+func (p *place) push(e *entry) {
+	f := p.flow(flowKey{e.Member, e.Opens})
+	if len(f.waiting) == 0 {
+		// A flow that was idle gets no credit for it.
+		f.start = max(f.start, p.virtual)
+	}
+	f.waiting = append(f.waiting, e)
+	f.work += e.cost
+}
+
+// head returns the flow to be served next, or nil.
+func (p *place) head(opensAllowed bool) *flow {
+	var best *flow
+	for _, f := range p.flows {
+		if len(f.waiting) == 0 || f.key.opens && !opensAllowed {
+			continue
+		}
+		if best == nil || f.start < best.start {
+			best = f
+		}
+	}
+	return best
+}
+
+// pop takes the first request of the flow.
+func (p *place) pop(f *flow, weight float64) {
+	cost := f.waiting[0].cost
+	f.remove(0)
+	p.virtual = f.start
+	f.start += cost.Seconds() / weight
+	p.forgetIdle()
+}
+
+// forgetIdle drops idle flows that have no debt, so that members who come and go
+// don't add up.
+func (p *place) forgetIdle() {
+	kept := p.flows[:0]
+	for _, f := range p.flows {
+		if len(f.waiting) > 0 || f.start > p.virtual {
+			kept = append(kept, f)
+		}
+	}
+	clear(p.flows[len(kept):])
+	p.flows = kept
+}
+
+func (f *flow) remove(i int) {
+	f.work -= f.waiting[i].cost
+	copy(f.waiting[i:], f.waiting[i+1:])
+	f.waiting[len(f.waiting)-1] = nil
+	f.waiting = f.waiting[:len(f.waiting)-1]
+}
+
+// level is one priority.
+type level struct {
+	places [places]place
+	count  int
+	work   time.Duration
+	// credit is the slot time that the level has earned while others ran.
+	credit time.Duration
+}
+
+func (l *level) push(e *entry) {
+	l.places[placeOf(&e.Request)].push(e)
+	l.count++
+	l.work += e.cost
+}
+
+// head returns the place and flow to be served next, or nil.
+func (l *level) head(opensAllowed bool) (*place, *flow) {
+	for i := range l.places {
+		if f := l.places[i].head(opensAllowed); f != nil {
+			return &l.places[i], f
+		}
+	}
+	return nil, nil
+}
+
+// removed updates the sums for a request that left the level.
+func (l *level) removed(e *entry) {
+	l.count--
+	l.work -= e.cost
+	if l.count == 0 {
+		l.credit = 0
+	}
+}
+
+// removeIf takes out the waiting requests that match.
+func (l *level) removeIf(match func(*entry) bool, taken func(*entry)) {
+	for i := range l.places {
+		for _, f := range l.places[i].flows {
+			for j := len(f.waiting) - 1; j >= 0; j-- {
+				e := f.waiting[j]
+				if match(e) {
+					f.remove(j)
+					l.removed(e)
+					taken(e)
+				}
+			}
+		}
+	}
+}
+
+// each visits the waiting requests.
+func (l *level) each(visit func(*entry)) {
+	for i := range l.places {
+		for _, f := range l.places[i].flows {
+			for _, e := range f.waiting {
+				visit(e)
+			}
+		}
+	}
+}
+
+// youngest returns the member's latest arrival that does not belong to an open
+// transaction: refusing those would only keep their connections held.
+func (l *level) youngest(member string) *entry {
+	var last *entry
+	for i := placeNew; i < places; i++ {
+		for _, f := range l.places[i].flows {
+			if member != anyMember && f.key.member != member {
+				continue
+			}
+			if n := len(f.waiting); n > 0 && (last == nil || f.waiting[n-1].sequence > last.sequence) {
+				last = f.waiting[n-1]
+			}
+		}
+	}
+	return last
+}
