--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -116,10 +116,11 @@
 	maxResult       = 8 << 20
 )
 
-func newPooler(d pooler.Dialer, v *view.View, log *slog.Logger) *pooler.Pooler {
+func newPooler(d pooler.Dialer, v *view.View, clock mono.Clock, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
 		Dialer:          d,
 		Directory:       v,
+		Clock:           clock,
 		Log:             log,
 		TransactionIdle: transactionIdle,
 		MaxResult:       maxResult,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -23,6 +23,9 @@
 // headerTimeout bounds how long a peer may take to send a request's header.
 const headerTimeout = 5 * time.Second
 
+// queuePeriod is how late the answer to a request that expires in a queue may be.
+const queuePeriod = 20 * time.Millisecond
+
 type systems struct {
 	fx.In
 	Lifecycle fx.Lifecycle
@@ -49,6 +52,7 @@
 			go s.Prober.Run(ctx)
 			go every(ctx, listPeriod, s.Lister.tick)
 			go every(ctx, rolesPeriod, s.Roles.tick)
+			go every(ctx, queuePeriod, func(context.Context) { s.Pooler.Tick() })
 			go every(ctx, time.Second, func(context.Context) { s.Pooler.Sweep(time.Now()) })
 			return nil
 		},
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -17,8 +17,9 @@
 
 // Names of the parameters that a target reports or takes.
 const (
-	parameterPosition = "buckthornshore.position"
-	parameterControl  = "buckthornshore.control"
+	parameterPosition  = "buckthornshore.position"
+	parameterCommitted = "buckthornshore.committed"
+	parameterControl   = "buckthornshore.control"
 )
 
 // maxServerMessage bounds one answer that the pooler asks for itself, in bytes.
@@ -51,7 +52,9 @@
 type answer struct {
 	messages []byte // raw backend frames
 	status   byte   // of the last ReadyForQuery
-	sqlState string // of the first ErrorResponse; "" without one
+	// committed is where the connection's own commit lies; zero without one.
+	committed position.Position
+	sqlState  string // of the first ErrorResponse; "" without one
 }
 
 // dial connects and waits until the target is ready.
@@ -161,7 +164,7 @@
 			a.sqlState = pgwire.SQLState(frame)
 		}
 	case pgwire.TypeParameterStatus:
-		return false, c.observeParameter(frame)
+		return false, c.observeParameter(frame, a)
 	case 'K':
 		return false, c.observeKey(frame)
 	case pgwire.TypeNotification:
@@ -170,18 +173,22 @@
 	return true, nil
 }
 
-func (c *conn) observeParameter(frame pgwire.Frame) error {
+func (c *conn) observeParameter(frame pgwire.Frame, a *answer) error {
 	name, value, ok := strings.Cut(string(frame.Body()), "\x00")
 	if !ok {
 		return pgwire.ErrBadFrame
 	}
-	if name != parameterPosition {
+	if name != parameterPosition && name != parameterCommitted {
 		return nil
 	}
 	p, err := position.Parse(strings.TrimSuffix(value, "\x00"))
 	if err != nil {
 		return errors.Wrap(err, "target's position")
 	}
+	if name == parameterCommitted {
+		a.committed = p
+		return nil
+	}
 	c.position = p
 	return nil
 }
@@ -214,7 +221,7 @@
 	}
 	var sql strings.Builder
 	if c.settings.term != want.term {
-		sql.WriteString("SET buckthornshore.term = '" + strconv.FormatUint(want.term, 10) + "'; ")
+		sql.WriteString("SET buckthornshore.term = '" + termValue(want.term) + "'; ")
 	}
 	if c.settings.waitFor != want.waitFor {
 		sql.WriteString("SET buckthornshore.wait_for = '" + want.waitFor + "'; ")
@@ -233,6 +240,14 @@
 	return nil
 }
 
+// termValue of 0 unties the connection from any term.
+func termValue(term uint64) string {
+	if term == 0 {
+		return ""
+	}
+	return strconv.FormatUint(term, 10)
+}
+
 func onOff(b bool) string {
 	if b {
 		return "on"
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -9,7 +9,9 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pgwire"
+	"github.com/buckthornshore/buckthornshore/pkg/admission"
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -48,10 +50,12 @@
 		group:          topology.GroupID(in.Group),
 	}
 	begun := time.Now()
-	if err := tp.gate.enter(ctx); err != nil {
+	slot, err := tp.gate.enter(ctx, admissionRequest(req))
+	if err != nil {
 		return err
 	}
-	defer tp.gate.leave()
+	defer slot.leave()
+	resp.QueueLength = uint32(tp.gate.length())
 	resp.QueueUs = uint32(time.Since(begun).Microseconds())
 	begun = time.Now()
 	defer func() { resp.RunUs = uint32(time.Since(begun).Microseconds()) }()
@@ -64,6 +68,27 @@
 	return p.start(ctx, tp, req, resp)
 }
 
+// admissionRequest says what the queue weighs. A read at the primary comes after
+// the writes of its priority: it could have run elsewhere.
+func admissionRequest(req *request) admission.Request {
+	r := admission.Request{
+		Member:     req.Member,
+		Class:      req.Class,
+		Priority:   req.class.Priority,
+		LowerPlace: !req.class.Write && req.Term != 0,
+	}
+	if req.InTransaction {
+		r.Transaction = req.Transaction
+	}
+	return r
+}
+
+// deadlineOf turns the context's deadline into an instant.
+func deadlineOf(ctx context.Context, now mono.Time) mono.Time {
+	deadline, _ := ctx.Deadline() // Execute always sets one.
+	return now.Add(time.Until(deadline))
+}
+
 // takeRight guards everything that runs on a primary: its writes, and its reads
 // too, since a replaced primary lacks what its successor acknowledged. It is
 // asked for after the queue, so that it is fresh when the request goes out.
@@ -166,6 +191,7 @@
 // conclude finishes the request. When it fails with its transaction open the
 // caller is told that the transaction is gone, so it must be.
 func (p *Pooler) conclude(tp *targetPool, req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
+	tp.floors.completed(req.Session, a.committed)
 	failure := p.finish(req, at, a, resp)
 	if failure != nil {
 		tp.abandon(req.key)
@@ -245,6 +271,9 @@
 	resp.Messages = a.messages
 	resp.TxStatus = uint32(a.status)
 	resp.Position = peers.PositionTo(at)
+	if !a.committed.IsZero() {
+		resp.Position = peers.PositionTo(a.committed)
+	}
 	return nil
 }
 
--- a/internal/pooler/once.go
+++ b/internal/pooler/once.go
@@ -73,6 +73,7 @@
 		return end, nil
 	}
 	a.status = end.status
+	a.committed = end.committed
 	a.messages = setStatus(a.messages, end.status)
 	return a, nil
 }
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -51,7 +51,6 @@
 	open     int
 	held     map[txKey]*heldConn
 	position position.Position // newest that the target reported
-	freed    chan struct{}     // closed and replaced whenever a connection frees
 }
 
 func newPool(t topology.Target, d Dialer, limit int) *pool {
@@ -60,35 +59,31 @@
 		dialer: d,
 		limit:  limit,
 		held:   map[txKey]*heldConn{},
-		freed:  make(chan struct{}),
 	}
 }
 
 // acquire returns a verified connection, preferably one bound as wanted.
-// Nothing has been sent for the request when it fails: not run.
+// Nothing has been sent for the request when it fails: not run. It does not wait
+// for a connection: the request holds a slot, and open transactions that hold
+// all connections need that slot to end.
 func (p *pool) acquire(ctx context.Context, want connSettings) (*conn, *result.Error) {
 	for {
-		c, wait := p.take(want)
+		c, mayOpen := p.take(want)
 		switch {
-		case c != nil && p.usable(ctx, c):
-			return c, nil
-		case c != nil:
-			p.discard(c)
-		case wait == nil:
+		case c == nil && !mayOpen:
+			return nil, result.New(result.ConnectionsInUse, "%s", p.target.ID).After(verifyAfter)
+		case c == nil:
 			return p.connect(ctx)
-		default:
-			select {
-			case <-wait:
-			case <-ctx.Done():
-				return nil, result.New(result.ConnectionsInUse, "%s", p.target.ID).After(verifyAfter)
-			}
+		case p.usable(ctx, c):
+			return c, nil
 		}
+		p.discard(c)
 	}
 }
 
-// take returns an idle connection; or nil and no channel when a new one may be
-// opened, whose place is then reserved; or the channel to wait on.
-func (p *pool) take(want connSettings) (*conn, <-chan struct{}) {
+// take returns an idle connection; or none, and whether a new one may be opened,
+// whose place is then reserved.
+func (p *pool) take(want connSettings) (c *conn, mayOpen bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if n := len(p.idle); n > 0 {
@@ -101,13 +96,13 @@
 		}
 		c := p.idle[best]
 		p.idle = append(p.idle[:best], p.idle[best+1:]...)
-		return c, nil
+		return c, false
 	}
-	if p.open < p.limit {
-		p.open++
-		return nil, nil
+	if p.open >= p.limit {
+		return nil, false
 	}
-	return nil, p.freed
+	p.open++
+	return nil, true
 }
 
 func (p *pool) usable(ctx context.Context, c *conn) bool {
@@ -148,7 +143,6 @@
 	defer p.mu.Unlock()
 	p.notePosition(c.position)
 	p.idle = append(p.idle, c)
-	p.signal()
 }
 
 // discard closes a connection that can't be trusted any more: an answer that
@@ -162,13 +156,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
-	p.signal()
-}
-
-// signal wakes those who wait for a connection; the caller holds the lock.
-func (p *pool) signal() {
-	close(p.freed)
-	p.freed = make(chan struct{})
 }
 
 func (p *pool) notePosition(at position.Position) {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/pkg/admission"
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
@@ -38,13 +40,15 @@
 	Repeatable bool
 	// WaitsForReplica: the acknowledgement waits for the synced replicas.
 	WaitsForReplica bool
-	Priority        int
+	Priority        admission.Priority
 }
 
 // Directory answers questions about the configuration and the group rows.
 type Directory interface {
 	Target(id topology.TargetID) (TargetLimits, bool)
 	Class(service, class string) (ClassLimits, bool)
+	// Admission returns the limits of a target's queue as the preset has them.
+	Admission(id topology.TargetID) admission.Limits
 }
 
 // TargetLimits is a target with its limits.
@@ -58,6 +62,7 @@
 type Options struct {
 	Dialer    Dialer
 	Directory Directory
+	Clock     mono.Clock
 	Log       *slog.Logger
 	// TransactionIdle is how long a transaction may sit idle.
 	TransactionIdle time.Duration
@@ -79,6 +84,7 @@
 type targetPool struct {
 	*pool
 	gate    *gate
+	floors  *sessionFloors
 	control *Control
 }
 
@@ -107,7 +113,8 @@
 	}
 	tp := &targetPool{
 		pool:    newPool(t.Target, p.o.Dialer, t.Connections),
-		gate:    newGate(t.Slots),
+		gate:    newGate(p.o.Directory.Admission(id), p.o.Clock),
+		floors:  newSessionFloors(p.o.Clock),
 		control: NewControl(p.o.Dialer, t.Address),
 	}
 	p.pools[id] = tp
@@ -123,10 +130,20 @@
 	return tp.control, nil
 }
 
-// Sweep closes what has been idle too long; the daemon calls it each second.
+// Sweep closes what has been idle too long and puts changed limits in force; the
+// daemon calls it each second.
 func (p *Pooler) Sweep(now time.Time) {
 	for _, tp := range p.all() {
 		tp.sweep(now, p.o.TransactionIdle)
+		tp.floors.tick()
+		tp.gate.setLimits(p.o.Directory.Admission(tp.target.ID))
+	}
+}
+
+// Tick answers requests whose deadline has passed in a queue.
+func (p *Pooler) Tick() {
+	for _, tp := range p.all() {
+		tp.gate.tick()
 	}
 }
 
@@ -223,7 +240,11 @@
 		return resp, nil
 	}
 	resp.Position = peers.PositionTo(status.Position)
-	resp.Floor = resp.Position
+	floor, ok := tp.floors.floor(req.Session, status.Position)
+	if !ok {
+		floor = status.Position
+	}
+	resp.Floor = peers.PositionTo(floor)
 	return resp, nil
 }
 
--- a/internal/standin/database/conn.go
+++ b/internal/standin/database/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/pkg/position"
 )
 
 const (
@@ -37,6 +39,9 @@
 	msgs   chan pgproto3.FrontendMessage
 	peeked pgproto3.FrontendMessage
 
+	// committed is the newest commit since ready was last sent.
+	committed position.Position
+
 	mu        sync.Mutex
 	cancelOne context.CancelCauseFunc
 }
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -72,6 +72,8 @@
 		return sqlError(CodeTermRefused, "connection is bound to term %d, database is %s in term %d", s.term, d.role, d.term)
 	case d.role == RoleFenced:
 		return sqlError(CodeTermRefused, "database is fenced in term %d, connection is bound to %s", d.term, s.boundTo())
+	case writes && s.vars[varReadOnly] == valueOn:
+		return sqlError(CodeReadOnly, "cannot write: the session is read only")
 	case writes && d.role != RolePrimary:
 		return sqlError(CodeReadOnly, "cannot write: database is %s in term %d", d.role, d.term)
 	}
@@ -153,6 +155,9 @@
 		s.db.rollback(t)
 		return err
 	}
+	if entry != nil {
+		s.conn.committed = entry.Position()
+	}
 	return s.awaitReplicas(ctx, entry)
 }
 
--- a/internal/standin/database/startup.go
+++ b/internal/standin/database/startup.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/pkg/position"
 )
 
 // Names of start-up parameters, variables and reported parameters.
@@ -15,6 +17,8 @@
 	varWaitFor       = "buckthornshore.wait_for"
 	varWaitTimeout   = "buckthornshore.wait_timeout_ms"
 	varPosition      = "buckthornshore.position"
+	varCommitted     = "buckthornshore.committed"
+	varReadOnly      = "default_transaction_read_only"
 	varStatus        = "buckthornshore.status"
 	valueOn          = "on"
 	valueOff         = "off"
@@ -108,8 +112,13 @@
 	_ = c.flush()
 }
 
-// ready reports the position and that the next statement may come.
+// ready reports what this connection committed since it last was ready, the
+// newest position and that the next statement may come.
 func (c *conn) ready(status byte) {
+	if !c.committed.IsZero() {
+		c.send(&pgproto3.ParameterStatus{Name: varCommitted, Value: c.committed.String()})
+		c.committed = position.Position{}
+	}
 	c.send(&pgproto3.ParameterStatus{Name: varPosition, Value: c.db.Position().String()})
 	c.send(&pgproto3.ReadyForQuery{TxStatus: status})
 }
--- a/internal/view/directory.go
+++ b/internal/view/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
+	"github.com/buckthornshore/buckthornshore/pkg/admission"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -31,6 +32,42 @@
 		Write:           c.Kind == config.Write,
 		Repeatable:      c.Repeatable || c.Kind == config.Read,
 		WaitsForReplica: c.AckWaitsForReplica,
-		Priority:        c.Priority.Rank(),
+		Priority:        admission.Priority(c.Priority.Rank()),
 	}, ok
 }
+
+const (
+	// queuePerTarget bounds all requests that wait for one target.
+	queuePerTarget = 4000
+	// reservedSlots are kept free for urgent requests while these come often.
+	reservedSlots = 1
+)
+
+// Admission implements pooler.Directory.
+func (v *View) Admission(id topology.TargetID) admission.Limits {
+	conf := v.Config()
+	t, ok := conf.Target(id)
+	if !ok {
+		return admission.Limits{Slots: 1}
+	}
+	limits := admission.Limits{
+		Slots:        t.Slots,
+		Reserved:     reservedSlots,
+		Queue:        queuePerTarget,
+		ClassQueue:   config.DefaultQueueLimit,
+		MemberQueue:  queuePerTarget,
+		Classes:      map[string]int{},
+		Transactions: t.Connections - t.Slots,
+		Weights:      map[string]float64{},
+	}
+	g, _ := conf.Group(t.Group)
+	for _, c := range conf.Classes(g.Service) {
+		limits.Classes[c.Name] = c.QueueLimit
+	}
+	if service, ok := conf.Service(g.Service); ok {
+		if m, ok := conf.Member(service.Member); ok {
+			limits.Weights[m.Name] = float64(m.Weight)
+		}
+	}
+	return limits
+}
--- a/pkg/config/view_lists.go
+++ b/pkg/config/view_lists.go
@@ -3,7 +3,6 @@
 import (
 	"slices"
 	"strings"
-
 )
 
 // DataCentres returns all data centres by name.
@@ -26,3 +25,14 @@
 	return out
 }
 
+// Classes returns a service's classes by name, as the preset has them.
+func (v *View) Classes(service string) []Class {
+	var out []Class
+	for key, c := range v.classes {
+		if key.service == service {
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b Class) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
