retry: a failover costs a write a wait, not an error

Ruled out: a larger budget (it also lets retries load a target that fails). Conclusion: NoPrimary costs no budget, since nothing was sent; 200 attempts, cap 100 ms. Also a test that the spill looks at every replica, and a comment that claimed more than the code proves.

--- a/pkg/retry/codes.go
+++ b/pkg/retry/codes.go
@@ -52,3 +52,8 @@
 	}
 	return false
 }
+
+// costs reports whether the attempt loaded anything, so that another one is paid
+// for by the budget. Without a primary the entry sent nothing; if that cost, a
+// failover would spend the budget in its first moment and fail every write.
+func costs(err *result.Error) bool { return err.Code != result.NoPrimary }
--- a/pkg/retry/retry.go
+++ b/pkg/retry/retry.go
@@ -53,9 +53,9 @@
 }
 
 // DefaultPolicy suits the brief's places: 1 ms between data centres, and a
-// failover that takes a second or two.
+// failover that takes a second or two. Attempts suffice for ten seconds of it.
 func DefaultPolicy() Policy {
-	return Policy{Base: 5 * time.Millisecond, Cap: 250 * time.Millisecond, Attempts: 12, Expected: 10 * time.Millisecond}
+	return Policy{Base: 5 * time.Millisecond, Cap: 100 * time.Millisecond, Attempts: 200, Expected: 10 * time.Millisecond}
 }
 
 // Random draws a number in [0, n); *rand.Rand of math/rand/v2 does.
@@ -87,7 +87,7 @@
 	if o.Attempt >= p.Attempts || now.Add(after+p.Expected) > deadline {
 		return Decision{Err: o.Err.After(comeBack)}
 	}
-	if !budgets.take(o.Member, class.Name, now) {
+	if costs(o.Err) && !budgets.take(o.Member, class.Name, now) {
 		return Decision{Err: exhausted(o.Err, max(comeBack, budgets.refill()))}
 	}
 	invariant.Check(o.Err.Ran == result.NotRun || class.repeats(), "class %s is tried again after %s", class.Name, o.Err.Ran)
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -261,6 +261,14 @@
 		Expect(choose(read)).To(BeEquivalentTo("far"))
 		targets[2].QueueLength = 200
 		Expect(choose(read)).To(BeEquivalentTo("primary"))
+		third := routing.Candidate{Target: "third", SameDC: true, Service: time.Millisecond, Slots: 2, QueueLength: 200}
+		idle := third
+		idle.QueueLength, idle.Target = 0, "idle"
+		targets = append(targets, third, idle)
+		for range 50 {
+			Expect(choose(read)).NotTo(BeEquivalentTo("primary"), "a third replica is idle")
+		}
+		targets = targets[:3]
 		targets[0].QueueLength = 100
 		Expect(choose(read)).NotTo(BeEquivalentTo("primary"))
 	})
--- a/pkg/routing/sessionfloors.go
+++ b/pkg/routing/sessionfloors.go
@@ -108,8 +108,8 @@
 }
 
 // giveUpGaps takes every index seen as possibly another pooler's. Raising the
-// mark over the gap alone would be enough if each completion bore its own index;
-// raising it to the highest seen also covers one that bore a later index.
+// mark over the gaps alone would do, but means keeping each gap's age; this costs
+// the sessions that wrote last a wait for the highest index seen.
 func (f *SessionFloors) giveUpGaps() {
 	f.raiseLow(f.seen)
 }
