--- a/pkg/config/decode.go
+++ b/pkg/config/decode.go
@@ -13,7 +13,21 @@
 
 // decoder fills records from the syntax tree. It goes on after a problem, so
 // that an operator sees all of them at once.
-type decoder struct{ *report }
+type decoder struct {
+	*report
+	// fields keeps each record type's keys: a large document has thousands of
+	// records of a few types.
+	fields map[reflect.Type][]field
+}
+
+func (d *decoder) fieldsOf(t reflect.Type) []field {
+	fields, ok := d.fields[t]
+	if !ok {
+		fields = fieldsOf(t)
+		d.fields[t] = fields
+	}
+	return fields
+}
 
 func (d *decoder) value(v *hujson.Value, out reflect.Value, path string) {
 	d.offsets[path] = v.StartOffset
@@ -54,19 +68,19 @@
 	if record, ok := out.Addr().Interface().(defaulter); ok {
 		record.setDefaults()
 	}
-	fields := fieldsOf(out.Type())
-	seen := map[string]bool{}
+	fields := d.fieldsOf(out.Type())
+	seen := make([]bool, len(fields))
 	for i := range object.Members {
 		d.member(&object.Members[i], out, path, fields, seen)
 	}
-	for _, f := range fields {
-		if f.required && !seen[f.key] {
+	for i, f := range fields {
+		if f.required && !seen[i] {
 			d.add(path, fmt.Sprintf("key %q is missing", f.key), "it is required")
 		}
 	}
 }
 
-func (d *decoder) member(m *hujson.ObjectMember, out reflect.Value, path string, fields []field, seen map[string]bool) {
+func (d *decoder) member(m *hujson.ObjectMember, out reflect.Value, path string, fields []field, seen []bool) {
 	key := m.Name.Value.(hujson.Literal).String()
 	at := slices.IndexFunc(fields, func(f field) bool { return f.key == key })
 	if at < 0 {
@@ -74,12 +88,12 @@
 		d.problems = append(d.problems, d.problem(m.Name.StartOffset, joinPath(path, key), what, listAndSuggest(key, keysOf(fields))))
 		return
 	}
-	if seen[key] {
+	if seen[at] {
 		what := fmt.Sprintf("key %q is given twice", key)
 		d.problems = append(d.problems, d.problem(m.Name.StartOffset, joinPath(path, key), what, "once"))
 		return
 	}
-	seen[key] = true
+	seen[at] = true
 	f := fields[at]
 	before := len(d.problems)
 	d.value(&m.Value, out.Field(f.index), joinPath(path, key))
--- a/pkg/config/parse.go
+++ b/pkg/config/parse.go
@@ -31,7 +31,7 @@
 		return nil, r.problems
 	}
 	doc := &Document{}
-	d := decoder{report: r}
+	d := decoder{report: r, fields: map[reflect.Type][]field{}}
 	d.value(&tree, reflect.ValueOf(doc).Elem(), "")
 	v := validator{report: r, doc: doc}
 	v.document()
