Load tool, metrics and example script: first version

Cause: nothing offered a workload or counted what the daemons do. Conclusion: compiles and is linted; untested.

--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,16 @@
 GO ?= go
 GOBIN := $(shell $(GO) env GOPATH)/bin
 
-.PHONY: build test lint fmt generate
+.PHONY: build test lint fmt generate example
 build: ## builds every program into bin/
 	$(GO) build -o bin/ ./cmd/...
 
 test: ## all tests, with fixed seeds
 	./scripts/test
 
+example: ## both members' deployments on loopback, under load with a failed primary
+	./scripts/example
+
 lint: ## formatter and linter
 	test -z "$$($(GOBIN)/gofumpt -l cmd pkg internal)"
 	$(GOBIN)/golangci-lint run
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/logging"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/internal/view"
@@ -39,8 +40,11 @@
 			newEntry,
 			peers.NewTable,
 			newSync,
+			metrics.Provide,
+			metrics.NewEntry,
+			metrics.NewPooler,
 		),
-		fx.Invoke(servePeers, serveCallers, runSync),
+		fx.Invoke(serveAdmin, servePeers, serveCallers, runSync),
 		fx.StopTimeout(drainTime+time.Second),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -87,7 +91,7 @@
 	maxResult       = 8 << 20
 )
 
-func newPooler(d pooler.Dialer, v *view.View, log *slog.Logger) *pooler.Pooler {
+func newPooler(d pooler.Dialer, v *view.View, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
 		Dialer:          d,
 		Rights:          rowRights{v},
@@ -95,11 +99,12 @@
 		Log:             log,
 		TransactionIdle: transactionIdle,
 		MaxResult:       maxResult,
+		Metrics:         m,
 	})
 }
 
-func newEntry(v *view.View, p *peers.Table, log *slog.Logger) *entry.Server {
-	return entry.New(entry.Options{View: v, Peers: p, Log: log})
+func newEntry(v *view.View, p *peers.Table, m *metrics.Entry, log *slog.Logger) *entry.Server {
+	return entry.New(entry.Options{View: v, Peers: p, Metrics: m, Log: log})
 }
 
 // servePeers answers the other VMs.
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -19,6 +19,8 @@
 	CallerAddress string `json:"caller_address"`
 	// PeerAddress is where other VMs connect, ip:port.
 	PeerAddress string `json:"peer_address"`
+	// AdminAddress serves metrics and health, ip:port; optional.
+	AdminAddress string `json:"admin_address"`
 	// PlatformURL of the platform's service.
 	PlatformURL string `json:"platform_url"`
 	// ConfigFile is used until the platform has a configuration; optional.
@@ -51,9 +53,11 @@
 			return result.New(result.ConfigInvalid, "%s is missing", name)
 		}
 	}
-	for name, address := range map[string]string{
-		"caller_address": s.CallerAddress, "peer_address": s.PeerAddress,
-	} {
+	addresses := map[string]string{"caller_address": s.CallerAddress, "peer_address": s.PeerAddress}
+	if s.AdminAddress != "" {
+		addresses["admin_address"] = s.AdminAddress
+	}
+	for name, address := range addresses {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return result.New(result.ConfigInvalid, "%s: %v; ip:port is wanted", name, err)
 		}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -37,6 +37,9 @@
 	}
 	var last *result.Error
 	for left := req.class.MaxAttempts; left > 0; left-- {
+		if last != nil {
+			s.server.o.Metrics.Retry(s.options.member, req.class.Name)
+		}
 		d, failure := s.choose(ctx, req, last != nil)
 		if failure == nil {
 			var resp *peerpb.ExecuteResponse
@@ -165,6 +168,7 @@
 	if failure := peers.Result(resp.Failure); failure != nil {
 		return nil, failure
 	}
+	s.measureServed(req, d)
 	s.noteTransaction(req, d, byte(resp.TxStatus))
 	return resp, nil
 }
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"time"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
@@ -27,11 +29,14 @@
 	if len(s.unit.local) > 0 {
 		return s.serveLocal()
 	}
+	begun := time.Now()
 	req, failure := s.newRequest()
 	if failure != nil {
+		s.measure(nil, begun, failure)
 		return s.fail(failure)
 	}
 	resp, failure := s.route(req)
+	s.measure(req, begun, failure)
 	if failure != nil {
 		return s.fail(failure)
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -10,6 +10,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/view"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -20,6 +21,8 @@
 	View  *view.View
 	Peers *peers.Table
 	Log   *slog.Logger
+	// Metrics may be nil.
+	Metrics *metrics.Entry
 }
 
 // Server accepts the callers' connections.
@@ -31,6 +34,7 @@
 	mu       sync.Mutex
 	sessions map[uint64]*session
 	leaving  bool
+	serving  bool
 	wait     sync.WaitGroup
 }
 
@@ -41,6 +45,8 @@
 
 // Serve accepts connections until the listener closes.
 func (s *Server) Serve(l net.Listener) error {
+	s.setServing(true)
+	defer s.setServing(false)
 	for {
 		nc, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
@@ -57,6 +63,19 @@
 	}
 }
 
+func (s *Server) setServing(serving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.serving = serving
+}
+
+// Serving reports whether new sessions are taken.
+func (s *Server) Serving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.serving && !s.leaving
+}
+
 // handle serves one connection to its end.
 func (s *Server) handle(nc net.Conn) {
 	defer nc.Close()
--- /dev/null
+++ b/internal/load/member.go
@@ -0,0 +1,176 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+)
+
+// memberLoad offers one member's workload.
+type memberLoad struct {
+	run         *run
+	profile     *Profile
+	sessions    []*session
+	idle        chan *session
+	outstanding chan struct{}
+	wait        sync.WaitGroup
+	nextID      atomic.Uint64
+	// prefix begins the run's keys and session ids.
+	prefix string
+}
+
+func newMemberLoad(r *run, p *Profile) *memberLoad {
+	m := &memberLoad{
+		run:         r,
+		profile:     p,
+		outstanding: make(chan struct{}, p.MaxOutstanding),
+		idle:        make(chan *session, p.sessionCount()),
+		prefix:      r.id + "-",
+	}
+	for _, g := range p.Sessions {
+		for range g.Count {
+			n := len(m.sessions)
+			s := newSession(p, m.prefix+p.Member+"-"+strconv.Itoa(n), g, uint64(n)+1)
+			m.sessions = append(m.sessions, s)
+			m.idle <- s
+		}
+	}
+	return m
+}
+
+// offer starts an arrival process for each class and waits for all answers.
+func (m *memberLoad) offer(ctx context.Context) {
+	var arrivals sync.WaitGroup
+	for n, c := range m.profile.Classes {
+		arrivals.Add(1)
+		go func() {
+			defer arrivals.Done()
+			m.arrive(ctx, c, rand.New(rand.NewPCG(m.profile.Seed, arrivalStream+uint64(n))))
+		}()
+	}
+	arrivals.Wait()
+	m.wait.Wait()
+}
+
+// arrivalStream keeps the arrivals' random numbers apart from the sessions'.
+const arrivalStream = 1 << 32
+
+// arrive is an open loop: the next arrival does not wait for earlier answers,
+// and one that comes late is still counted from when it was due.
+func (m *memberLoad) arrive(ctx context.Context, c ClassLoad, rng *rand.Rand) {
+	rate := c.Rate * m.profile.Multiplier
+	if rate <= 0 {
+		return
+	}
+	due := m.run.since()
+	for {
+		due += time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+		if !sleepUntil(ctx, m.run.since, due) {
+			return
+		}
+		op := pick(c.Operations, rng)
+		select {
+		case m.outstanding <- struct{}{}:
+			m.wait.Add(1)
+			go m.serve(c, op, due)
+		default:
+			m.run.stats.overrun(classKey{m.profile.Member, c.Name}, due)
+		}
+	}
+}
+
+// pick chooses an operation by weight.
+func pick(weights map[Operation]float64, rng *rand.Rand) Operation {
+	ops := make([]Operation, 0, len(weights))
+	sum := 0.0
+	for op, weight := range weights {
+		ops = append(ops, op)
+		sum += weight
+	}
+	slices.Sort(ops) // A map's order is random; the seed decides here.
+	at := rng.Float64() * sum
+	for _, op := range ops {
+		if at -= weights[op]; at < 0 {
+			return op
+		}
+	}
+	return ops[len(ops)-1]
+}
+
+// serve runs one request on the session that has been idle longest.
+func (m *memberLoad) serve(c ClassLoad, op Operation, due time.Duration) {
+	defer m.wait.Done()
+	defer func() { <-m.outstanding }()
+	s := <-m.idle
+	defer func() { m.idle <- s }()
+	r := m.record(s, c, op, due)
+	s.send(r, c, m.run.since)
+	m.run.history.Add(*r)
+	m.run.stats.add(r)
+}
+
+func (m *memberLoad) record(s *session, c ClassLoad, op Operation, due time.Duration) *Record {
+	class, _ := m.run.o.Config.Class(m.profile.Service, c.Name)
+	r := &Record{
+		ID:        m.nextID.Add(1),
+		Member:    m.profile.Member,
+		Class:     c.Name,
+		Session:   s.id,
+		Mode:      s.group.Mode,
+		Operation: op,
+		Intended:  due,
+		Strict:    class.Kind == config.Read && class.Staleness == 0,
+		Waits:     class.AckWaitsForReplica,
+	}
+	r.Key, r.Value = m.keyAndValue(s, r)
+	r.Group, _ = m.run.o.Config.GroupOf(m.profile.Service, r.Key)
+	if class.Kind == config.Write && !class.Repeatable {
+		r.RequestID = m.prefix + m.profile.Member + "-" + strconv.FormatUint(r.ID, 10)
+	}
+	return r
+}
+
+// keyAndValue chooses the row. A session's own keys and their values are its
+// alone; a shared key's values are unique in the run.
+func (m *memberLoad) keyAndValue(s *session, r *Record) (key string, value int64) {
+	switch r.Operation {
+	case PutOwn, GetOwn:
+		key = s.id + "-own-" + strconv.Itoa(s.rng.IntN(m.profile.OwnKeys))
+		if r.Operation == PutOwn {
+			s.lastOwn++
+			value = s.lastOwn
+		}
+		return key, value
+	case Add:
+		return m.counterKey(s.rng.IntN(m.profile.Counters)), 1
+	case Insert:
+		return m.prefix + m.profile.Member + "-row-" + strconv.FormatUint(r.ID, 10), int64(r.ID)
+	}
+	key = m.prefix + m.profile.Member + "-shared-" + strconv.Itoa(s.rng.IntN(m.profile.SharedKeys))
+	if r.Operation == PutShared {
+		value = int64(r.ID)
+	}
+	return key, value
+}
+
+func (m *memberLoad) counterKey(n int) string {
+	return m.prefix + m.profile.Member + "-counter-" + strconv.Itoa(n)
+}
+
+func (m *memberLoad) close() {
+	for _, s := range m.sessions {
+		s.close()
+	}
+}
+
+// describe names the load in messages.
+func (m *memberLoad) describe() string {
+	return fmt.Sprintf("%s/%s", m.profile.Member, m.profile.Service)
+}
--- /dev/null
+++ b/internal/load/profile.go
@@ -0,0 +1,224 @@
+// Package load is the load and experiment tool: it offers a member's workload
+// to the proxies at the rate that the profile states, brings about faults, keeps
+// a history of the requests and checks it against what must always hold.
+package load
+
+import (
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/settings"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// Profile is the workload of one member.
+type Profile struct {
+	Member  string `json:"member"`
+	Service string `json:"service"`
+	// Table holds the rows of the run, (k, v).
+	Table string `json:"table"`
+	// Proxies are the callers' addresses of the daemons, ip:port.
+	Proxies []string `json:"proxies"`
+	// AdminAddresses serve the daemons' metrics; without them the share of reads
+	// served by replicas is not measured.
+	AdminAddresses []string `json:"admin_addresses"`
+	// PlatformURL of the platform stand-in, for its faults.
+	PlatformURL string `json:"platform_url"`
+
+	Sessions []SessionGroup `json:"sessions"`
+	Classes  []ClassLoad    `json:"classes"`
+	// VerifyClass is a read class of staleness 0: it reads the rows back at the end.
+	VerifyClass string `json:"verify_class"`
+	// OwnKeys is the number of keys that each session writes alone.
+	OwnKeys int `json:"own_keys"`
+	// SharedKeys is the number of keys that all sessions write and read.
+	SharedKeys int `json:"shared_keys"`
+	// Counters is the number of rows that "add" requests raise.
+	Counters int `json:"counters"`
+
+	Duration settings.Duration `json:"duration"`
+	// WarmUp is the first part of the duration; it is checked but not measured.
+	WarmUp settings.Duration `json:"warm_up"`
+	Seed   uint64            `json:"seed"`
+	// Multiplier scales every rate: 2 offers twice the stated load.
+	Multiplier float64 `json:"multiplier"`
+	// MaxOutstanding bounds the requests that wait or run; those above it are
+	// counted as overrun and never sent.
+	MaxOutstanding int `json:"max_outstanding"`
+	// RequestTimeout bounds one attempt of a request.
+	RequestTimeout settings.Duration `json:"request_timeout"`
+	// MaxRetries is how often a refused caller comes back; 0 never.
+	MaxRetries int `json:"max_retries"`
+	// LinearKeys is the number of shared keys checked for linearizability.
+	LinearKeys int     `json:"linear_keys"`
+	Faults     []Fault `json:"faults"`
+}
+
+// SessionGroup is a number of like sessions.
+type SessionGroup struct {
+	Mode  Mode `json:"mode"`
+	Count int  `json:"count"`
+	// Roam is the share of requests before which a session moves to another proxy.
+	Roam float64 `json:"roam"`
+}
+
+// Mode tells how a session names itself.
+type Mode string
+
+// The modes of sessions.
+const (
+	// Anonymous sessions are their connection and stay on one proxy.
+	Anonymous Mode = "anonymous"
+	// Roaming sessions carry an id and no token.
+	Roaming Mode = "roaming"
+	// RoamingToken sessions carry an id and a token.
+	RoamingToken Mode = "roaming-token"
+)
+
+// ClassLoad is the load of one request class.
+type ClassLoad struct {
+	Name string `json:"name"`
+	// Rate of arrivals in requests a second; arrivals are a Poisson process.
+	Rate float64 `json:"rate"`
+	// Operations are the kinds of requests with their weights.
+	Operations map[Operation]float64 `json:"operations"`
+	// Transactions is the share of put requests that run in a transaction.
+	Transactions float64 `json:"transactions"`
+	// SQL replaces the statement: $1 is the key, $2 the value of a write. It must
+	// keep the statement's meaning, or the checks find what is not there.
+	SQL string `json:"sql"`
+}
+
+// Operation is what a request does.
+type Operation string
+
+// The operations of requests.
+const (
+	// PutOwn writes the next higher value to a key of the session's own.
+	PutOwn Operation = "put-own"
+	// GetOwn reads a key of the session's own.
+	GetOwn Operation = "get-own"
+	// PutShared writes a value that is unique in the run to a shared key.
+	PutShared Operation = "put-shared"
+	// GetShared reads a shared key.
+	GetShared Operation = "get-shared"
+	// Add raises a counter by one; for classes that may not be repeated.
+	Add Operation = "add"
+	// Insert inserts a row of its own; for classes that may not be repeated.
+	Insert Operation = "insert"
+)
+
+// Writes reports whether the operation changes a row.
+func (o Operation) Writes() bool { return o != GetOwn && o != GetShared }
+
+// Once reports whether running the operation twice does harm.
+func (o Operation) Once() bool { return o == Add || o == Insert }
+
+func (o Operation) known() bool {
+	switch o {
+	case PutOwn, GetOwn, PutShared, GetShared, Add, Insert:
+		return true
+	}
+	return false
+}
+
+// Defaults of settings that the profile leaves out.
+const (
+	defaultDuration       = 30 * time.Second
+	defaultRequestTimeout = 10 * time.Second
+	defaultOutstanding    = 1000
+	defaultOwnKeys        = 2
+	defaultSharedKeys     = 50
+	defaultCounters       = 16
+	defaultLinearKeys     = 10
+)
+
+func defaultProfile() Profile {
+	return Profile{
+		Seed:           1,
+		Multiplier:     1,
+		Duration:       settings.Duration(defaultDuration),
+		RequestTimeout: settings.Duration(defaultRequestTimeout),
+		MaxOutstanding: defaultOutstanding,
+		OwnKeys:        defaultOwnKeys,
+		SharedKeys:     defaultSharedKeys,
+		Counters:       defaultCounters,
+		LinearKeys:     defaultLinearKeys,
+	}
+}
+
+// ReadProfile reads a profile, JSON with comments.
+func ReadProfile(path string) (Profile, error) {
+	p := defaultProfile()
+	if err := settings.Load(path, &p); err != nil {
+		return p, err
+	}
+	return p, nil
+}
+
+// Check compares the profile with the configuration document.
+func (p *Profile) Check(conf *config.View) error {
+	if service, ok := conf.Service(p.Service); !ok || service.Member != p.Member {
+		return invalid("member %q has no service %q", p.Member, p.Service)
+	}
+	switch {
+	case p.Table == "":
+		return invalid("table is missing")
+	case len(p.Proxies) == 0:
+		return invalid("proxies are missing")
+	case p.sessionCount() == 0:
+		return invalid("sessions are missing")
+	case p.OwnKeys < 1 || p.SharedKeys < 1 || p.Counters < 1 || p.MaxOutstanding < 1:
+		return invalid("own_keys, shared_keys, counters and max_outstanding are 1 or more")
+	case p.Duration <= p.WarmUp:
+		return invalid("duration %v is not above warm_up %v", p.Duration.Std(), p.WarmUp.Std())
+	}
+	verify, ok := conf.Class(p.Service, p.VerifyClass)
+	if !ok || verify.Kind != config.Read || verify.Staleness != 0 {
+		return invalid("verify_class %q is not a read class of staleness 0", p.VerifyClass)
+	}
+	for _, s := range p.Sessions {
+		if s.Mode != Anonymous && s.Mode != Roaming && s.Mode != RoamingToken {
+			return invalid("no session mode %q", s.Mode)
+		}
+	}
+	for _, c := range p.Classes {
+		if err := p.checkClass(conf, c); err != nil {
+			return err
+		}
+	}
+	return checkFaults(p.Faults)
+}
+
+func (p *Profile) checkClass(conf *config.View, c ClassLoad) error {
+	class, ok := conf.Class(p.Service, c.Name)
+	if !ok {
+		return invalid("service %q has no class %q", p.Service, c.Name)
+	}
+	if len(c.Operations) == 0 {
+		return invalid("class %q has no operations", c.Name)
+	}
+	for op := range c.Operations {
+		switch {
+		case !op.known():
+			return invalid("class %q: no operation %q", c.Name, op)
+		case op.Writes() != (class.Kind == config.Write):
+			return invalid("class %q: operation %q does not fit a %s class", c.Name, op, class.Kind)
+		case op.Once() && class.Repeatable:
+			return invalid("class %q: operation %q needs a class that is not repeatable", c.Name, op)
+		}
+	}
+	return nil
+}
+
+func (p *Profile) sessionCount() int {
+	n := 0
+	for _, s := range p.Sessions {
+		n += s.Count
+	}
+	return n
+}
+
+func invalid(format string, args ...any) error {
+	return result.New(result.ConfigInvalid, format, args...)
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,188 @@
+package load
+
+import (
+	"cmp"
+	"encoding/json"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/cockroachdb/errors"
+)
+
+// Report is what a run measured and what its checks found.
+type Report struct {
+	Label string    `json:"label"`
+	Begun time.Time `json:"begun"`
+	// Loaded is how long the load lasted, the last answers included.
+	Loaded     time.Duration    `json:"loaded_ns"`
+	WarmUp     time.Duration    `json:"warm_up_ns"`
+	Multiplier float64          `json:"multiplier"`
+	Seed       uint64           `json:"seed"`
+	Classes    []ClassReport    `json:"classes"`
+	Faults     []Injection      `json:"faults,omitempty"`
+	Gaps       []Gap            `json:"gaps,omitempty"`
+	Share      ReplicaShare     `json:"replica_share"`
+	Verdicts   []MemberVerdicts `json:"verdicts"`
+	Notes      []string         `json:"notes,omitempty"`
+}
+
+// MemberVerdicts are the checks of one member's history.
+type MemberVerdicts struct {
+	Member   string    `json:"member"`
+	Verdicts []Verdict `json:"verdicts"`
+}
+
+// ClassReport has the figures of one class, warm-up left out.
+type ClassReport struct {
+	Member string `json:"member"`
+	Class  string `json:"class"`
+	Write  bool   `json:"write"`
+	// Offered counts arrivals; Overrun those that were never sent, since too many
+	// were outstanding.
+	Offered   int            `json:"offered"`
+	Completed int            `json:"completed"`
+	NotRun    int            `json:"not_run"`
+	Unknown   int            `json:"unknown"`
+	Overrun   int            `json:"overrun"`
+	Codes     map[string]int `json:"codes"`
+	// PerSecond is the rate of completed requests.
+	PerSecond float64 `json:"per_second"`
+	// Latency of completed requests, Refused of all others.
+	Latency Percentiles `json:"latency"`
+	Refused Percentiles `json:"refused"`
+	// Seconds has the completed requests by second of the run.
+	Seconds []int `json:"seconds"`
+}
+
+// Percentiles are latencies from the intended arrival.
+type Percentiles struct {
+	P50  time.Duration `json:"p50_ns"`
+	P90  time.Duration `json:"p90_ns"`
+	P99  time.Duration `json:"p99_ns"`
+	P999 time.Duration `json:"p999_ns"`
+	Max  time.Duration `json:"max_ns"`
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(percent float64) time.Duration {
+		return time.Duration(h.ValueAtPercentile(percent)) * time.Microsecond
+	}
+	return Percentiles{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: time.Duration(h.Max()) * time.Microsecond}
+}
+
+// Violations counts the breaches that all checks found.
+func (r *Report) Violations() int {
+	n := 0
+	for _, m := range r.Verdicts {
+		for _, v := range m.Verdicts {
+			n += v.Count
+		}
+	}
+	return n
+}
+
+func (r *run) report(injections []Injection, loaded time.Duration, share ReplicaShare) *Report {
+	first := r.o.Profiles[0]
+	report := &Report{
+		Label:      r.o.Label,
+		Begun:      r.begun,
+		Loaded:     loaded,
+		WarmUp:     first.WarmUp.Std(),
+		Multiplier: first.Multiplier,
+		Seed:       first.Seed,
+		Faults:     injections,
+		Share:      share,
+	}
+	r.stats.mu.Lock()
+	defer r.stats.mu.Unlock()
+	measured := (first.Duration - first.WarmUp).Std()
+	for _, key := range sortedKeys(r.stats.classes) {
+		report.Classes = append(report.Classes, r.stats.classes[key].report(key, measured))
+	}
+	for _, n := range injections {
+		if n.gap && n.Error == "" {
+			report.Gaps = append(report.Gaps, r.gapsOf(n, first)...)
+		}
+	}
+	return report
+}
+
+// gapsOf measures the group that the fault hit, or every group.
+func (r *run) gapsOf(n Injection, p Profile) []Gap {
+	var gaps []Gap
+	for _, group := range r.groupNames() {
+		if n.Group != "" && n.Group != group {
+			continue
+		}
+		g := measureGap(r.stats.writes[group], r.stats.refusal[group], p.WarmUp.Std(), n.At, p.Duration.Std())
+		g.Group, g.Fault = group, n.Fault
+		gaps = append(gaps, g)
+	}
+	return gaps
+}
+
+func (r *run) groupNames() []string {
+	var names []string
+	for _, p := range r.o.Profiles {
+		for _, id := range r.o.Config.Groups(p.Service) {
+			names = append(names, string(id))
+		}
+	}
+	return names
+}
+
+func (c *classStats) report(key classKey, measured time.Duration) ClassReport {
+	return ClassReport{
+		Member:    key.Member,
+		Class:     key.Class,
+		Write:     c.write,
+		Offered:   c.offered,
+		Completed: c.outcomes[Completed],
+		NotRun:    c.outcomes[NotRun],
+		Unknown:   c.outcomes[Unknown],
+		Overrun:   c.overrun,
+		Codes:     c.codes,
+		PerSecond: float64(c.outcomes[Completed]) / measured.Seconds(),
+		Latency:   percentiles(c.completed),
+		Refused:   percentiles(c.refused),
+		Seconds:   c.seconds,
+	}
+}
+
+func sortedKeys[V any](m map[classKey]V) []classKey {
+	keys := make([]classKey, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b classKey) int {
+		return cmp.Or(cmp.Compare(a.Member, b.Member), cmp.Compare(a.Class, b.Class))
+	})
+	return keys
+}
+
+// WriteJSON writes the report for comparisons.
+func (r *Report) WriteJSON(path string) error {
+	raw, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return errors.Wrap(err, "report")
+	}
+	return errors.Wrap(os.WriteFile(path, raw, fileMode), "report")
+}
+
+// fileMode lets others read reports and histories.
+const fileMode = 0o644
+
+// ReadReport reads what WriteJSON wrote.
+func ReadReport(path string) (*Report, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "report")
+	}
+	r := &Report{}
+	if err := json.Unmarshal(raw, r); err != nil {
+		return nil, errors.Wrapf(err, "report %s", path)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,158 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+)
+
+// Options of a run.
+type Options struct {
+	Config    *config.View
+	Profiles  []Profile
+	Processes Processes
+	// Label names the run in comparisons.
+	Label string
+	// HistoryFile gets the history, one JSON object a line; optional.
+	HistoryFile string
+	// Live gets one line a second.
+	Live io.Writer
+	Log  *slog.Logger
+}
+
+// run is one run under way.
+type run struct {
+	o       Options
+	id      string
+	begun   time.Time
+	stats   *stats
+	history *History
+	loads   []*memberLoad
+}
+
+// Run offers the load, brings about the faults, reads the rows back and judges.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	for i := range o.Profiles {
+		if err := o.Profiles[i].Check(o.Config); err != nil {
+			return nil, err
+		}
+	}
+	now := time.Now()
+	r := &run{
+		o:       o,
+		id:      "r" + strconv.FormatInt(now.Unix(), 36),
+		stats:   newStats(o.Profiles[0].WarmUp.Std()),
+		history: &History{},
+	}
+	for i := range o.Profiles {
+		r.loads = append(r.loads, newMemberLoad(r, &o.Profiles[i]))
+	}
+	for _, m := range r.loads {
+		if err := m.seedCounters(ctx); err != nil {
+			return nil, err
+		}
+	}
+	before := scrapeAll(ctx, o.Profiles)
+	r.begun = time.Now()
+	injector := newInjector(o, r.since)
+	r.offer(ctx, injector)
+	loaded := r.since()
+	after := scrapeAll(ctx, o.Profiles)
+	return r.conclude(ctx, injector, loaded, shareOf(before, after))
+}
+
+// since is the time of the run; all records use it.
+func (r *run) since() time.Duration { return time.Since(r.begun) }
+
+// offer runs the load and the faults until the duration has passed and every
+// request has been answered.
+func (r *run) offer(ctx context.Context, i *injector) {
+	loading, cancel := context.WithTimeout(ctx, r.o.Profiles[0].Duration.Std())
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, m := range r.loads {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			m.offer(loading)
+		}()
+	}
+	watching, stop := context.WithCancel(ctx)
+	var watchers sync.WaitGroup
+	for _, watch := range []func(){
+		func() { i.run(watching, r.faults()) },
+		func() { r.watch(watching) },
+	} {
+		watchers.Add(1)
+		go func() {
+			defer watchers.Done()
+			watch()
+		}()
+	}
+	wait.Wait()
+	// Faults that are to be undone after the load has ended are undone now, so
+	// that the rows can be read back.
+	stop()
+	watchers.Wait()
+	i.undo(ctx, r.faults())
+}
+
+func (r *run) faults() []Fault {
+	var all []Fault
+	for _, p := range r.o.Profiles {
+		all = append(all, p.Faults...)
+	}
+	return all
+}
+
+// watch prints one line a second.
+func (r *run) watch(ctx context.Context) {
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			counts, slowest := r.stats.takeLive()
+			fmt.Fprintf(r.o.Live, "t=%3.0fs completed=%d not_run=%d unknown=%d slowest=%v\n",
+				r.since().Seconds(), counts[Completed], counts[NotRun], counts[Unknown], slowest.Round(time.Millisecond))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (r *run) conclude(ctx context.Context, i *injector, loaded time.Duration, share ReplicaShare) (*Report, error) {
+	records, whole := r.history.Records()
+	if r.o.HistoryFile != "" {
+		if err := WriteHistory(r.o.HistoryFile, records); err != nil {
+			return nil, err
+		}
+	}
+	report := r.report(i.done(), loaded, share)
+	if !whole {
+		report.Notes = append(report.Notes, "the history was cut; nothing was checked")
+		return report, nil
+	}
+	for _, m := range r.loads {
+		verdicts := CheckHistory(recordsOf(records, m.profile.Member), m.readBack(ctx), m.profile.LinearKeys)
+		report.Verdicts = append(report.Verdicts, MemberVerdicts{Member: m.profile.Member, Verdicts: verdicts})
+		m.close()
+	}
+	return report, nil
+}
+
+func recordsOf(records []Record, member string) []Record {
+	var out []Record
+	for _, r := range records {
+		if r.Member == member {
+			out = append(out, r)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/load/stats.go
@@ -0,0 +1,135 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the latency histograms in microseconds.
+const (
+	lowestLatency      = 1
+	highestLatency     = int64(10 * time.Minute / time.Microsecond)
+	significantFigures = 3
+)
+
+// classKey names a class of a member.
+type classKey struct{ Member, Class string }
+
+// classStats is what was measured of one class.
+type classStats struct {
+	write     bool
+	completed *hdrhistogram.Histogram
+	refused   *hdrhistogram.Histogram
+	codes     map[string]int
+	outcomes  map[Outcome]int
+	overrun   int
+	offered   int
+	seconds   []int // completed requests by second of the run
+}
+
+// stats gathers figures during a run. Safe for concurrent use.
+type stats struct {
+	warmUp time.Duration
+
+	mu      sync.Mutex
+	classes map[classKey]*classStats
+	live    map[Outcome]int
+	liveMax time.Duration
+	writes  map[string][]time.Duration // completions of writes by group
+	refusal map[string][]time.Duration // first answers other than completion, by group
+}
+
+func newStats(warmUp time.Duration) *stats {
+	return &stats{
+		warmUp:  warmUp,
+		classes: map[classKey]*classStats{},
+		live:    map[Outcome]int{},
+		writes:  map[string][]time.Duration{},
+		refusal: map[string][]time.Duration{},
+	}
+}
+
+func (s *stats) class(key classKey) *classStats {
+	c := s.classes[key]
+	if c == nil {
+		c = &classStats{
+			completed: hdrhistogram.New(lowestLatency, highestLatency, significantFigures),
+			refused:   hdrhistogram.New(lowestLatency, highestLatency, significantFigures),
+			codes:     map[string]int{},
+			outcomes:  map[Outcome]int{},
+		}
+		s.classes[key] = c
+	}
+	return c
+}
+
+// overrun counts an arrival that found too many outstanding.
+func (s *stats) overrun(key classKey, at time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at < s.warmUp {
+		return
+	}
+	c := s.class(key)
+	c.offered++
+	c.overrun++
+}
+
+// add counts a request. Latency runs from the intended arrival: measured from
+// the sending, a stall would hide the requests that it kept from being sent.
+func (s *stats) add(r *Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	latency := r.Done - r.Intended
+	s.live[r.Outcome]++
+	s.liveMax = max(s.liveMax, latency)
+	c := s.class(classKey{r.Member, r.Class})
+	if r.Operation.Writes() {
+		c.write = true
+		s.addWrite(r)
+	}
+	if r.Intended < s.warmUp {
+		return
+	}
+	c.offered++
+	c.codes[r.Code]++
+	c.outcomes[r.Outcome]++
+	if r.Outcome != Completed {
+		_ = c.refused.RecordValue(clampLatency(latency))
+		return
+	}
+	_ = c.completed.RecordValue(clampLatency(latency))
+	c.addSecond(r.Done)
+}
+
+func (s *stats) addWrite(r *Record) {
+	group := string(r.Group)
+	if r.Outcome == Completed {
+		s.writes[group] = append(s.writes[group], r.Done)
+		return
+	}
+	s.refusal[group] = append(s.refusal[group], r.Done)
+}
+
+func (c *classStats) addSecond(at time.Duration) {
+	second := int(at / time.Second)
+	for len(c.seconds) <= second {
+		c.seconds = append(c.seconds, 0)
+	}
+	c.seconds[second]++
+}
+
+func clampLatency(d time.Duration) int64 {
+	return min(max(d.Microseconds(), lowestLatency), highestLatency)
+}
+
+// takeLive returns the counts since the last call.
+func (s *stats) takeLive() (counts map[Outcome]int, slowest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counts, slowest = s.live, s.liveMax
+	s.live, s.liveMax = map[Outcome]int{}, 0
+	return counts, slowest
+}
--- /dev/null
+++ b/internal/metrics/recorders.go
@@ -0,0 +1,141 @@
+package metrics
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// Names of the metrics and their tags.
+const (
+	Requests         = "requests"
+	RequestLatency   = "request_latency"
+	ReadsServed      = "reads_served"
+	Retries          = "retries"
+	QueueTime        = "queue_time"
+	RunTime          = "run_time"
+	ConnectionsInUse = "connections_in_use"
+
+	TagMember = "member"
+	TagClass  = "class"
+	TagResult = "result"
+	TagRole   = "role"
+	TagTarget = "target"
+
+	RoleReplica = "replica"
+	RolePrimary = "primary"
+
+	resultOK = "ok"
+	// unnamed stands for a class or member that the configuration lacks.
+	unnamed = "unknown"
+)
+
+// latencyBuckets are the same for all histograms, so that they can be added up.
+var latencyBuckets = tally.DurationBuckets{
+	500 * time.Microsecond, time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond,
+	10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond,
+	200 * time.Millisecond, 500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second,
+	10 * time.Second, time.Minute,
+}
+
+// scopes keeps the tagged scopes: making one costs more than counting does.
+type scopes struct {
+	root tally.Scope
+	made sync.Map // of scopeKey to tally.Scope
+}
+
+type scopeKey struct{ member, class, extraName, extra string }
+
+func (s *scopes) get(key scopeKey) tally.Scope {
+	if made, ok := s.made.Load(key); ok {
+		return made.(tally.Scope)
+	}
+	tags := map[string]string{}
+	for name, value := range map[string]string{TagMember: key.member, TagClass: key.class, key.extraName: key.extra} {
+		if name != "" && value != "" {
+			tags[name] = value
+		}
+	}
+	made, _ := s.made.LoadOrStore(key, s.root.Tagged(tags))
+	return made.(tally.Scope)
+}
+
+// Entry records what the callers' side does. A nil Entry records nothing.
+type Entry struct{ scopes scopes }
+
+// NewEntry returns a recorder of the registry.
+func NewEntry(r *Registry) *Entry { return &Entry{scopes{root: r.scope}} }
+
+// Request counts an answered request and its latency. Names that are not in the
+// configuration must be passed as empty: a caller that makes up a new one each
+// time would otherwise fill the memory with counters.
+func (e *Entry) Request(member, class string, failure *result.Error, took time.Duration) {
+	if e == nil {
+		return
+	}
+	if member == "" {
+		member = unnamed
+	}
+	if class == "" {
+		class = unnamed
+	}
+	code := resultOK
+	if failure != nil {
+		code = failure.Code.Name()
+	}
+	e.scopes.get(scopeKey{member, class, TagResult, code}).Counter(Requests).Inc(1)
+	e.scopes.get(scopeKey{member: member, class: class}).Histogram(RequestLatency, latencyBuckets).RecordDuration(took)
+}
+
+// ReadServed counts a read by the role of the target that answered it.
+func (e *Entry) ReadServed(member, class string, byPrimary bool) {
+	if e == nil {
+		return
+	}
+	role := RoleReplica
+	if byPrimary {
+		role = RolePrimary
+	}
+	e.scopes.get(scopeKey{member, class, TagRole, role}).Counter(ReadsServed).Inc(1)
+}
+
+// Retry counts an attempt after the first one.
+func (e *Entry) Retry(member, class string) {
+	if e == nil {
+		return
+	}
+	e.scopes.get(scopeKey{member: member, class: class}).Counter(Retries).Inc(1)
+}
+
+// Pooler records what the targets' side does. A nil Pooler records nothing.
+type Pooler struct{ scopes scopes }
+
+// NewPooler returns a recorder of the registry.
+func NewPooler(r *Registry) *Pooler { return &Pooler{scopes{root: r.scope}} }
+
+// Queued records how long a request waited for a slot.
+func (p *Pooler) Queued(member, class string, took time.Duration) {
+	if p == nil {
+		return
+	}
+	p.scopes.get(scopeKey{member: member, class: class}).Histogram(QueueTime, latencyBuckets).RecordDuration(took)
+}
+
+// Ran records how long a request had its slot.
+func (p *Pooler) Ran(member, class string, took time.Duration) {
+	if p == nil {
+		return
+	}
+	p.scopes.get(scopeKey{member: member, class: class}).Histogram(RunTime, latencyBuckets).RecordDuration(took)
+}
+
+// Connections records how many connections of a target are in use.
+func (p *Pooler) Connections(target string, inUse int) {
+	if p == nil {
+		return
+	}
+	p.scopes.get(scopeKey{extraName: TagTarget, extra: target}).Gauge(ConnectionsInUse).Update(float64(inUse))
+}
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -54,8 +54,12 @@
 	}
 	defer tp.gate.leave()
 	resp.QueueUs = uint32(time.Since(begun).Microseconds())
+	p.o.Metrics.Queued(in.Member, in.Class, time.Since(begun))
 	begun = time.Now()
-	defer func() { resp.RunUs = uint32(time.Since(begun).Microseconds()) }()
+	defer func() {
+		resp.RunUs = uint32(time.Since(begun).Microseconds())
+		p.o.Metrics.Ran(in.Member, in.Class, time.Since(begun))
+	}()
 	if in.InTransaction {
 		return p.continueTransaction(ctx, tp, req, resp)
 	}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -55,6 +56,8 @@
 	TransactionIdle time.Duration
 	// MaxResult bounds one answer in bytes.
 	MaxResult int
+	// Metrics may be nil.
+	Metrics *metrics.Pooler
 }
 
 // Pooler serves the other VMs' requests to its targets. Safe for concurrent use.
@@ -110,6 +113,7 @@
 func (p *Pooler) Sweep(now time.Time) {
 	for _, tp := range p.all() {
 		tp.sweep(now, p.o.TransactionIdle)
+		p.o.Metrics.Connections(string(tp.target.ID), tp.inUse())
 	}
 }
 
--- a/pkg/config/view.go
+++ b/pkg/config/view.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -172,6 +173,9 @@
 	return t, ok
 }
 
+// AllGroups returns the groups of every service, sorted.
+func (v *View) AllGroups() []topology.GroupID { return slices.Sorted(maps.Keys(v.groups)) }
+
 // Groups returns a service's groups in the document's order.
 func (v *View) Groups(service string) []topology.GroupID { return v.groupsOf[service] }
 
