--- a/cmd/bts-load/main.go
+++ b/cmd/bts-load/main.go
@@ -147,7 +147,7 @@
 	return nil
 }
 
-func write(r *load.Report, a *runArgs) error {
+func write(r *load.RunReport, a *runArgs) error {
 	if err := r.WriteText(os.Stdout); err != nil {
 		return err
 	}
@@ -163,7 +163,7 @@
 }
 
 func compare(a *compareArgs) (int, error) {
-	var reports []*load.Report
+	var reports []*load.RunReport
 	for _, path := range a.Reports {
 		r, err := load.ReadReport(path)
 		if err != nil {
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -25,7 +25,7 @@
 
 // Compare writes the medians of the reports with the same label and their ratio
 // to the first label's.
-func Compare(w io.Writer, reports []*Report) error {
+func Compare(w io.Writer, reports []*RunReport) error {
 	labels := labelsOf(reports)
 	t := table(w)
 	fmt.Fprint(t, "member\tclass\tfigure")
@@ -43,11 +43,11 @@
 	}
 	writeComparison(t, reports, labels, "\t\tlongest gap ms", gapValues)
 	writeComparison(t, reports, labels, "\t\treplica reads %", shareValues)
-	writeComparison(t, reports, labels, "\t\tviolations", func(r *Report) []float64 { return []float64{float64(r.Violations())} })
+	writeComparison(t, reports, labels, "\t\tviolations", func(r *RunReport) []float64 { return []float64{float64(r.Violations())} })
 	return t.Flush()
 }
 
-func writeComparison(w io.Writer, reports []*Report, labels []string, title string, values func(*Report) []float64) {
+func writeComparison(w io.Writer, reports []*RunReport, labels []string, title string, values func(*RunReport) []float64) {
 	fmt.Fprint(w, title)
 	var first float64
 	for n, label := range labels {
@@ -77,8 +77,8 @@
 	return fmt.Sprintf("%.2f", value/first)
 }
 
-func classValues(key classKey, f figure) func(*Report) []float64 {
-	return func(r *Report) []float64 {
+func classValues(key classKey, f figure) func(*RunReport) []float64 {
+	return func(r *RunReport) []float64 {
 		for i := range r.Classes {
 			c := &r.Classes[i]
 			if c.Member == key.Member && c.Class == key.Class {
@@ -89,7 +89,7 @@
 	}
 }
 
-func gapValues(r *Report) []float64 {
+func gapValues(r *RunReport) []float64 {
 	if len(r.Gaps) == 0 {
 		return nil
 	}
@@ -97,7 +97,7 @@
 	return []float64{float64(longest.Length) / perMillisecond}
 }
 
-func shareValues(r *Report) []float64 {
+func shareValues(r *RunReport) []float64 {
 	var all ClassShare
 	for _, c := range r.Share.Classes {
 		all.Replica += c.Replica
@@ -122,7 +122,7 @@
 	return (sorted[half-1] + sorted[half]) / 2, true
 }
 
-func labelsOf(reports []*Report) []string {
+func labelsOf(reports []*RunReport) []string {
 	var labels []string
 	for _, r := range reports {
 		if !slices.Contains(labels, r.Label) {
@@ -132,8 +132,8 @@
 	return labels
 }
 
-func withLabel(reports []*Report, label string) []*Report {
-	var out []*Report
+func withLabel(reports []*RunReport, label string) []*RunReport {
+	var out []*RunReport
 	for _, r := range reports {
 		if r.Label == label {
 			out = append(out, r)
@@ -142,7 +142,7 @@
 	return out
 }
 
-func classesOf(reports []*Report) []classKey {
+func classesOf(reports []*RunReport) []classKey {
 	keys := map[classKey]bool{}
 	for _, r := range reports {
 		for _, c := range r.Classes {
--- a/internal/load/html.go
+++ b/internal/load/html.go
@@ -31,7 +31,7 @@
 }).Parse(reportPage))
 
 // WriteHTML writes the report as one page without outside parts.
-func (r *Report) WriteHTML(path string) error {
+func (r *RunReport) WriteHTML(path string) error {
 	var page bytes.Buffer
 	if err := reportTemplate.Execute(&page, r); err != nil {
 		return errors.Wrap(err, "report")
@@ -45,7 +45,7 @@
 func colour(n int) string { return colours[n%len(colours)] }
 
 // bars draws the latency percentiles of each class.
-func bars(r *Report) template.HTML {
+func bars(r *RunReport) template.HTML {
 	slowest := time.Duration(1)
 	for _, c := range r.Classes {
 		slowest = max(slowest, c.Latency.P999)
@@ -69,7 +69,7 @@
 }
 
 // throughput draws the completed requests of each second and marks the faults.
-func throughput(r *Report) template.HTML {
+func throughput(r *RunReport) template.HTML {
 	highest, seconds := 1, 1
 	for _, c := range r.Classes {
 		seconds = max(seconds, len(c.Seconds))
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -51,6 +51,8 @@
 	// Sent is when its first attempt was sent, Done when the last was answered.
 	Sent time.Duration `json:"sent_ns"`
 	Done time.Duration `json:"done_ns"`
+	// Refused is when an attempt was first refused or lost; 0 never.
+	Refused time.Duration `json:"refused_ns,omitempty"`
 
 	Outcome  Outcome `json:"outcome"`
 	Code     string  `json:"code"`
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// Report is what a run measured and what its checks found.
-type Report struct {
+// RunReport is what a run measured and what its checks found.
+type RunReport struct {
 	Label string    `json:"label"`
 	Begun time.Time `json:"begun"`
 	// Loaded is how long the load lasted, the last answers included.
@@ -52,6 +52,9 @@
 	// Latency of completed requests, Refused of all others.
 	Latency Percentiles `json:"latency"`
 	Refused Percentiles `json:"refused"`
+	// Waited is the part of the latency before the first attempt: time without a
+	// free session. Where it is large, more sessions are wanted.
+	Waited Percentiles `json:"waited"`
 	// Seconds has the completed requests by second of the run.
 	Seconds []int `json:"seconds"`
 }
@@ -73,7 +76,7 @@
 }
 
 // Violations counts the breaches that all checks found.
-func (r *Report) Violations() int {
+func (r *RunReport) Violations() int {
 	n := 0
 	for _, m := range r.Verdicts {
 		for _, v := range m.Verdicts {
@@ -83,9 +86,9 @@
 	return n
 }
 
-func (r *run) report(injections []Injection, loaded time.Duration, share ReplicaShare) *Report {
+func (r *run) report(injections []Injection, loaded time.Duration, share ReplicaShare) *RunReport {
 	first := r.o.Profiles[0]
-	report := &Report{
+	report := &RunReport{
 		Label:      r.o.Label,
 		Begun:      r.begun,
 		Loaded:     loaded,
@@ -147,6 +150,7 @@
 		PerSecond: float64(c.outcomes[Completed]) / measured.Seconds(),
 		Latency:   percentiles(c.completed),
 		Refused:   percentiles(c.refused),
+		Waited:    percentiles(c.waited),
 		Seconds:   c.seconds,
 	}
 }
@@ -163,7 +167,7 @@
 }
 
 // WriteJSON writes the report for comparisons.
-func (r *Report) WriteJSON(path string) error {
+func (r *RunReport) WriteJSON(path string) error {
 	raw, err := json.MarshalIndent(r, "", " ")
 	if err != nil {
 		return errors.Wrap(err, "report")
@@ -175,12 +179,12 @@
 const fileMode = 0o644
 
 // ReadReport reads what WriteJSON wrote.
-func ReadReport(path string) (*Report, error) {
+func ReadReport(path string) (*RunReport, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Wrap(err, "report")
 	}
-	r := &Report{}
+	r := &RunReport{}
 	if err := json.Unmarshal(raw, r); err != nil {
 		return nil, errors.Wrapf(err, "report %s", path)
 	}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -34,6 +34,9 @@
 		r.Attempts++
 		r.Outcome, r.Code = a.outcome, a.code
 		doubtful = doubtful || a.outcome == Unknown
+		if a.outcome != Completed && r.Refused == 0 {
+			r.Refused = since()
+		}
 		if !s.comesBack(r, a) {
 			break
 		}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -37,7 +37,7 @@
 }
 
 // Run offers the load, brings about the faults, reads the rows back and judges.
-func Run(ctx context.Context, o Options) (*Report, error) {
+func Run(ctx context.Context, o Options) (*RunReport, error) {
 	for i := range o.Profiles {
 		if err := o.Profiles[i].Check(o.Config); err != nil {
 			return nil, err
@@ -127,7 +127,7 @@
 	}
 }
 
-func (r *run) conclude(ctx context.Context, i *injector, loaded time.Duration, share ReplicaShare) (*Report, error) {
+func (r *run) conclude(ctx context.Context, i *injector, loaded time.Duration, share ReplicaShare) (*RunReport, error) {
 	records, whole := r.history.Records()
 	if r.o.HistoryFile != "" {
 		if err := WriteHistory(r.o.HistoryFile, records); err != nil {
--- a/internal/load/stats.go
+++ b/internal/load/stats.go
@@ -22,6 +22,7 @@
 	write     bool
 	completed *hdrhistogram.Histogram
 	refused   *hdrhistogram.Histogram
+	waited    *hdrhistogram.Histogram
 	codes     map[string]int
 	outcomes  map[Outcome]int
 	overrun   int
@@ -38,7 +39,7 @@
 	live    map[Outcome]int
 	liveMax time.Duration
 	writes  map[string][]time.Duration // completions of writes by group
-	refusal map[string][]time.Duration // first answers other than completion, by group
+	refusal map[string][]time.Duration // first refusals of writes by group
 }
 
 func newStats(warmUp time.Duration) *stats {
@@ -57,6 +58,7 @@
 		c = &classStats{
 			completed: hdrhistogram.New(lowestLatency, highestLatency, significantFigures),
 			refused:   hdrhistogram.New(lowestLatency, highestLatency, significantFigures),
+			waited:    hdrhistogram.New(lowestLatency, highestLatency, significantFigures),
 			codes:     map[string]int{},
 			outcomes:  map[Outcome]int{},
 		}
@@ -96,6 +98,7 @@
 	c.offered++
 	c.codes[r.Code]++
 	c.outcomes[r.Outcome]++
+	_ = c.waited.RecordValue(clampLatency(r.Sent - r.Intended))
 	if r.Outcome != Completed {
 		_ = c.refused.RecordValue(clampLatency(latency))
 		return
@@ -108,9 +111,10 @@
 	group := string(r.Group)
 	if r.Outcome == Completed {
 		s.writes[group] = append(s.writes[group], r.Done)
-		return
 	}
-	s.refusal[group] = append(s.refusal[group], r.Done)
+	if r.Refused > 0 {
+		s.refusal[group] = append(s.refusal[group], r.Refused)
+	}
 }
 
 func (c *classStats) addSecond(at time.Duration) {
--- a/internal/load/text.go
+++ b/internal/load/text.go
@@ -20,7 +20,7 @@
 }
 
 // WriteText writes the report for a terminal.
-func (r *Report) WriteText(w io.Writer) error {
+func (r *RunReport) WriteText(w io.Writer) error {
 	fmt.Fprintf(w, "run %q: %v of load at %gx, warm-up %v, seed %d\n\n",
 		r.Label, r.Loaded.Round(time.Millisecond), r.Multiplier, r.WarmUp, r.Seed)
 	if err := r.writeClasses(w); err != nil {
@@ -36,13 +36,13 @@
 	return nil
 }
 
-func (r *Report) writeClasses(w io.Writer) error {
+func (r *RunReport) writeClasses(w io.Writer) error {
 	t := table(w)
-	fmt.Fprintln(t, "member\tclass\toffered\tcompleted\t/s\tnot run\tunknown\toverrun\tp50\tp90\tp99\tp99.9\tmax")
+	fmt.Fprintln(t, "member\tclass\toffered\tcompleted\t/s\tnot run\tunknown\toverrun\tp50\tp90\tp99\tp99.9\tmax\twaited p99")
 	for _, c := range r.Classes {
-		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\n",
+		fmt.Fprintf(t, "%s\t%s\t%d\t%d\t%.1f\t%d\t%d\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n",
 			c.Member, c.Class, c.Offered, c.Completed, c.PerSecond, c.NotRun, c.Unknown, c.Overrun,
-			short(c.Latency.P50), short(c.Latency.P90), short(c.Latency.P99), short(c.Latency.P999), short(c.Latency.Max))
+			short(c.Latency.P50), short(c.Latency.P90), short(c.Latency.P99), short(c.Latency.P999), short(c.Latency.Max), short(c.Waited.P99))
 	}
 	return t.Flush()
 }
@@ -58,7 +58,7 @@
 	return d.Round(10 * time.Microsecond).String()
 }
 
-func (r *Report) writeCodes(w io.Writer) {
+func (r *RunReport) writeCodes(w io.Writer) {
 	fmt.Fprintln(w, "\nresults")
 	for _, c := range r.Classes {
 		fmt.Fprintf(w, "  %s/%s:", c.Member, c.Class)
@@ -69,7 +69,7 @@
 	}
 }
 
-func (r *Report) writeShare(w io.Writer) {
+func (r *RunReport) writeShare(w io.Writer) {
 	fmt.Fprintln(w, "\nreads served by replicas")
 	if r.Share.Measured == 0 {
 		fmt.Fprintln(w, "  not measured: no daemon's metrics could be read")
@@ -83,7 +83,7 @@
 	}
 }
 
-func (r *Report) writeFaults(w io.Writer) {
+func (r *RunReport) writeFaults(w io.Writer) {
 	if len(r.Faults) == 0 {
 		return
 	}
@@ -118,7 +118,7 @@
 	return "+" + short(*d)
 }
 
-func (r *Report) writeVerdicts(w io.Writer) {
+func (r *RunReport) writeVerdicts(w io.Writer) {
 	for _, m := range r.Verdicts {
 		fmt.Fprintf(w, "\nchecks of %s\n", m.Member)
 		for _, v := range m.Verdicts {
