--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/liveness"
 	"github.com/buckthornshore/buckthornshore/internal/logging"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
@@ -50,8 +51,11 @@
 			newLister,
 			newRoles,
 			newEntry,
+			metrics.Provide,
+			metrics.NewEntry,
+			metrics.NewPooler,
 		),
-		fx.Invoke(wire, runSystems, servePeers, serveCallers),
+		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
 		fx.StopTimeout(drainTime+time.Second),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
@@ -116,7 +120,7 @@
 	maxResult       = 8 << 20
 )
 
-func newPooler(d pooler.Dialer, v *view.View, clock mono.Clock, log *slog.Logger) *pooler.Pooler {
+func newPooler(d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
 		Dialer:          d,
 		Directory:       v,
@@ -124,6 +128,7 @@
 		Log:             log,
 		TransactionIdle: transactionIdle,
 		MaxResult:       maxResult,
+		Metrics:         m,
 	})
 }
 
@@ -160,8 +165,8 @@
 	})
 }
 
-func newEntry(v *view.View, p *peers.Table, log *slog.Logger) *entry.Server {
-	return entry.New(entry.Options{View: v, Peers: p, Log: log})
+func newEntry(v *view.View, p *peers.Table, m *metrics.Entry, log *slog.Logger) *entry.Server {
+	return entry.New(entry.Options{View: v, Peers: p, Metrics: m, Log: log})
 }
 
 // wire joins the parts that know each other both ways.
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -57,8 +57,12 @@
 	defer slot.leave()
 	resp.QueueLength = uint32(tp.gate.length())
 	resp.QueueUs = uint32(time.Since(begun).Microseconds())
+	p.o.Metrics.Queued(in.Member, in.Class, time.Since(begun))
 	begun = time.Now()
-	defer func() { resp.RunUs = uint32(time.Since(begun).Microseconds()) }()
+	defer func() {
+		resp.RunUs = uint32(time.Since(begun).Microseconds())
+		p.o.Metrics.Ran(in.Member, in.Class, time.Since(begun))
+	}()
 	if err := p.takeRight(req); err != nil {
 		return err
 	}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/pkg/admission"
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
@@ -68,6 +69,8 @@
 	TransactionIdle time.Duration
 	// MaxResult bounds one answer in bytes.
 	MaxResult int
+	// Metrics may be nil.
+	Metrics *metrics.Pooler
 }
 
 // Pooler serves the other VMs' requests to its targets. Safe for concurrent use.
@@ -137,6 +140,7 @@
 		tp.sweep(now, p.o.TransactionIdle)
 		tp.floors.tick()
 		tp.gate.setLimits(p.o.Directory.Admission(tp.target.ID))
+		p.o.Metrics.Connections(string(tp.target.ID), tp.inUse())
 	}
 }
 
--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -90,8 +90,9 @@
 		return nil
 	}
 	var parts []failover.Part
-	for _, g := range v.conf.AllGroups() {
-		part := failover.Part{Group: g.ID()}
+	for _, id := range v.conf.AllGroups() {
+		g, _ := v.conf.Group(id)
+		part := failover.Part{Group: id}
 		for _, t := range g.Targets {
 			vm, ok := v.poolerOf(t.ID)
 			if !ok {
--- a/pkg/config/view_lists.go
+++ b/pkg/config/view_lists.go
@@ -15,16 +15,6 @@
 	return out
 }
 
-// AllGroups returns the groups of all services by id.
-func (v *View) AllGroups() []Group {
-	out := make([]Group, 0, len(v.groups))
-	for _, g := range v.groups {
-		out = append(out, g)
-	}
-	slices.SortFunc(out, func(a, b Group) int { return strings.Compare(string(a.ID()), string(b.ID())) })
-	return out
-}
-
 // Classes returns a service's classes by name, as the preset has them.
 func (v *View) Classes(service string) []Class {
 	var out []Class
