routing: the rule of two terms as a function for the pooler

Cause: a pooler that checks a floor by comparing positions would serve a former primary that ran past its term's end: its position is the greater one, its data holds lost writes. Ruled out: a Freshness at each pooler for this alone. Conclusion: routing.Holds(row, position, floor).

--- a/pkg/routing/freshness.go
+++ b/pkg/routing/freshness.go
@@ -37,9 +37,8 @@
 type Freshness struct {
 	maxAge     time.Duration
 	resolution time.Duration
-	term       uint64
 	version    uint64
-	history    []topology.TermEnd
+	terms      terms
 	// samples ascend in both instant and position: a sample that another one
 	// beats in both shows nothing more.
 	samples []Sample
@@ -60,59 +59,24 @@
 	if g.Version < f.version {
 		return
 	}
-	f.version, f.term = g.Version, g.Term
-	f.history = append(f.history[:0], g.History...)
+	f.version = g.Version
+	f.terms = terms{present: g.Term, history: append(f.terms.history[:0], g.History...)}
 	kept := f.samples[:0]
 	for _, s := range f.samples {
-		if f.survives(s.Position) {
+		if f.terms.survives(s.Position) {
 			kept = append(kept, s)
 		}
 	}
 	f.samples = kept
 }
 
-// survives reports whether p is known to be part of the group's log: it lies in
-// the present term, or within the recorded end of an earlier one.
-func (f *Freshness) survives(p position.Position) bool {
-	if p.Term >= f.term {
-		return true
-	}
-	for _, h := range f.history {
-		if h.Term == p.Term {
-			return !h.End.Less(p)
-		}
-	}
-	return p.IsZero()
-}
-
-// Holds reports whether a target at p is known to hold all of the log up to want.
-//
-//   - Same term: the index decides.
-//   - The target is in a later term: it holds want if want survived into it. A
-//     term later than the group's row leaves that unknown, so it shows nothing.
-//   - The target is in an earlier term: it shows something of the later term
-//     only if it did not run past its own term's end (what lies there is lost, so
-//     its data is of another history) and its index, dense across terms, reaches
-//     want's.
-func (f *Freshness) Holds(p, want position.Position) bool {
-	if want.IsZero() {
-		return f.survives(p)
-	}
-	if !f.survives(p) || !f.survives(want) {
-		return false
-	}
-	switch {
-	case p.Term == want.Term:
-		return p.Index >= want.Index
-	case p.Term > want.Term:
-		return p.Term <= f.term
-	}
-	return p.Term < f.term && p.Index >= want.Index
-}
+// Holds reports whether a target at p is known to hold all of the log up to want,
+// by the group's row that SetGroup took over.
+func (f *Freshness) Holds(p, want position.Position) bool { return f.terms.holds(p, want) }
 
 // AddSample notes the primary's newest position. Samples may come in any order.
 func (f *Freshness) AddSample(s Sample) {
-	if !f.survives(s.Position) || s.Position.Term < f.term {
+	if !f.terms.survives(s.Position) || s.Position.Term < f.terms.present {
 		return
 	}
 	i := sort.Search(len(f.samples), func(i int) bool { return f.samples[i].Begun >= s.Begun })
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -74,8 +74,10 @@
 	// that ran to 1/95 holds data that is lost, and one at 1/80 may hold all that
 	// survived so far but nothing of term 2. Neither may claim an age from term 2.
 	DescribeTable("compares positions of two terms", func(p, want position.Position, holds bool) {
+		g := &topology.Group{Term: 2, Version: 1, History: []topology.TermEnd{{Term: 1, End: at(1, 90)}}}
+		Expect(routing.Holds(g, p, want)).To(Equal(holds))
 		f := routing.NewFreshness(time.Second, time.Millisecond)
-		f.SetGroup(&topology.Group{Term: 2, Version: 1, History: []topology.TermEnd{{Term: 1, End: at(1, 90)}}})
+		f.SetGroup(g)
 		Expect(f.Holds(p, want)).To(Equal(holds))
 	},
 		Entry("same term", at(2, 95), at(2, 95), true),
@@ -84,6 +86,7 @@
 		Entry("earlier term shows nothing of later writes", at(1, 90), at(2, 91), false),
 		Entry("earlier term is whole when nothing was written since", at(1, 90), at(2, 90), true),
 		Entry("a replica past its term's end has another history", at(1, 95), at(1, 80), false),
+		Entry("nor does it serve a read without a floor", at(1, 95), at(0, 0), false),
 		Entry("a term later than the row shows nothing of the present one", at(3, 95), at(2, 80), false),
 	)
 })
