Entry routes by evidence; tokens; floors fetched once for all that wait

Cause: reads took a random replica and equal shares of the deadline. Ruled out: a fetch a read and session (one message a read): one fetch in flight a group carries the sessions of all that wait. Before: shares of the deadline, no shown age. Conclusion: measure replica share and failover gap next.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -165,8 +165,29 @@
 	})
 }
 
-func newEntry(v *view.View, p *peers.Table, m *metrics.Entry, log *slog.Logger) *entry.Server {
-	return entry.New(entry.Options{View: v, Peers: p, Metrics: m, Log: log})
+type entryParts struct {
+	fx.In
+	Settings Settings
+	View     *view.View
+	Peers    *peers.Table
+	Clock    mono.Clock
+	Metrics  *metrics.Entry
+	Log      *slog.Logger
+}
+
+func newEntry(p entryParts) (*entry.Server, error) {
+	keys, err := p.Settings.keyRing()
+	if err != nil {
+		return nil, err
+	}
+	return entry.New(entry.Options{
+		View:    p.View,
+		Peers:   p.Peers,
+		Clock:   p.Clock,
+		Keys:    keys,
+		Metrics: p.Metrics,
+		Log:     p.Log,
+	}), nil
 }
 
 // wire joins the parts that know each other both ways.
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -2,11 +2,14 @@
 package daemon
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"net"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/session"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -31,6 +34,10 @@
 	// PlatformTimeout bounds one call to the platform.
 	PlatformTimeout settings.Duration `json:"platform_timeout"`
 	LogLevel        string            `json:"log_level"`
+	// TokenKeys sign the sessions' tokens, hexadecimal by key id; all daemons have
+	// the same. TokenKey is the id that new tokens are signed with.
+	TokenKeys map[session.KeyID]string `json:"token_keys"`
+	TokenKey  session.KeyID            `json:"token_key"`
 	// CheckInvariants has a broken invariant end the process instead of being
 	// carried on with.
 	CheckInvariants bool `json:"check_invariants"`
@@ -67,3 +74,21 @@
 	}
 	return nil
 }
+
+// keyRing reads the token keys. Without any, a key of this start's own is used:
+// then tokens are good at this daemon only, and the log says so.
+func (s *Settings) keyRing() (*session.KeyRing, error) {
+	keys := map[session.KeyID][]byte{}
+	for id, text := range s.TokenKeys {
+		key, err := hex.DecodeString(text)
+		if err != nil {
+			return nil, result.New(result.ConfigInvalid, "token_keys %d: %v", id, err)
+		}
+		keys[id] = key
+	}
+	if len(keys) == 0 {
+		keys[s.TokenKey] = make([]byte, session.MinKeyLength)
+		_, _ = rand.Read(keys[s.TokenKey]) // Never fails on Linux.
+	}
+	return session.NewKeyRing(s.TokenKey, keys)
+}
--- a/internal/entry/measure.go
+++ b/internal/entry/measure.go
@@ -9,7 +9,7 @@
 
 // measure records an answered request. Only names that the configuration holds
 // become tags; req is nil when the request named none.
-func (s *session) measure(req *request, begun time.Time, failure *result.Error) {
+func (s *caller) measure(req *request, begun time.Time, failure *result.Error) {
 	class := ""
 	if req != nil {
 		class = req.class.Name
@@ -18,7 +18,7 @@
 }
 
 // measureServed records the role of the target that answered a read.
-func (s *session) measureServed(req *request, d destination) {
+func (s *caller) measureServed(req *request, d destination) {
 	if req.class.Kind != config.Read {
 		return
 	}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -2,31 +2,32 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"math"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pgwire"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/retry"
+	"github.com/buckthornshore/buckthornshore/pkg/routing"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
 
-// Waits of a read at a replica that is behind.
-const floorWait = 20 * time.Millisecond
-
-// destination is where an attempt goes.
-type destination struct {
-	target topology.TargetID
-	pooler topology.VM
-	term   uint64
-	floor  position.Position
-}
+const (
+	// floorWait is how long a replica that is behind may be waited for.
+	floorWait = 20 * time.Millisecond
+	// patience is how many times its usual latency a read waits for a target
+	// before it tries another, and leastPatience the least of it.
+	patience      = 8
+	leastPatience = 250 * time.Millisecond
+)
 
 // route runs the request where it may run and returns the whole answer.
-func (s *session) route(req *request) (*peerpb.ExecuteResponse, *result.Error) {
+func (s *caller) route(req *request) (*peerpb.ExecuteResponse, *result.Error) {
 	ctx, cancel := context.WithTimeout(context.Background(), req.class.Deadline.Std())
 	defer cancel()
 	s.setCancel(cancel)
@@ -35,109 +36,196 @@
 		d := destination{target: s.tx.target, pooler: s.tx.pooler, term: s.tx.term}
 		return s.attempt(ctx, req, d, true)
 	}
-	var last *result.Error
-	for left := req.class.MaxAttempts; left > 0; left-- {
-		if last != nil {
-			s.server.o.Metrics.Retry(s.options.member, req.class.Name)
-		}
-		d, failure := s.choose(ctx, req, last != nil)
+	deadline := s.server.deadline(ctx)
+	policy := retry.DefaultPolicy()
+	reached := 0
+	for attempt := 1; ; attempt++ {
+		resp, failure := s.try(ctx, req)
 		if failure == nil {
-			var resp *peerpb.ExecuteResponse
-			resp, failure = s.attemptWithin(ctx, req, d, left)
-			if failure == nil {
-				return resp, nil
-			}
+			return resp, nil
 		}
-		last = failure
-		if failure.Ran != result.NotRun && req.class.Kind == config.Write {
-			return nil, failure
+		if reachedTarget(failure) {
+			reached++
 		}
+		if reached >= req.class.MaxAttempts {
+			return nil, final(failure, req)
+		}
+		outcome := retry.Outcome{Attempt: attempt, Err: failure, Member: s.options.member}
+		decision := s.server.router.next(policy, outcome, retryClass(req.class), deadline)
+		if decision.Err != nil {
+			return nil, decision.Err
+		}
+		s.server.o.Metrics.Retry(s.options.member, req.class.Name)
+		if !pause(ctx, min(decision.After, longestPause)) {
+			return nil, final(failure, req)
+		}
+	}
+}
+
+// longestPause bounds the wait for a group's row to change: the row may come at
+// any moment, and then the next attempt finds the new primary.
+const longestPause = 50 * time.Millisecond
+
+// reachedTarget tells attempts that count against the class's limit from those
+// that found nobody to run them.
+func reachedTarget(failure *result.Error) bool {
+	switch failure.Code {
+	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable, result.Leaving, result.AgeNotShown:
+		return false
+	}
+	return true
+}
+
+// final is the answer when no further attempt is made. A write of unknown outcome
+// that may not run twice has no time to come back.
+func final(failure *result.Error, req *request) *result.Error {
+	if failure.Ran == result.Unknown && req.class.Kind == config.Write && !req.class.Repeatable {
+		return result.New(result.OutcomeUnknown, "%s", failure.Error())
+	}
+	if failure.RetryAfter == 0 && failure.Ran == result.NotRun {
+		return failure.After(comeBack)
 	}
-	return nil, last
+	return failure
 }
 
-// choose picks the primary for writes and, for reads, a replica first.
-func (s *session) choose(ctx context.Context, req *request, again bool) (destination, *result.Error) {
-	v := s.server.o.View
-	row := v.Group(req.group)
+// retryClass: a class that may be repeated has its caller's word that a second
+// run does no harm; others have the ledger, and are never sent twice.
+func retryClass(c config.Class) retry.Class {
+	return retry.Class{
+		Name:       c.Name,
+		Read:       c.Kind == config.Read,
+		Repeatable: c.Repeatable,
+		Ledger:     c.Repeatable,
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// deadline turns the context's deadline into an instant.
+func (s *Server) deadline(ctx context.Context) mono.Time {
+	at, _ := ctx.Deadline() // route always sets one.
+	return s.o.Clock.Now().Add(time.Until(at))
+}
+
+// try makes one attempt.
+func (s *caller) try(ctx context.Context, req *request) (*peerpb.ExecuteResponse, *result.Error) {
+	row := s.server.o.View.Group(req.group)
 	if row == nil {
-		return destination{}, result.New(result.NoPrimary, "%s", req.group).After(comeBack)
+		return nil, result.New(result.NoPrimary, "%s", req.group).After(comeBack)
 	}
-	d := destination{target: row.Primary, term: row.Term}
-	if req.class.Kind == config.Read && !again {
-		floor, failure := s.floor(ctx, req, row)
-		if failure != nil {
-			return d, failure
-		}
-		d = s.replica(row, floor)
+	need, failure := s.need(ctx, req, row)
+	if failure != nil {
+		return nil, failure
 	}
-	vm, ok := v.PoolerOf(d.target)
-	if !ok {
-		return d, result.New(result.PoolerUnreachable, "no VM for %s", d.target).After(comeBack)
+	d, _, failure := s.server.router.choose(row, need)
+	if failure != nil && failure.Code == result.AgeNotShown {
+		d, failure = s.chooseWithSample(ctx, row, need)
+	}
+	if failure != nil {
+		return nil, failure
 	}
-	d.pooler = vm
-	return d, nil
+	if need.Write {
+		return s.attempt(ctx, req, d, false)
+	}
+	ctx, cancel := context.WithTimeout(ctx, s.server.router.patienceFor(row, d.target))
+	defer cancel()
+	return s.attempt(ctx, req, d, false)
 }
 
-// floor is the position that the request's target must hold. A session that may
-// roam, and a class that wants the newest, ask the primary; the question begins
-// after the request arrived, so it covers whatever was acknowledged before.
-func (s *session) floor(ctx context.Context, req *request, row *topology.Group) (position.Position, *result.Error) {
-	if s.options.session == "" && req.class.Staleness > 0 {
-		return s.floors[row.ID], nil
-	}
-	vm, ok := s.server.o.View.PoolerOf(row.Primary)
-	if !ok {
-		return position.Position{}, result.New(result.PoolerUnreachable, "no VM for %s", row.Primary).After(comeBack)
-	}
-	resp, err := s.server.o.Peers.Get(vm).ReadPosition(ctx, &peerpb.PositionRequest{
-		Group:   string(row.ID),
-		Target:  string(row.Primary),
-		Term:    row.Term,
-		Session: s.options.session,
-	})
+// need tells what a target must hold to answer the request.
+func (s *caller) need(ctx context.Context, req *request, row *topology.Group) (routing.Request, *result.Error) {
+	if req.class.Kind == config.Write {
+		return routing.Request{Write: true}, nil
+	}
+	floor, err := s.session.ReadFloor(row)
 	if err != nil {
-		return position.Position{}, peers.HopResult(vm, err)
+		return routing.Request{}, result.From(err)
+	}
+	staleness := req.class.Staleness.Std()
+	if staleness > 0 && !floor.Fetch {
+		return routing.Request{Staleness: staleness, Floor: floor.Position}, nil
+	}
+	got, failure := s.server.router.fetchFloor(ctx, row.ID, s.options.session)
+	if failure != nil {
+		return routing.Request{}, failure
 	}
-	if failure := peers.Result(resp.Failure); failure != nil {
-		return position.Position{}, failure
+	if staleness > 0 {
+		return routing.Request{Staleness: staleness, Floor: position.Max(floor.Position, got.session)}, nil
 	}
-	return peers.Position(resp.Floor), nil
+	// Everything acknowledged before the fetch began is below the newest
+	// position, so a target that holds it shows what a fresh read must show.
+	return routing.Request{Staleness: routing.AnyAge, Floor: position.Max(floor.Position, got.newest)}, nil
 }
 
-func (s *session) replica(row *topology.Group, floor position.Position) destination {
-	conf := s.server.o.View.Config()
-	g, _ := conf.Group(row.ID)
-	var replicas []topology.TargetID
-	for _, t := range g.Targets {
-		if t.ID != row.Primary {
-			replicas = append(replicas, t.ID)
-		}
+// chooseWithSample asks the primary for its position when no sample is young
+// enough to show an age: the group had no traffic lately.
+func (s *caller) chooseWithSample(ctx context.Context, row *topology.Group, need routing.Request) (destination, *result.Error) {
+	if _, failure := s.server.router.fetchFloor(ctx, row.ID, ""); failure != nil {
+		return destination{}, failure
 	}
-	if len(replicas) == 0 {
-		return destination{target: row.Primary, term: row.Term}
+	d, _, failure := s.server.router.choose(row, need)
+	return d, failure
+}
+
+// patienceFor bounds a read's attempt: a target that hangs would else use up the
+// whole deadline, and the caller get no answer that another target could give.
+func (r *router) patienceFor(row *topology.Group, id topology.TargetID) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.group(row).estimate(id)
+	queueing := time.Duration(e.queue+e.inFlight) * e.service
+	return max(leastPatience, patience*e.latency+2*queueing)
+}
+
+// attempt sends the request to one pooler.
+func (s *caller) attempt(ctx context.Context, req *request, d destination, inTransaction bool) (*peerpb.ExecuteResponse, *result.Error) {
+	row := s.server.o.View.Group(req.group)
+	begun := s.server.router.sent(row, d.target)
+	resp, failure := s.hop(ctx, req, d, inTransaction)
+	if failure != nil {
+		s.server.router.failed(row, d.target, failure)
+		return nil, failure
 	}
-	return destination{target: replicas[rand.IntN(len(replicas))], floor: floor}
+	s.server.router.answered(row, d, begun, reply{
+		position: peers.Position(resp.Position),
+		queue:    int(resp.QueueLength),
+		queued:   time.Duration(resp.QueueUs) * time.Microsecond,
+		ran:      time.Duration(resp.RunUs) * time.Microsecond,
+	})
+	s.noteTransaction(req, d, byte(resp.TxStatus))
+	s.measureServed(req, d)
+	return resp, nil
 }
 
-// attemptWithin gives a read an equal share of the time left: a target that
-// hangs would else use up the whole deadline, and the caller get no answer that
-// another target could have given. A write has one attempt that may run.
-func (s *session) attemptWithin(ctx context.Context, req *request, d destination, left int) (*peerpb.ExecuteResponse, *result.Error) {
-	if req.class.Kind == config.Read {
-		deadline, _ := ctx.Deadline()
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, time.Until(deadline)/time.Duration(left))
-		defer cancel()
+// hop carries the request to the pooler's VM and its answer back.
+func (s *caller) hop(ctx context.Context, req *request, d destination, inTransaction bool) (*peerpb.ExecuteResponse, *result.Error) {
+	msg := s.message(ctx, req, d, inTransaction)
+	resp, err := s.server.o.Peers.Get(d.pooler).Execute(ctx, msg)
+	if err != nil {
+		return nil, peers.HopResult(d.pooler, err)
 	}
-	return s.attempt(ctx, req, d, false)
+	// A late answer of an earlier request on a confused connection would give
+	// this caller another's rows.
+	if resp.HopId != msg.HopId {
+		return nil, result.New(result.InvariantBroken, "answer %d to request %d", resp.HopId, msg.HopId)
+	}
+	return resp, peers.Result(resp.Failure)
 }
 
-// attempt sends the request to one pooler.
-func (s *session) attempt(ctx context.Context, req *request, d destination, inTransaction bool) (*peerpb.ExecuteResponse, *result.Error) {
+func (s *caller) message(ctx context.Context, req *request, d destination, inTransaction bool) *peerpb.ExecuteRequest {
 	self := s.server.o.View.Self()
 	deadline, _ := ctx.Deadline()
-	hop := &peerpb.ExecuteRequest{
+	left := max(0, min(time.Until(deadline).Milliseconds(), math.MaxUint32))
+	return &peerpb.ExecuteRequest{
 		HopId:            s.server.hopID.Add(1),
 		Entry:            string(self.ID),
 		EntryIncarnation: uint64(self.Incarnation),
@@ -149,7 +237,7 @@
 		Class:            req.class.Name,
 		CallerRequestId:  s.options.requestID,
 		Session:          s.options.session,
-		DeadlineMs:       uint32(time.Until(deadline).Milliseconds()),
+		DeadlineMs:       uint32(left),
 		Floor:            peers.PositionTo(d.floor),
 		FloorWaitMs:      uint32(floorWait.Milliseconds()),
 		Transaction:      s.number,
@@ -158,23 +246,10 @@
 		Write:            req.class.Kind == config.Write,
 		Syncs:            req.syncs,
 	}
-	resp, err := s.server.o.Peers.Get(d.pooler).Execute(ctx, hop)
-	if err != nil {
-		return nil, peers.HopResult(d.pooler, err)
-	}
-	if resp.HopId != hop.HopId {
-		return nil, result.New(result.InvariantBroken, "answer %d to request %d", resp.HopId, hop.HopId)
-	}
-	if failure := peers.Result(resp.Failure); failure != nil {
-		return nil, failure
-	}
-	s.measureServed(req, d)
-	s.noteTransaction(req, d, byte(resp.TxStatus))
-	return resp, nil
 }
 
 // noteTransaction remembers where the session's open transaction runs.
-func (s *session) noteTransaction(req *request, d destination, status byte) {
+func (s *caller) noteTransaction(req *request, d destination, status byte) {
 	if status == pgwire.Idle {
 		s.tx = nil
 		return
@@ -194,7 +269,7 @@
 
 // releaseTransaction frees the connection of a transaction that the session
 // leaves open.
-func (s *session) releaseTransaction() {
+func (s *caller) releaseTransaction() {
 	if s.tx == nil {
 		return
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -8,15 +8,15 @@
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pgwire"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
-	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/session"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
 
 // request is one unit with what the session declared for it.
 type request struct {
-	session  *session
+	session  *caller
 	group    topology.GroupID
 	class    config.Class
 	messages []byte
@@ -24,7 +24,7 @@
 }
 
 // serve answers the collected unit.
-func (s *session) serve() error {
+func (s *caller) serve() error {
 	defer s.unit.reset()
 	if len(s.unit.local) > 0 {
 		return s.serveLocal()
@@ -44,7 +44,7 @@
 }
 
 // serveLocal applies the session's own SET statements.
-func (s *session) serveLocal() error {
+func (s *caller) serveLocal() error {
 	for _, set := range s.unit.local {
 		if failure := s.setOption(set.name, set.value); failure != nil {
 			return s.refuse(failure)
@@ -55,7 +55,7 @@
 	return s.backend.Flush()
 }
 
-func (s *session) status() byte {
+func (s *caller) status() byte {
 	if s.tx != nil {
 		return pgwire.InTransaction
 	}
@@ -65,7 +65,7 @@
 // fail reports a result. With a transaction open the connection ends: the
 // transaction is gone, and a caller that sends its next statements unread must
 // not have them run one by one outside it.
-func (s *session) fail(e *result.Error) error {
+func (s *caller) fail(e *result.Error) error {
 	if s.tx == nil {
 		return s.refuse(e)
 	}
@@ -73,7 +73,7 @@
 	return s.fatal(e)
 }
 
-func (s *session) newRequest() (*request, *result.Error) {
+func (s *caller) newRequest() (*request, *result.Error) {
 	conf := s.server.o.View.Config()
 	class, ok := conf.Class(s.options.service, s.options.class)
 	if !ok {
@@ -89,7 +89,7 @@
 	return &request{session: s, group: group, class: class, messages: s.unit.messages, syncs: 1}, nil
 }
 
-func (s *session) groupOf(conf *config.View) (topology.GroupID, *result.Error) {
+func (s *caller) groupOf(conf *config.View) (topology.GroupID, *result.Error) {
 	if s.tx != nil {
 		return s.tx.group, nil
 	}
@@ -108,18 +108,34 @@
 }
 
 // answer passes the target's answer on and notes what it says of the session.
-func (s *session) answer(req *request, resp *peerpb.ExecuteResponse) error {
+func (s *caller) answer(req *request, resp *peerpb.ExecuteResponse) error {
 	messages, err := s.unit.strip(resp.Messages)
 	if err != nil {
 		return s.fatal(result.New(result.Internal, "answer: %v", err))
 	}
 	if req.class.Kind == config.Write && byte(resp.TxStatus) == pgwire.Idle {
-		s.raiseFloor(req.group, peers.Position(resp.Position))
+		s.session.Acknowledged(req.group, peers.Position(resp.Position))
+		s.sendToken()
+	}
+	if err := s.backend.Flush(); err != nil {
+		return err
 	}
 	_, err = s.net.Write(messages)
 	return err
 }
 
-func (s *session) raiseFloor(group topology.GroupID, at position.Position) {
-	s.floors[group] = position.Max(s.floors[group], at)
+// tokenParameter reports the session's token, to be presented when it roams.
+const tokenParameter = optionPrefix + "token"
+
+// sendToken gives a session that asked for tokens its present one.
+func (s *caller) sendToken() {
+	if s.session.Mode != session.WithToken {
+		return
+	}
+	token, err := s.session.Token(s.server.o.Keys, 0)
+	if err != nil {
+		s.server.o.Log.Warn("event=token_failed", "session", s.options.session, "error", err)
+		return
+	}
+	s.backend.Send(&pgproto3.ParameterStatus{Name: tokenParameter, Value: token})
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -13,14 +13,19 @@
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/view"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/session"
 )
 
 // Options of a Server.
 type Options struct {
 	View  *view.View
 	Peers *peers.Table
-	Log   *slog.Logger
+	Clock mono.Clock
+	// Keys sign the sessions' tokens.
+	Keys *session.KeyRing
+	Log  *slog.Logger
 	// Metrics may be nil.
 	Metrics *metrics.Entry
 }
@@ -28,11 +33,12 @@
 // Server accepts the callers' connections.
 type Server struct {
 	o      Options
+	router *router
 	hopID  atomic.Uint64
 	number atomic.Uint64
 
 	mu       sync.Mutex
-	sessions map[uint64]*session
+	sessions map[uint64]*caller
 	leaving  bool
 	serving  bool
 	wait     sync.WaitGroup
@@ -40,7 +46,7 @@
 
 // New makes a server without a listener.
 func New(o Options) *Server {
-	return &Server{o: o, sessions: map[uint64]*session{}}
+	return &Server{o: o, router: newRouter(o.View, o.Peers, o.Clock), sessions: map[uint64]*caller{}}
 }
 
 // Serve accepts connections until the listener closes.
@@ -79,7 +85,7 @@
 // handle serves one connection to its end.
 func (s *Server) handle(nc net.Conn) {
 	defer nc.Close()
-	sess := newSession(s, nc)
+	sess := newCaller(s, nc)
 	if err := sess.startUp(); err != nil {
 		s.o.Log.Debug("event=session_refused", "remote", nc.RemoteAddr(), "error", err)
 		return
@@ -90,7 +96,7 @@
 }
 
 // admit registers a session, or says why not.
-func (s *Server) admit(sess *session) *result.Error {
+func (s *Server) admit(sess *caller) *result.Error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	conf := s.o.View.Config()
@@ -106,7 +112,7 @@
 	return nil
 }
 
-func (s *Server) remove(sess *session) {
+func (s *Server) remove(sess *caller) {
 	sess.releaseTransaction()
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -125,7 +131,7 @@
 func (s *Server) Drain(ctx context.Context) {
 	s.mu.Lock()
 	s.leaving = true
-	open := make([]*session, 0, len(s.sessions))
+	open := make([]*caller, 0, len(s.sessions))
 	for _, sess := range s.sessions {
 		open = append(open, sess)
 	}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -11,8 +11,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/buckthornshore/buckthornshore/internal/pgwire"
-	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/session"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -25,9 +25,9 @@
 	write  bool
 }
 
-// session is one caller's connection. Only its own goroutine uses it, but for
+// caller is one caller's connection. Only its own goroutine uses it, but for
 // the fields below mu.
-type session struct {
+type caller struct {
 	server   *Server
 	net      net.Conn
 	backend  *pgproto3.Backend
@@ -37,7 +37,7 @@
 	prepared map[string]*pgproto3.Parse
 	unit     unit
 	tx       *transaction
-	floors   map[topology.GroupID]position.Position
+	session  *session.Session
 
 	mu      sync.Mutex
 	idle    bool
@@ -45,17 +45,16 @@
 	cancel  context.CancelFunc // of the request under way
 }
 
-func newSession(s *Server, nc net.Conn) *session {
+func newCaller(s *Server, nc net.Conn) *caller {
 	secret := make([]byte, secretLength)
 	_, _ = rand.Read(secret) // Never fails on Linux.
-	return &session{
+	return &caller{
 		server:   s,
 		net:      nc,
 		backend:  pgproto3.NewBackend(nc, nc),
 		number:   s.number.Add(1),
 		secret:   secret,
 		prepared: map[string]*pgproto3.Parse{},
-		floors:   map[topology.GroupID]position.Position{},
 	}
 }
 
@@ -63,7 +62,7 @@
 var errLeaving = errors.New("entry: leaving")
 
 // run serves requests until the caller goes.
-func (s *session) run() error {
+func (s *caller) run() error {
 	s.backend.SetMaxBodyLen(s.server.o.View.Config().Limits().MessageBytes)
 	for {
 		msg, err := s.receive()
@@ -88,7 +87,7 @@
 
 // receive waits for a message; a daemon that leaves interrupts it only between
 // requests and outside transactions.
-func (s *session) receive() (pgproto3.FrontendMessage, error) {
+func (s *caller) receive() (pgproto3.FrontendMessage, error) {
 	if s.tx == nil && s.unit.empty() && !s.setIdle(true) {
 		return nil, errLeaving
 	}
@@ -98,7 +97,7 @@
 }
 
 // setIdle returns false when the session is to end now.
-func (s *session) setIdle(idle bool) bool {
+func (s *caller) setIdle(idle bool) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.idle = idle
@@ -106,7 +105,7 @@
 }
 
 // leaveWhenIdle ends the session between requests.
-func (s *session) leaveWhenIdle() {
+func (s *caller) leaveWhenIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.leaving = true
@@ -115,13 +114,13 @@
 	}
 }
 
-func (s *session) isLeaving() bool {
+func (s *caller) isLeaving() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.leaving
 }
 
-func (s *session) endOnReadError(err error) error {
+func (s *caller) endOnReadError(err error) error {
 	var tooLarge *pgproto3.ExceededMaxBodyLenErr
 	var timeout net.Error
 	switch {
@@ -137,26 +136,51 @@
 }
 
 // fatal tells the caller the result and ends the connection.
-func (s *session) fatal(e *result.Error) error {
+func (s *caller) fatal(e *result.Error) error {
 	s.backend.Send(pgwire.ErrorResponse(e, pgwire.SeverityFatal))
 	_ = s.backend.Flush()
 	return e
 }
 
 // refuse tells the caller the result; the session goes on.
-func (s *session) refuse(e *result.Error) error {
+func (s *caller) refuse(e *result.Error) error {
 	s.backend.Send(pgwire.ErrorResponse(e, pgwire.SeverityError))
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: pgwire.Idle})
 	return s.backend.Flush()
 }
 
-// setOption changes an option for the requests that follow.
-func (s *session) setOption(name, value string) *result.Error {
-	return s.options.set(name, value)
+// setOption changes an option for the requests that follow. A token raises the
+// floors of the session; another session id is another session.
+func (s *caller) setOption(name, value string) *result.Error {
+	if failure := s.options.set(name, value); failure != nil {
+		return failure
+	}
+	if s.session == nil {
+		return nil // Still in the start-up, which opens the session when all is known.
+	}
+	switch name {
+	case "token":
+		if err := s.session.Present(value, s.server.o.Keys); err != nil {
+			return result.From(err)
+		}
+	case "session":
+		return s.openSession()
+	}
+	return nil
+}
+
+// openSession starts the session that the options name.
+func (s *caller) openSession() *result.Error {
+	opened, err := session.Open(s.options.session, s.options.token, s.server.o.Keys)
+	if err != nil {
+		return result.From(err)
+	}
+	s.session = opened
+	return nil
 }
 
 // cancelRequest ends the request under way, if any.
-func (s *session) cancelRequest() {
+func (s *caller) cancelRequest() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.cancel != nil {
@@ -164,7 +188,7 @@
 	}
 }
 
-func (s *session) setCancel(c context.CancelFunc) {
+func (s *caller) setCancel(c context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.cancel = c
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -24,7 +24,7 @@
 var errCancelRequest = errors.New("entry: cancel request")
 
 // startUp answers the start-up message and registers the session.
-func (s *session) startUp() error {
+func (s *caller) startUp() error {
 	_ = s.net.SetDeadline(time.Now().Add(startUpTimeout))
 	startup, err := s.receiveStartUp()
 	if err != nil {
@@ -45,7 +45,7 @@
 }
 
 // receiveStartUp refuses encryption and passes cancel requests on.
-func (s *session) receiveStartUp() (*pgproto3.StartupMessage, error) {
+func (s *caller) receiveStartUp() (*pgproto3.StartupMessage, error) {
 	for {
 		msg, err := s.backend.ReceiveStartupMessage()
 		if err != nil {
@@ -67,7 +67,7 @@
 	}
 }
 
-func (s *session) takeParameters(parameters map[string]string) *result.Error {
+func (s *caller) takeParameters(parameters map[string]string) *result.Error {
 	for name, value := range parameters {
 		short, ours := strings.CutPrefix(name, optionPrefix)
 		if !ours {
@@ -77,11 +77,14 @@
 			return failure
 		}
 	}
-	return s.checkOptions()
+	if failure := s.checkOptions(); failure != nil {
+		return failure
+	}
+	return s.openSession()
 }
 
 // checkOptions finds what a session must name before its first request.
-func (s *session) checkOptions() *result.Error {
+func (s *caller) checkOptions() *result.Error {
 	conf := s.server.o.View.Config()
 	if conf == nil {
 		return nil
@@ -100,7 +103,7 @@
 }
 
 // greet sends what a client expects after authentication.
-func (s *session) greet() {
+func (s *caller) greet() {
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, p := range [][2]string{
 		{"server_version", "15.0 (buckthornshore)"},
@@ -113,6 +116,7 @@
 	} {
 		s.backend.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
 	}
+	s.sendToken()
 	s.backend.Send(&pgproto3.BackendKeyData{ProcessID: uint32(s.number), SecretKey: s.secret})
 	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: pgwire.Idle})
 }
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -31,7 +31,7 @@
 // Named prepared statements live here, not at a target: connections are shared
 // between sessions, so a statement prepared on one would be missing on, or
 // belong to somebody else on, the next. Each use sends its text again.
-func (u *unit) add(s *session, msg pgproto3.FrontendMessage) (whole bool, failure *result.Error) {
+func (u *unit) add(s *caller, msg pgproto3.FrontendMessage) (whole bool, failure *result.Error) {
 	switch m := msg.(type) {
 	case *pgproto3.Query:
 		u.simple = true
@@ -71,7 +71,7 @@
 // maxPrepared bounds the statements that one session keeps.
 const maxPrepared = 1024
 
-func (u *unit) addParse(s *session, m *pgproto3.Parse) *result.Error {
+func (u *unit) addParse(s *caller, m *pgproto3.Parse) *result.Error {
 	if len(s.prepared) >= maxPrepared {
 		return result.New(result.BadProtocol, "more than %d prepared statements", maxPrepared)
 	}
@@ -87,7 +87,7 @@
 }
 
 // ensure makes the unnamed statement hold the named one.
-func (u *unit) ensure(s *session, name string) *result.Error {
+func (u *unit) ensure(s *caller, name string) *result.Error {
 	if len(u.injected) > 0 && u.current == name {
 		return nil
 	}
@@ -98,7 +98,7 @@
 	return u.sendParse(name, kept, true)
 }
 
-func (u *unit) addBind(s *session, m *pgproto3.Bind) *result.Error {
+func (u *unit) addBind(s *caller, m *pgproto3.Bind) *result.Error {
 	if failure := u.ensure(s, m.PreparedStatement); failure != nil {
 		return failure
 	}
@@ -110,7 +110,7 @@
 // objectStatement marks a prepared statement in Describe and Close.
 const objectStatement = 'S'
 
-func (u *unit) addDescribe(s *session, m *pgproto3.Describe) *result.Error {
+func (u *unit) addDescribe(s *caller, m *pgproto3.Describe) *result.Error {
 	if m.ObjectType != objectStatement {
 		return u.append(m)
 	}
@@ -120,7 +120,7 @@
 	return u.append(&pgproto3.Describe{ObjectType: objectStatement})
 }
 
-func (u *unit) addClose(s *session, m *pgproto3.Close) *result.Error {
+func (u *unit) addClose(s *caller, m *pgproto3.Close) *result.Error {
 	if m.ObjectType != objectStatement {
 		return u.append(m)
 	}
--- a/internal/pooler/floors.go
+++ b/internal/pooler/floors.go
@@ -38,11 +38,16 @@
 	f.floors.Completed(session, at, f.clock.Now())
 }
 
-// floor returns where the session's last write lies at the latest.
-func (f *sessionFloors) floor(session string, newest position.Position) (position.Position, bool) {
+// floor returns where the session's last write lies at the latest: the newest
+// position when this pooler can't say more.
+func (f *sessionFloors) floor(session string, newest position.Position) position.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.floors.Floor(session, newest)
+	at, ok := f.floors.Floor(session, newest)
+	if !ok {
+		return newest
+	}
+	return at
 }
 
 func (f *sessionFloors) tick() {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -244,11 +244,9 @@
 		return resp, nil
 	}
 	resp.Position = peers.PositionTo(status.Position)
-	floor, ok := tp.floors.floor(req.Session, status.Position)
-	if !ok {
-		floor = status.Position
+	for _, session := range req.Sessions {
+		resp.Floors = append(resp.Floors, peers.PositionTo(tp.floors.floor(session, status.Position)))
 	}
-	resp.Floor = peers.PositionTo(floor)
 	return resp, nil
 }
 
--- a/internal/view/directory.go
+++ b/internal/view/directory.go
@@ -36,12 +36,8 @@
 	}, ok
 }
 
-const (
-	// queuePerTarget bounds all requests that wait for one target.
-	queuePerTarget = 4000
-	// reservedSlots are kept free for urgent requests while these come often.
-	reservedSlots = 1
-)
+// queuePerTarget bounds all requests that wait for one target.
+const queuePerTarget = 4000
 
 // Admission implements pooler.Directory.
 func (v *View) Admission(id topology.TargetID) admission.Limits {
@@ -52,7 +48,6 @@
 	}
 	limits := admission.Limits{
 		Slots:        t.Slots,
-		Reserved:     reservedSlots,
 		Queue:        queuePerTarget,
 		ClassQueue:   config.DefaultQueueLimit,
 		MemberQueue:  queuePerTarget,
