--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 GO ?= go
 GOBIN := $(shell $(GO) env GOPATH)/bin
 
-.PHONY: build test lint fmt generate example
+.PHONY: build test lint fmt generate example docs
 build: ## builds every program into bin/
 	$(GO) build -o bin/ ./cmd/...
 
@@ -19,6 +19,9 @@
 fmt:
 	$(GOBIN)/gofumpt -w cmd pkg internal
 
+docs: ## writes docs/RESULT-CODES.md from pkg/result
+	UPDATE_DOCS=1 $(GO) test -count=1 ./pkg/result
+
 generate: ## needs protoc, protoc-gen-go and protoc-gen-twirp
 	cd proto && for f in platform peer; do \
 	  PATH="$(GOBIN):$$PATH" protoc --go_out=.. --twirp_out=.. \
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -37,7 +37,9 @@
 		if a.outcome != Completed && r.Refused == 0 {
 			r.Refused = since()
 		}
-		if !s.comesBack(r, a) {
+		// Once no more load is offered nobody comes back: the run would end only
+		// after the last of many time-outs.
+		if !s.comesBack(r, a) || since() > s.profile.Duration.Std() {
 			break
 		}
 		time.Sleep(a.retryAfter)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -37,8 +37,11 @@
 }
 
 // Run offers the load, brings about the faults, reads the rows back and judges.
+// The first profile's duration and warm-up hold for all.
 func Run(ctx context.Context, o Options) (*RunReport, error) {
 	for i := range o.Profiles {
+		o.Profiles[i].Duration = o.Profiles[0].Duration
+		o.Profiles[i].WarmUp = o.Profiles[0].WarmUp
 		if err := o.Profiles[i].Check(o.Config); err != nil {
 			return nil, err
 		}
