--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -10,6 +10,9 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/pkg/admission"
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
@@ -17,8 +20,18 @@
 
 // Rights tells whether this VM may acknowledge for a group's primary now.
 type Rights interface {
-	// Check returns nil while every promise for the term is valid.
-	Check(group topology.GroupID, term uint64) *result.Error
+	// Right is asked before a request goes to the primary.
+	Right(group topology.GroupID, term uint64) (authority.Right, *result.Error)
+	// Confirm is asked before its answer goes out; waited: the write waited for
+	// the replicas of the right.
+	Confirm(right authority.Right, waited bool) *result.Error
+}
+
+// Evidence hears how targets behave, so that no probe is needed while they are
+// busy.
+type Evidence interface {
+	Answered(target topology.TargetID, latency time.Duration)
+	Doubted(target topology.TargetID)
 }
 
 // ClassLimits is what the pooler needs of a request's class.
@@ -28,15 +41,15 @@
 	Repeatable bool
 	// WaitsForReplica: the acknowledgement waits for the synced replicas.
 	WaitsForReplica bool
-	Priority        int
+	Priority        admission.Priority
 }
 
 // Directory answers questions about the configuration and the group rows.
 type Directory interface {
 	Target(id topology.TargetID) (TargetLimits, bool)
 	Class(service, class string) (ClassLimits, bool)
-	// SyncedReplicas lists the replicas that a waiting class waits for.
-	SyncedReplicas(group topology.GroupID) []topology.TargetID
+	// Admission returns the limits of a target's queue as the preset has them.
+	Admission(id topology.TargetID) admission.Limits
 }
 
 // TargetLimits is a target with its limits.
@@ -49,8 +62,8 @@
 // Options of a Pooler.
 type Options struct {
 	Dialer    Dialer
-	Rights    Rights
 	Directory Directory
+	Clock     mono.Clock
 	Log       *slog.Logger
 	// TransactionIdle is how long a transaction may sit idle.
 	TransactionIdle time.Duration
@@ -62,7 +75,9 @@
 
 // Pooler serves the other VMs' requests to its targets. Safe for concurrent use.
 type Pooler struct {
-	o Options
+	o        Options
+	rights   Rights
+	evidence Evidence
 
 	mu    sync.Mutex
 	pools map[topology.TargetID]*targetPool
@@ -72,6 +87,7 @@
 type targetPool struct {
 	*pool
 	gate    *gate
+	floors  *sessionFloors
 	control *Control
 }
 
@@ -80,6 +96,13 @@
 	return &Pooler{o: o, pools: map[topology.TargetID]*targetPool{}}
 }
 
+// Guard names what guards the pooler's primaries; it is called once, before the
+// first request.
+func (p *Pooler) Guard(r Rights, e Evidence) {
+	p.rights = r
+	p.evidence = e
+}
+
 // pool returns the target's pool, making it on first use.
 func (p *Pooler) pool(id topology.TargetID) (*targetPool, *result.Error) {
 	p.mu.Lock()
@@ -93,7 +116,8 @@
 	}
 	tp := &targetPool{
 		pool:    newPool(t.Target, p.o.Dialer, t.Connections),
-		gate:    newGate(t.Slots),
+		gate:    newGate(p.o.Directory.Admission(id), p.o.Clock),
+		floors:  newSessionFloors(p.o.Clock),
 		control: NewControl(p.o.Dialer, t.Address),
 	}
 	p.pools[id] = tp
@@ -109,14 +133,24 @@
 	return tp.control, nil
 }
 
-// Sweep closes what has been idle too long; the daemon calls it each second.
+// Sweep closes what has been idle too long and puts changed limits in force; the
+// daemon calls it each second.
 func (p *Pooler) Sweep(now time.Time) {
 	for _, tp := range p.all() {
 		tp.sweep(now, p.o.TransactionIdle)
+		tp.floors.tick()
+		tp.gate.setLimits(p.o.Directory.Admission(tp.target.ID))
 		p.o.Metrics.Connections(string(tp.target.ID), tp.inUse())
 	}
 }
 
+// Tick answers requests whose deadline has passed in a queue.
+func (p *Pooler) Tick() {
+	for _, tp := range p.all() {
+		tp.gate.tick()
+	}
+}
+
 func (p *Pooler) all() []*targetPool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -127,6 +161,42 @@
 	return pools
 }
 
+// OpenTransactions counts the transactions that hold a connection to the target.
+func (p *Pooler) OpenTransactions(id topology.TargetID) int {
+	p.mu.Lock()
+	tp := p.pools[id]
+	p.mu.Unlock()
+	if tp == nil {
+		return 0
+	}
+	return tp.openTransactions()
+}
+
+// Drain waits until no transaction is open or ctx ends.
+func (p *Pooler) Drain(ctx context.Context) {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for p.anyTransaction() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// drainPoll is how often Drain looks.
+const drainPoll = 20 * time.Millisecond
+
+func (p *Pooler) anyTransaction() bool {
+	for _, tp := range p.all() {
+		if tp.openTransactions() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Close ends all idle connections.
 func (p *Pooler) Close() {
 	for _, tp := range p.all() {
@@ -169,12 +239,16 @@
 		resp.Failure = peers.Failure(result.New(result.TermRefused, "%s is %s in term %d", req.Target, status.Role, status.Term).After(verifyAfter))
 		return resp, nil
 	}
-	if failure := p.o.Rights.Check(topology.GroupID(req.Group), req.Term); failure != nil {
+	if _, failure := p.rights.Right(topology.GroupID(req.Group), req.Term); failure != nil {
 		resp.Failure = peers.Failure(failure)
 		return resp, nil
 	}
 	resp.Position = peers.PositionTo(status.Position)
-	resp.Floor = resp.Position
+	floor, ok := tp.floors.floor(req.Session, status.Position)
+	if !ok {
+		floor = status.Position
+	}
+	resp.Floor = peers.PositionTo(floor)
 	return resp, nil
 }
 
--- a/internal/standin/database/startup.go
+++ b/internal/standin/database/startup.go
@@ -1,9 +1,12 @@
 package database
 
 import (
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/pkg/position"
 )
 
 // Names of start-up parameters, variables and reported parameters.
@@ -14,6 +17,8 @@
 	varWaitFor       = "buckthornshore.wait_for"
 	varWaitTimeout   = "buckthornshore.wait_timeout_ms"
 	varPosition      = "buckthornshore.position"
+	varCommitted     = "buckthornshore.committed"
+	varReadOnly      = "default_transaction_read_only"
 	varStatus        = "buckthornshore.status"
 	valueOn          = "on"
 	valueOff         = "off"
@@ -50,6 +55,7 @@
 	if start == nil {
 		return nil, nil
 	}
+	readOptions(start.Parameters)
 	c.control = start.Parameters[paramControl] == valueOn
 	if !c.control && start.Parameters[paramReplication] != valueOn {
 		if err := c.db.admit(c); err != nil {
@@ -64,6 +70,17 @@
 	return start, nil
 }
 
+// readOptions adds the settings of the options parameter ("-c name=value"),
+// the one way to give start-up parameters from psql.
+func readOptions(params map[string]string) {
+	for _, word := range strings.Fields(params["options"]) {
+		word = strings.TrimLeft(strings.TrimPrefix(word, "-c"), "-")
+		if name, value, ok := strings.Cut(word, "="); ok {
+			params[name] = value
+		}
+	}
+}
+
 func (c *conn) receiveStart() *pgproto3.StartupMessage {
 	for {
 		msg, err := c.be.ReceiveStartupMessage()
@@ -95,8 +112,13 @@
 	_ = c.flush()
 }
 
-// ready reports the position and that the next statement may come.
+// ready reports what this connection committed since it last was ready, the
+// newest position and that the next statement may come.
 func (c *conn) ready(status byte) {
+	if !c.committed.IsZero() {
+		c.send(&pgproto3.ParameterStatus{Name: varCommitted, Value: c.committed.String()})
+		c.committed = position.Position{}
+	}
 	c.send(&pgproto3.ParameterStatus{Name: varPosition, Value: c.db.Position().String()})
 	c.send(&pgproto3.ReadyForQuery{TxStatus: status})
 }
--- a/pkg/authority/holder.go
+++ b/pkg/authority/holder.go
@@ -4,7 +4,6 @@
 	"fmt"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
-	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -36,6 +35,7 @@
 	changes  uint64
 	lastBeat mono.Time
 	beaten   bool
+	ticked   mono.Time
 }
 
 // relied is one version of the row that a right may rest on.
@@ -60,8 +60,10 @@
 
 // held is one group of the Holder.
 type held struct {
-	target   topology.TargetID
-	now      relied
+	target topology.TargetID
+	now    relied
+	// learned is when the row became known here.
+	learned  mono.Time
 	prev     relied
 	promises map[promiseKey]mono.Time
 	// granted tells, by VM, when its latest granted request was sent; before the
@@ -76,8 +78,7 @@
 	settlement settlement
 	candidates []topology.Promoter
 	replicas   map[topology.TargetID]replicaView
-	primary    position.Position
-	primaryAt  mono.Time
+	primary    []primarySample
 	readAsked  mono.Time
 	// inTerm is the term in which the target has confirmed to be the primary.
 	inTerm       uint64
@@ -171,9 +172,10 @@
 		g.drain = nil
 		g.settlement = newSettlement()
 		g.replicas = map[topology.TargetID]replicaView{}
-		g.primaryAt = 0
+		g.primary = nil
 	}
 	g.now = relied{row: row.Clone()}
+	g.learned = now
 	g.settlement.note(row, now)
 	g.granted = map[topology.VMID]mono.Time{}
 	for _, p := range row.Promoters {
