--- a/internal/standin/database/file.go
+++ b/internal/standin/database/file.go
@@ -58,19 +58,16 @@
 }
 
 func (d *Database) openFile(path string) error {
-	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE, 0o600)
+	f, err := os.OpenFile(path, os.O_RDWR|os.O_CREATE|os.O_APPEND, 0o600)
 	if err != nil {
 		return errors.Wrap(err, "data file")
 	}
 	whole, err := d.replay(f)
 	if err == nil {
 		// A kill in the middle of a write leaves half a line. It was never
-		// acknowledged; cutting it off keeps the next record readable.
+		// acknowledged; left in place it would spoil the record after it.
 		err = f.Truncate(whole)
 	}
-	if err == nil {
-		_, err = f.Seek(whole, io.SeekStart)
-	}
 	if err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "data file"), f.Close())
 	}
--- a/internal/standin/database/forwarder_test.go
+++ b/internal/standin/database/forwarder_test.go
@@ -50,7 +50,12 @@
 }
 
 func (f *forwarder) carry(from, to net.Conn, generation int64) {
-	defer to.Close()
+	// The end of one side is not passed on after the silence began.
+	defer func() {
+		if f.generation.Load() == generation {
+			to.Close()
+		}
+	}()
 	muted := writerFunc(func(p []byte) (int, error) {
 		if f.generation.Load() != generation {
 			return len(p), nil
--- a/internal/standin/database/limits_test.go
+++ b/internal/standin/database/limits_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,7 +93,7 @@
 		db.Close()
 		f, err := os.OpenFile(cfg.DataFile, os.O_WRONLY|os.O_APPEND, 0)
 		Expect(err).NotTo(HaveOccurred())
-		_, err = f.WriteString(`{"entry":{"term":1,"ind`)
+		_, err = f.WriteString(`{"entry":{"term":1,"index":3,"writes":[{"t":"t","k":"` + strings.Repeat("k", 4096))
 		Expect(err).NotTo(HaveOccurred())
 		Expect(f.Close()).To(Succeed())
 
