Database stand-in: LIKE in bounded time

Cause: the matcher tried every % again for each later one, with the database's mutex held, so one pattern of many % could stop all connections. Ruled out: refusing inner wildcards, which clients of the test bench may use. Before: recursion over all %, seen by reading.

--- a/internal/standin/database/export_test.go
+++ b/internal/standin/database/export_test.go
@@ -20,3 +20,6 @@
 	defer s.mu.Unlock()
 	return len(s.waiters)
 }
+
+// Like opens the matching of patterns to the tests.
+var Like = like
--- a/internal/standin/database/like.go
+++ b/internal/standin/database/like.go
@@ -1,39 +1,45 @@
 package database
 
-import "strings"
-
 // like reports whether s matches a pattern of LIKE: % stands for any text, _
 // for one byte, a backslash takes the next byte literally.
+//
+// Only the newest % is ever tried again. That is enough, since an earlier one
+// could only take text that the newest can take as well, and it keeps a
+// pattern of many % from holding the database for minutes.
 func like(pattern, s string) bool {
-	for pattern != "" {
-		switch c := pattern[0]; {
-		case c == '%':
-			return likeAny(pattern[1:], s)
-		case s == "":
-			return false
-		case c == '\\' && len(pattern) > 1:
-			pattern = pattern[1:]
-			if pattern[0] != s[0] {
-				return false
-			}
-		case c != '_' && c != s[0]:
+	retryPattern, retryText := -1, 0
+	p, i := 0, 0
+	for i < len(s) {
+		if p < len(pattern) && pattern[p] == '%' {
+			p++
+			retryPattern, retryText = p, i
+			continue
+		}
+		if width, ok := likeByte(pattern[p:], s[i]); ok {
+			p += width
+			i++
+			continue
+		}
+		if retryPattern < 0 {
 			return false
 		}
-		pattern, s = pattern[1:], s[1:]
+		retryText++
+		p, i = retryPattern, retryText
 	}
-	return s == ""
+	for p < len(pattern) && pattern[p] == '%' {
+		p++
+	}
+	return p == len(pattern)
 }
 
-// likeAny matches the pattern after a % against every rest of s.
-func likeAny(pattern, s string) bool {
-	pattern = strings.TrimLeft(pattern, "%")
-	if pattern == "" {
-		return true
-	}
-	for i := 0; i <= len(s); i++ {
-		if like(pattern, s[i:]) {
-			return true
-		}
+// likeByte matches one byte with the start of the pattern and returns how much
+// of the pattern it took.
+func likeByte(pattern string, c byte) (width int, ok bool) {
+	switch {
+	case pattern == "":
+		return 0, false
+	case pattern[0] == '\\' && len(pattern) > 1:
+		return 2, pattern[1] == c
 	}
-	return false
+	return 1, pattern[0] == '_' || pattern[0] == c
 }
--- a/internal/standin/database/statements_test.go
+++ b/internal/standin/database/statements_test.go
@@ -1,6 +1,8 @@
 package database_test
 
 import (
+	"strings"
+
 	"github.com/jackc/pgx/v5"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -81,3 +83,13 @@
 		Expect(get(c, "s")).To(BeEmpty())
 	})
 })
+
+var _ = DescribeTable("LIKE", func(pattern, text string, matches bool) {
+	Expect(database.Like(pattern, text)).To(Equal(matches))
+},
+	Entry(nil, "", "", true), Entry(nil, "", "a", false), Entry(nil, "%", "", true),
+	Entry(nil, "a%", "abc", true), Entry(nil, "a%", "ba", false), Entry(nil, "a", "ab", false),
+	Entry(nil, "a_c%", "abcd", true), Entry(nil, "a_", "a", false), Entry(nil, "%b%d", "abcbd", true),
+	Entry(nil, "%b%d", "abcb", false), Entry(nil, `a\%`, "a%", true), Entry(nil, `a\%`, "ab", false),
+	Entry("many wildcards on a long key", strings.Repeat("%a", 40)+"%b", strings.Repeat("a", 5000), false),
+)
