Bound a commit's wait for its replicas

Cause: the stand-in waits without limit when none is set, so a dead replica turned waiting writes into silent connections. Before: deadline of the class, connection dropped.

--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -126,7 +126,7 @@
 	if failure != nil {
 		return nil, failure
 	}
-	d, _, failure := s.server.router.choose(row, need)
+	d, failure := s.server.router.choose(row, need)
 	if failure != nil && failure.Code == result.AgeNotShown {
 		d, failure = s.chooseWithSample(ctx, row, need)
 	}
@@ -172,7 +172,7 @@
 	if _, failure := s.server.router.fetchFloor(ctx, row.ID, ""); failure != nil {
 		return destination{}, failure
 	}
-	d, _, failure := s.server.router.choose(row, need)
+	d, failure := s.server.router.choose(row, need)
 	return d, failure
 }
 
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -108,7 +108,7 @@
 }
 
 // choose picks the target of a request whose floor is known.
-func (r *router) choose(row *topology.Group, req routing.Request) (destination, *routing.Explanation, *result.Error) {
+func (r *router) choose(row *topology.Group, req routing.Request) (destination, *result.Error) {
 	targets := r.configured(row.ID)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -120,7 +120,7 @@
 	}
 	why, err := routing.Choose(now, req, g.fresh, candidates, r.random)
 	if err != nil {
-		return destination{}, why, result.From(err)
+		return destination{}, result.From(err)
 	}
 	d := destination{target: why.Chosen, floor: why.Floor}
 	if why.Chosen == row.Primary {
@@ -128,10 +128,10 @@
 	}
 	vm, ok := r.view.PoolerOf(why.Chosen)
 	if !ok {
-		return d, why, result.New(result.PoolerUnreachable, "no VM for %s", why.Chosen).After(comeBack)
+		return d, result.New(result.PoolerUnreachable, "no VM for %s", why.Chosen).After(comeBack)
 	}
 	d.pooler = vm
-	return d, why, nil
+	return d, nil
 }
 
 func (r *router) configured(id topology.GroupID) []config.Target {
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -37,6 +37,11 @@
 	readOnly bool
 }
 
+// replicaWait bounds a commit's wait for its replicas. A replica that dies is
+// taken off the list well within it; after it the caller learns that the write
+// is committed but not replicated.
+const replicaWait = 3 * time.Second
+
 // conn is one connection to a target. It is used by one request at a time.
 type conn struct {
 	net      net.Conn
@@ -225,6 +230,7 @@
 	}
 	if c.settings.waitFor != want.waitFor {
 		sql.WriteString("SET buckthornshore.wait_for = '" + want.waitFor + "'; ")
+		sql.WriteString("SET buckthornshore.wait_timeout_ms = '" + strconv.FormatInt(replicaWait.Milliseconds(), 10) + "'; ")
 	}
 	if c.settings.readOnly != want.readOnly {
 		sql.WriteString("SET default_transaction_read_only = '" + onOff(want.readOnly) + "'; ")
