Failover: woken by rows, one probing write, cut exchanges; a startup fault seen

Cause: steps of a failover waited for periods (gap 0.8 s killed) and writes got BT216 or hung at a frozen primary.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -191,8 +191,9 @@
 }
 
 // wire joins the parts that know each other both ways.
-func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler) {
+func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles) {
 	sink.driver = driver
 	sink.keeper = keeper
 	p.Guard(driver, driver)
+	driver.OnAssigned(r.tick)
 }
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -15,11 +15,8 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// Periods of the roles system.
-const (
-	rolesPeriod    = 250 * time.Millisecond
-	controlTimeout = time.Second
-)
+// controlTimeout of one control statement.
+const controlTimeout = time.Second
 
 // roles brings the targets that this VM pools into the roles that the group rows
 // give them, and writes the first row of a group that has none.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -34,7 +34,6 @@
 	Driver    *failover.Driver
 	Prober    *liveness.Prober
 	Lister    *lister
-	Roles     *roles
 	Pooler    *pooler.Pooler
 }
 
@@ -51,7 +50,6 @@
 			go s.Driver.Run(ctx)
 			go s.Prober.Run(ctx)
 			go every(ctx, listPeriod, s.Lister.tick)
-			go every(ctx, rolesPeriod, s.Roles.tick)
 			go every(ctx, queuePeriod, func(context.Context) { s.Pooler.Tick() })
 			go every(ctx, time.Second, func(context.Context) { s.Pooler.Sweep(time.Now()) })
 			return nil
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -40,7 +40,7 @@
 	policy := retry.DefaultPolicy()
 	reached := 0
 	for attempt := 1; ; attempt++ {
-		resp, failure := s.try(ctx, req)
+		resp, failure := s.tryInTurn(ctx, req)
 		if failure == nil {
 			return resp, nil
 		}
@@ -56,24 +56,16 @@
 			return nil, decision.Err
 		}
 		s.server.o.Metrics.Retry(s.options.member, req.class.Name)
-		if !pause(ctx, min(decision.After, longestPause)) {
+		if !interrupts(failure) && !pause(ctx, decision.After) {
 			return nil, final(failure, req)
 		}
 	}
 }
 
-// longestPause bounds the wait for a group's row to change: the row may come at
-// any moment, and then the next attempt finds the new primary.
-const longestPause = 50 * time.Millisecond
-
 // reachedTarget tells attempts that count against the class's limit from those
 // that found nobody to run them.
 func reachedTarget(failure *result.Error) bool {
-	switch failure.Code {
-	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable, result.Leaving, result.AgeNotShown:
-		return false
-	}
-	return true
+	return !interrupts(failure) && failure.Code != result.AgeNotShown
 }
 
 // final is the answer when no further attempt is made. A write of unknown outcome
@@ -116,6 +108,19 @@
 	return s.o.Clock.Now().Add(time.Until(at))
 }
 
+// tryInTurn makes one attempt; a write waits while its group's primary takes none.
+func (s *caller) tryInTurn(ctx context.Context, req *request) (*peerpb.ExecuteResponse, *result.Error) {
+	if req.class.Kind != config.Write {
+		return s.try(ctx, req)
+	}
+	if failure := s.server.router.awaitPrimary(ctx, req.group); failure != nil {
+		return nil, failure
+	}
+	resp, failure := s.try(ctx, req)
+	s.server.router.noteWrite(req.group, failure)
+	return resp, failure
+}
+
 // try makes one attempt.
 func (s *caller) try(ctx context.Context, req *request) (*peerpb.ExecuteResponse, *result.Error) {
 	row := s.server.o.View.Group(req.group)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -66,6 +66,8 @@
 	random  *rand.Rand
 	budgets *retry.Budgets
 	floors  floorTable
+
+	interruptions map[topology.GroupID]*interruption
 }
 
 // Budget of retries a second of each member and class, and at once.
@@ -84,6 +86,8 @@
 		random:  rand.New(rand.NewPCG(seed, seed)),
 		budgets: retry.NewBudgets(retriesPerSecond, retryBurst),
 		floors:  newFloorTable(),
+
+		interruptions: map[topology.GroupID]*interruption{},
 	}
 }
 
--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -88,7 +88,10 @@
 	detector *authority.Detector
 	parts    map[topology.GroupID]Part
 	held     map[topology.GroupID]topology.TargetID
-	seen     map[topology.GroupID]uint64 // term last logged
+	seen     map[topology.GroupID]uint64            // term last logged
+	health   map[topology.TargetID]authority.Health // last logged
+	woken    chan struct{}
+	assigned func(context.Context)
 }
 
 // New makes a driver.
@@ -103,23 +106,35 @@
 		parts:    map[topology.GroupID]Part{},
 		held:     map[topology.GroupID]topology.TargetID{},
 		seen:     map[topology.GroupID]uint64{},
+		health:   map[topology.TargetID]authority.Health{},
+		woken:    make(chan struct{}, 1),
+		assigned: func(context.Context) {},
 	}
 }
 
+// OnAssigned names what follows each time that this VM's parts were worked out;
+// it is called before Run.
+func (d *Driver) OnAssigned(f func(context.Context)) { d.assigned = f }
+
 // Run ticks until ctx ends.
 func (d *Driver) Run(ctx context.Context) {
-	go d.loop(ctx, assignPeriod, d.assign)
-	go d.loop(ctx, statusPeriod, d.askTargets)
-	d.loop(ctx, tickPeriod, d.tick)
+	go loop(ctx, assignPeriod, d.woken, func(ctx context.Context) {
+		d.assign(ctx)
+		d.assigned(ctx)
+	})
+	go loop(ctx, statusPeriod, nil, d.askTargets)
+	loop(ctx, tickPeriod, nil, d.tick)
 }
 
-func (d *Driver) loop(ctx context.Context, period time.Duration, f func(context.Context)) {
+// loop calls f each period and whenever woken.
+func loop(ctx context.Context, period time.Duration, woken <-chan struct{}, f func(context.Context)) {
 	ticker := time.NewTicker(period)
 	defer ticker.Stop()
 	for {
 		f(ctx)
 		select {
 		case <-ticker.C:
+		case <-woken:
 		case <-ctx.Done():
 			return
 		}
@@ -150,6 +165,10 @@
 		return
 	}
 	health := d.detector.Health(row.Primary, now)
+	if d.health[row.Primary] != health {
+		d.health[row.Primary] = health
+		d.o.Log.Info("event=target_health", "group", id, "target", row.Primary, "health", health)
+	}
 	if _, ok := d.held[id]; ok {
 		d.holder.SetHealth(id, health)
 	}
@@ -260,6 +279,16 @@
 		}
 		d.observeRow(authority.RowRead{Row: row, Began: at}, now)
 	}
+	d.wake()
+}
+
+// wake has this VM's parts worked out at once instead of after a period: each
+// step of a failover would else wait for one.
+func (d *Driver) wake() {
+	select {
+	case d.woken <- struct{}{}:
+	default: // A look is due already, and it will see these rows.
+	}
 }
 
 func (d *Driver) observeRow(read authority.RowRead, now mono.Time) {
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -171,7 +171,7 @@
 		if p == nil {
 			continue
 		}
-		if CurrentSpecReport().Failed() {
+		if CurrentSpecReport().Failed() || os.Getenv("BTS_LOGS") != "" {
 			dumpLog(p)
 		}
 		p.kill()
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -73,7 +73,7 @@
 
 func dumpLog(p *process) {
 	raw, _ := os.ReadFile(p.log)
-	const most = 4000
+	const most = 20000
 	if len(raw) > most {
 		raw = raw[len(raw)-most:]
 	}
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -131,7 +131,9 @@
 		return result.New(result.TargetUnreachable, "%s: %v", tp.target.ID, err).After(verifyAfter)
 	}
 	begun := time.Now()
+	landed := p.flights.add(req, c)
 	a, failure := p.runUnit(ctx, c, req)
+	landed()
 	if failure != nil {
 		tp.discard(c)
 		p.doubtAfter(tp, failure)
@@ -166,7 +168,9 @@
 		return failure
 	}
 	begun := time.Now()
+	landed := p.flights.add(req, h.conn)
 	a, err := h.conn.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
+	landed()
 	if err != nil {
 		tp.drop(req.key)
 		tp.discard(h.conn)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -78,6 +78,7 @@
 	o        Options
 	rights   Rights
 	evidence Evidence
+	flights  flights
 
 	mu    sync.Mutex
 	pools map[topology.TargetID]*targetPool
@@ -144,8 +145,10 @@
 	}
 }
 
-// Tick answers requests whose deadline has passed in a queue.
+// Tick answers requests whose deadline has passed in a queue, and those that a
+// replaced primary will not answer.
 func (p *Pooler) Tick() {
+	p.flights.cut(p.rights)
 	for _, tp := range p.all() {
 		tp.gate.tick()
 	}
--- a/pkg/authority/detector.go
+++ b/pkg/authority/detector.go
@@ -236,3 +236,20 @@
 	p.Suspect(group, dead, now)
 	return dead
 }
+
+// String names the health as logs and status pages do.
+func (h Health) String() string {
+	switch h {
+	case Healthy:
+		return "healthy"
+	case Slow:
+		return "slow"
+	case Doubtful:
+		return "doubtful"
+	case PathDead:
+		return "path_dead"
+	case Dead:
+		return "dead"
+	}
+	return "unknown"
+}
--- a/pkg/retry/codes.go
+++ b/pkg/retry/codes.go
@@ -27,6 +27,8 @@
 	result.ReplicaBehind:     always,
 	result.PoolerUnreachable: always,
 	result.WrongPooler:       always,
+	// After a failover no replica is synced for a moment.
+	result.NoReplicaForClass: always,
 	result.ConnectionsInUse:  always,
 	result.Leaving:           always,
 	result.QueueFull:         reads,
@@ -54,6 +56,14 @@
 }
 
 // costs reports whether the attempt loaded anything, so that another one is paid
-// for by the budget. Without a primary the entry sent nothing; if that cost, a
-// failover would spend the budget in its first moment and fail every write.
-func costs(err *result.Error) bool { return err.Code != result.NoPrimary }
+// for by the budget. Attempts that found nobody to run them reached no target; if
+// they cost, a failover would spend the budget in its first moment and fail every
+// write.
+func costs(err *result.Error) bool {
+	switch err.Code {
+	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable,
+		result.TargetUnreachable, result.NoReplicaForClass, result.Leaving:
+		return false
+	}
+	return true
+}
