authority: detector keeps the usual pace of answers and probes apart

Ruled out: a fixed latency limit, which differs by place. Conclusion: two paces, slow samples weigh 1/4096.

--- a/pkg/authority/detector.go
+++ b/pkg/authority/detector.go
@@ -35,6 +35,8 @@
 	witnessWait = 150 * time.Millisecond
 	// latencyWeight is the share of one sample in the usual latency.
 	latencyWeight = 16
+	// slowLatencyWeight is the same for samples that are slow.
+	slowLatencyWeight = 4096
 )
 
 // Health is how a target looks from one VM.
@@ -91,8 +93,8 @@
 	// failing is when the earliest probe without any answer since was sent.
 	failing   mono.Time
 	failed    bool
-	usual     time.Duration
-	last      time.Duration
+	answers   pace
+	probes    pace
 	witnessAt mono.Time
 	witnessOK bool
 	witnessed bool
@@ -114,22 +116,44 @@
 // Forget removes the target.
 func (d *Detector) Forget(target topology.TargetID) { delete(d.targets, target) }
 
-// ObserveAnswer takes any answer or refusal by the target on any connection.
+// pace is how long one kind of request takes at a target. New connections take
+// longer than requests on open ones, so each kind has its own.
+type pace struct {
+	usual time.Duration
+	last  time.Duration
+}
+
+// observe takes one sample. Slow ones hardly move what counts as usual: a target
+// that stays slow must not become the measure of itself within seconds.
+func (p *pace) observe(d time.Duration) {
+	p.last = d
+	if p.usual == 0 {
+		p.usual = d
+	}
+	weight := time.Duration(latencyWeight)
+	if p.slow() {
+		weight = slowLatencyWeight
+	}
+	p.usual += (d - p.usual) / weight
+}
+
+func (p *pace) slow() bool { return p.usual > 0 && p.last > SlowFactor*p.usual }
+
+// ObserveAnswer takes any answer or refusal by the target on an open connection.
 func (d *Detector) ObserveAnswer(target topology.TargetID, latency time.Duration, now mono.Time) {
-	w, ok := d.targets[target]
-	if !ok {
-		return
+	if w, ok := d.targets[target]; ok {
+		w.answers.observe(latency)
+		w.alive(now)
 	}
+}
+
+// alive forgets what counted against the target.
+func (w *watched) alive(now mono.Time) {
 	w.answered = now
 	w.doubted = false
 	w.failed = false
 	w.refusals = 0
 	w.timeouts = 0
-	w.last = latency
-	if w.usual == 0 {
-		w.usual = latency
-	}
-	w.usual += (latency - w.usual) / latencyWeight
 }
 
 // Doubt has the target probed at once: a connection broke, an answer is overdue
@@ -149,7 +173,8 @@
 		return
 	}
 	if outcome == ProbeAnswered {
-		d.ObserveAnswer(target, now.Sub(sent), now)
+		w.probes.observe(now.Sub(sent))
+		w.alive(now)
 		return
 	}
 	if sent.Before(w.answered) {
@@ -202,7 +227,7 @@
 		return HealthUnknown
 	}
 	if !w.failed {
-		if w.usual > 0 && w.last > SlowFactor*w.usual {
+		if w.answers.slow() || w.probes.slow() {
 			return Slow
 		}
 		return Healthy
