authority: settlements outlive attempts; own commits count as platform reads

Cause: a promoter counted MaxOutage from each attempt's start, and a holder whose commit's answer was lost could not use its own row while the platform was down. Ruled out: n/a. Conclusion: proofs stay true within a term; the first try of a commit is an instant at which the row was current.

--- a/pkg/authority/holder.go
+++ b/pkg/authority/holder.go
@@ -176,6 +176,12 @@
 	}
 	g.now = relied{row: row.Clone()}
 	g.learned = now
+	if own := g.proposal; own != nil && own.row.ChangeID == row.ChangeID {
+		// The answer to this VM's own commit was lost, and a peer brought the row:
+		// it was the current one after the first try, with no platform to ask.
+		g.now.asOf = own.first
+		g.now.known = true
+	}
 	g.settlement.note(row, now)
 	g.granted = map[topology.VMID]mono.Time{}
 	for _, p := range row.Promoters {
--- a/pkg/authority/promoter.go
+++ b/pkg/authority/promoter.go
@@ -38,15 +38,17 @@
 	// withdrawn: no promise is given under this version and earlier ones.
 	withdrawn uint64
 	attempt   *attempt
-	suspected bool
-	since     mono.Time
-	health    Health
-	heard     mono.Time
-	promoted  []mono.Time
-	status    ReplicaStatus
-	joining   *proposal
-	notBefore mono.Time
-	positions map[topology.VMID]position.Position
+	// settlement outlives attempts: what it gathered stays true.
+	settlement settlement
+	suspected  bool
+	since      mono.Time
+	health     Health
+	heard      mono.Time
+	promoted   []mono.Time
+	status     ReplicaStatus
+	joining    *proposal
+	notBefore  mono.Time
+	positions  map[topology.VMID]position.Position
 }
 
 // NewPromoter returns an empty table of a VM that started at started.
@@ -63,7 +65,7 @@
 func (p *Promoter) standing(group topology.GroupID) *standing {
 	s, ok := p.groups[group]
 	if !ok {
-		s = &standing{positions: map[topology.VMID]position.Position{}}
+		s = &standing{settlement: newSettlement(), positions: map[topology.VMID]position.Position{}}
 		p.groups[group] = s
 	}
 	return s
@@ -99,8 +101,10 @@
 	if s.row != nil && row.Term > s.row.Term {
 		s.promoted = append(s.promoted, now)
 		s.suspected = false
+		s.settlement = newSettlement()
 	}
 	s.row = row.Clone()
+	s.settlement.note(row, now)
 	if s.attempt != nil {
 		s.attempt.over = true
 	}
--- a/pkg/authority/promotion.go
+++ b/pkg/authority/promotion.go
@@ -40,7 +40,6 @@
 	fenceAsked   bool
 	end          position.Position
 	answered     map[topology.VMID]bool
-	settlement   settlement
 	proposal     *proposal
 }
 
@@ -65,7 +64,7 @@
 }
 
 func (p *Promoter) newAttempt(s *standing, now mono.Time) *attempt {
-	a := &attempt{began: now, answered: map[topology.VMID]bool{}, settlement: newSettlement()}
+	a := &attempt{began: now, answered: map[topology.VMID]bool{}}
 	a.before = s.withdrawn
 	return a
 }
@@ -101,7 +100,6 @@
 		s.attempt = p.newAttempt(s, now)
 	}
 	a := s.attempt
-	a.settlement.note(s.row, now)
 	if a.over || p.givenUp(s, now) {
 		return p.drop(s, now)
 	}
@@ -250,11 +248,8 @@
 // ObserveWithdraw takes the answer of a VM to a SendWithdraw of this table.
 func (p *Promoter) ObserveWithdraw(from topology.VMID, r WithdrawResponse, now mono.Time) {
 	s := p.standing(r.Group)
-	if s.attempt == nil {
-		return
-	}
-	s.attempt.settlement.observe(&p.opts, r, now)
-	if r.ReplicaReachable {
+	s.settlement.observe(&p.opts, r, now)
+	if s.attempt != nil && r.ReplicaReachable {
 		s.positions[from] = r.Position
 		s.attempt.answered[from] = true
 	}
@@ -303,7 +298,7 @@
 	if len(s.row.Unsettled) == 0 {
 		return nil
 	}
-	return s.attempt.settlement.ask(&p.opts, s.row, now)
+	return s.settlement.ask(&p.opts, s.row, now)
 }
 
 // unsettledDone: this VM speaks for the lists that it was in, another member for
@@ -316,7 +311,7 @@
 		if _, own := p.member(l.Promoters); own {
 			continue
 		}
-		if _, ok := s.attempt.settlement.provenAt(&p.opts, l.Version, now); !ok {
+		if _, ok := s.settlement.provenAt(&p.opts, l.Version, now); !ok {
 			return false
 		}
 	}
--- a/pkg/authority/proposal.go
+++ b/pkg/authority/proposal.go
@@ -10,8 +10,10 @@
 
 // proposal is one change of a row on its way to the table.
 type proposal struct {
-	row  *topology.Group
-	sent mono.Time
+	row *topology.Group
+	// first and sent are when the first and the latest try went out.
+	first mono.Time
+	sent  mono.Time
 	// open counts the tries that may still take effect.
 	open  int
 	again bool
@@ -29,6 +31,9 @@
 	if p.sent != 0 && now.Sub(p.sent) < wait {
 		return false
 	}
+	if p.first == 0 {
+		p.first = now
+	}
 	p.open++
 	p.again = false
 	p.sent = now
