--- a/pkg/authority/holder_systems.go
+++ b/pkg/authority/holder_systems.go
@@ -214,10 +214,18 @@
 	return HeartbeatRequest{VM: h.self.ID, Incarnation: h.self.Incarnation, Sequence: h.sequence, Promises: promises}
 }
 
-// confirmRow asks for a platform read that shows the row as current.
+// confirmRow asks for a platform read that shows the row as current. Failure: the
+// platform returns from an outage and meets the repeated reads of every group;
+// they are urgent only where the right waits for them.
 func (h *Holder) confirmRow(id topology.GroupID, g *held, now mono.Time) []Action {
-	fresh := g.now.known && now.Sub(g.now.asOf) < h.opts.ConfirmRowEvery
-	if fresh || (g.readAsked != 0 && now.Sub(g.readAsked) < h.opts.RetryEvery) {
+	if g.now.known && now.Sub(g.now.asOf) < h.opts.ConfirmRowEvery {
+		return nil
+	}
+	every := h.opts.RetryEvery
+	if g.now.known {
+		every = h.opts.ConfirmRowEvery / 4
+	}
+	if g.readAsked != 0 && now.Sub(g.readAsked) < every {
 		return nil
 	}
 	g.readAsked = now
