Failover: exchanges with a replaced primary are cut by the group's row

Cause: with the primary frozen the caller's write hung to its deadline: the pooler dropped its part before it asked for the right, which then said 'not pooled here' instead of 'other term'.

--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -163,6 +163,10 @@
 }
 
 func (d *deployment) end() {
+	if CurrentSpecReport().Failed() {
+		raw, _ := json.Marshal(d.row())
+		fmt.Fprintf(GinkgoWriter, "--- row\n%s\n", raw)
+	}
 	all := append([]*process{d.platform}, d.proxies...)
 	for _, p := range d.databases {
 		all = append(all, p)
--- a/internal/integration/failover_test.go
+++ b/internal/integration/failover_test.go
@@ -26,17 +26,18 @@
 	return g
 }
 
-// settled waits until both replicas are synced, as a waiting class needs.
+// settled waits until both replicas are synced and no earlier list counts any more.
 func (d *deployment) settled() {
-	Eventually(func() int {
+	Eventually(func() bool {
+		row := d.row()
 		synced := 0
-		for _, p := range d.row().Promoters {
+		for _, p := range row.Promoters {
 			if p.Synced {
 				synced++
 			}
 		}
-		return synced
-	}).WithTimeout(15 * time.Second).Should(Equal(2))
+		return synced == 2 && len(row.Unsettled) == 0
+	}).WithTimeout(15 * time.Second).Should(BeTrue())
 }
 
 var _ = Describe("Failover", func() {
--- a/internal/pooler/inflight.go
+++ b/internal/pooler/inflight.go
@@ -4,7 +4,6 @@
 	"sync"
 	"time"
 
-	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -43,21 +42,11 @@
 // cut ends the exchanges whose group has gone on to another term. A frozen
 // primary would hold them to their deadlines; its answer could not be
 // acknowledged any more, so the caller is told at once that it is unknown.
-func (f *flights) cut(rights Rights) {
+func (f *flights) cut(d Directory) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	replaced := map[topology.GroupID]uint64{}
 	for fl := range f.open {
-		if replaced[fl.group] == fl.term {
-			continue
-		}
-		_, failure := rights.Right(fl.group, fl.term)
-		if failure != nil && failure.Code == result.TermRefused {
-			replaced[fl.group] = fl.term
-		}
-	}
-	for fl := range f.open {
-		if replaced[fl.group] == fl.term {
+		if row := d.Group(fl.group); row != nil && row.Term > fl.term {
 			_ = fl.conn.net.SetDeadline(time.Now())
 		}
 	}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -48,6 +48,8 @@
 type Directory interface {
 	Target(id topology.TargetID) (TargetLimits, bool)
 	Class(service, class string) (ClassLimits, bool)
+	// Group returns the newest known row of a group, or nil.
+	Group(id topology.GroupID) *topology.Group
 	// Admission returns the limits of a target's queue as the preset has them.
 	Admission(id topology.TargetID) admission.Limits
 }
@@ -148,7 +150,7 @@
 // Tick answers requests whose deadline has passed in a queue, and those that a
 // replaced primary will not answer.
 func (p *Pooler) Tick() {
-	p.flights.cut(p.rights)
+	p.flights.cut(p.o.Directory)
 	for _, tp := range p.all() {
 		tp.gate.tick()
 	}
