Failover over cut links: requests to a replaced primary end with its term

Cause: behind a cut the entry's request waited for a pooler that could not answer any more: gap 10.0 s (the client's time-out). Ruled out: the promotion itself (done within 3 s in the log).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -191,9 +191,10 @@
 }
 
 // wire joins the parts that know each other both ways.
-func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles) {
+func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
 	sink.driver = driver
 	sink.keeper = keeper
+	sink.entry = e
 	p.Guard(driver, driver)
 	driver.OnAssigned(r.tick)
 }
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
@@ -44,6 +45,7 @@
 	view   *view.View
 	driver *failover.Driver
 	keeper *configKeeper
+	entry  *entry.Server
 	log    *slog.Logger
 }
 
@@ -55,6 +57,9 @@
 	if s.driver != nil && len(groups) > 0 {
 		s.driver.ObserveRows(groups, began)
 	}
+	if s.entry != nil {
+		s.entry.GroupsChanged(groups)
+	}
 	if s.keeper != nil {
 		s.keeper.changed()
 	}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -213,6 +213,9 @@
 
 // hop carries the request to the pooler's VM and its answer back.
 func (s *caller) hop(ctx context.Context, req *request, d destination, inTransaction bool) (*peerpb.ExecuteResponse, *result.Error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.server.hops.add(req.group, d.term, cancel)()
 	msg := s.message(ctx, req, d, inTransaction)
 	resp, err := s.server.o.Peers.Get(d.pooler).Execute(ctx, msg)
 	if err != nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -34,6 +34,7 @@
 type Server struct {
 	o      Options
 	router *router
+	hops   hops
 	hopID  atomic.Uint64
 	number atomic.Uint64
 
