--- a/internal/load/gap.go
+++ b/internal/load/gap.go
@@ -11,7 +11,8 @@
 	// Fault that it is counted from, and when it came.
 	Fault string        `json:"fault"`
 	At    time.Duration `json:"at_ns"`
-	// Length of the longest time without a completed write that ends after the fault.
+	// Length of the longest time without a completed write that ends after the
+	// fault and began before the next one.
 	Length time.Duration `json:"length_ns"`
 	// Open: no write completed any more, so the length is a lower bound.
 	Open bool `json:"open"`
@@ -23,25 +24,30 @@
 	FirstSuccess *time.Duration `json:"first_success_ns,omitempty"`
 }
 
-// measureGap looks at the completed and refused writes of a group from start,
-// when measuring begins, to end, when the load stops.
-func measureGap(completed, refused []time.Duration, start, at, end time.Duration) Gap {
+// span is when a fault counts: from start, when measuring begins, over the fault
+// itself and until the next one, to end, when the load stops.
+type span struct{ start, at, next, end time.Duration }
+
+// measureGap looks at the completed and refused writes of a group.
+func measureGap(completed, refused []time.Duration, s span) Gap {
 	completed, refused = slices.Sorted(slices.Values(completed)), slices.Sorted(slices.Values(refused))
-	g := Gap{At: at, FirstRefusal: firstAfter(refused, at), FirstSuccess: firstAfter(completed, at)}
-	last := start
+	g := Gap{At: s.at, FirstRefusal: firstAfter(refused, s.at), FirstSuccess: firstAfter(completed, s.at)}
+	last := s.start
 	for _, done := range completed {
-		length := done - last
-		switch {
-		case done < start:
+		if done < s.start {
 			continue
-		case done < at:
-			g.Usual = max(g.Usual, length)
-		default:
-			g.Length = max(g.Length, length)
+		}
+		if last >= s.next {
+			return g
+		}
+		if done < s.at {
+			g.Usual = max(g.Usual, done-last)
+		} else {
+			g.Length = max(g.Length, done-last)
 		}
 		last = done
 	}
-	if rest := end - last; rest > max(g.Length, g.Usual) {
+	if rest := s.end - last; last < s.next && rest > max(g.Length, g.Usual) {
 		g.Length, g.Open = rest, true
 	}
 	return g
--- a/internal/load/injector.go
+++ b/internal/load/injector.go
@@ -28,6 +28,9 @@
 	gap bool
 }
 
+// stops reports whether writes may stop by the fault, which did happen.
+func (n *Injection) stops() bool { return n.gap && n.Error == "" }
+
 // injector carries out the fault plan.
 type injector struct {
 	conf      *config.View
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -104,22 +104,34 @@
 	for _, key := range sortedKeys(r.stats.classes) {
 		report.Classes = append(report.Classes, r.stats.classes[key].report(key, measured))
 	}
-	for _, n := range injections {
-		if n.gap && n.Error == "" {
-			report.Gaps = append(report.Gaps, r.gapsOf(n, first)...)
+	for n, injection := range injections {
+		if !injection.stops() {
+			continue
 		}
+		at := span{start: first.WarmUp.Std(), at: injection.At, next: nextFault(injections[n+1:], loaded), end: first.Duration.Std()}
+		report.Gaps = append(report.Gaps, r.gapsOf(injection, at)...)
 	}
 	return report
 }
 
+// nextFault is when the next fault came that may stop writes.
+func nextFault(later []Injection, end time.Duration) time.Duration {
+	for _, n := range later {
+		if n.stops() {
+			return n.At
+		}
+	}
+	return end
+}
+
 // gapsOf measures the group that the fault hit, or every group.
-func (r *run) gapsOf(n Injection, p Profile) []Gap {
+func (r *run) gapsOf(n Injection, s span) []Gap {
 	var gaps []Gap
 	for _, group := range r.groupNames() {
 		if n.Group != "" && n.Group != group {
 			continue
 		}
-		g := measureGap(r.stats.writes[group], r.stats.refusal[group], p.WarmUp.Std(), n.At, p.Duration.Std())
+		g := measureGap(r.stats.writes[group], r.stats.refusal[group], s)
 		g.Group, g.Fault = group, n.Fault
 		gaps = append(gaps, g)
 	}
--- a/internal/load/report_test.go
+++ b/internal/load/report_test.go
@@ -25,8 +25,10 @@
 }
 
 var _ = Describe("The failover gap", func() {
+	whole := span{start: time.Second, at: 5 * time.Second, next: 10 * time.Second, end: 10 * time.Second}
+
 	It("is the longest time without a completed write that ends after the fault", func() {
-		g := measureGap(seconds(4.5, 1, 2, 4.9, 7, 7.1, 9), seconds(5.2), time.Second, 5*time.Second, 10*time.Second)
+		g := measureGap(seconds(4.5, 1, 2, 4.9, 7, 7.1, 9), seconds(5.2), whole)
 		Expect(g.Length).To(Equal(2100 * time.Millisecond))
 		Expect(g.Usual).To(Equal(2500 * time.Millisecond))
 		Expect(g.Open).To(BeFalse())
@@ -34,8 +36,15 @@
 		Expect(*g.FirstSuccess).To(Equal(2 * time.Second))
 	})
 
+	It("leaves to the next fault what began after it", func() {
+		until := whole
+		until.next = 6 * time.Second
+		g := measureGap(seconds(4.9, 5.5, 6.1, 9), nil, until)
+		Expect(g.Length).To(Equal(600 * time.Millisecond))
+	})
+
 	It("is open when no write completes any more", func() {
-		g := measureGap(seconds(1, 2, 3, 4), nil, 0, 4500*time.Millisecond, 20*time.Second)
+		g := measureGap(seconds(1, 2, 3, 4), nil, span{at: 4500 * time.Millisecond, next: 20 * time.Second, end: 20 * time.Second})
 		Expect(g.Open).To(BeTrue())
 		Expect(g.Length).To(Equal(16 * time.Second))
 		Expect(g.FirstSuccess).To(BeNil())
