--- a/internal/load/member.go
+++ b/internal/load/member.go
@@ -18,6 +18,7 @@
 	run         *run
 	profile     *Profile
 	sessions    []*session
+	proxies     *balancer
 	idle        chan *session
 	outstanding chan struct{}
 	wait        sync.WaitGroup
@@ -29,6 +30,7 @@
 func newMemberLoad(r *run, p *Profile) *memberLoad {
 	m := &memberLoad{
 		run:         r,
+		proxies:     newBalancer(len(p.Proxies)),
 		profile:     p,
 		outstanding: make(chan struct{}, p.MaxOutstanding),
 		idle:        make(chan *session, p.sessionCount()),
@@ -37,7 +39,7 @@
 	for _, g := range p.Sessions {
 		for range g.Count {
 			n := len(m.sessions)
-			s := newSession(p, m.prefix+p.Member+"-"+strconv.Itoa(n), g, uint64(n)+1)
+			s := newSession(p, m.proxies, m.prefix+p.Member+"-"+strconv.Itoa(n), g, uint64(n)+1)
 			m.sessions = append(m.sessions, s)
 			m.idle <- s
 		}
@@ -111,6 +113,22 @@
 	s := <-m.idle
 	defer func() { m.idle <- s }()
 	r := m.record(s, c, op, due)
+	m.send(s, c, r)
+	if op == PutOwn && r.Outcome == Completed && s.rng.Float64() < c.ReadBackShare {
+		m.readOwn(s, c.ReadBack, r.Key)
+	}
+}
+
+// readOwn reads what the session has just written.
+func (m *memberLoad) readOwn(s *session, class, key string) {
+	c := ClassLoad{Name: class}
+	r := m.record(s, c, GetOwn, m.run.since())
+	r.Key = key
+	r.Group, _ = m.run.o.Config.GroupOf(m.profile.Service, key)
+	m.send(s, c, r)
+}
+
+func (m *memberLoad) send(s *session, c ClassLoad, r *Record) {
 	s.send(r, c, m.run.since)
 	m.run.history.Add(*r)
 	m.run.stats.add(r)
