--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -120,12 +120,13 @@
 	maxResult       = 8 << 20
 )
 
-func newPooler(d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
+func newPooler(s Settings, d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
 		Dialer:          d,
 		Directory:       v,
 		Clock:           clock,
 		Log:             log,
+		FirstCome:       s.Baseline != "",
 		TransactionIdle: transactionIdle,
 		MaxResult:       maxResult,
 		Metrics:         m,
@@ -181,12 +182,13 @@
 		return nil, err
 	}
 	return entry.New(entry.Options{
-		View:    p.View,
-		Peers:   p.Peers,
-		Clock:   p.Clock,
-		Keys:    keys,
-		Metrics: p.Metrics,
-		Log:     p.Log,
+		View:     p.View,
+		Peers:    p.Peers,
+		Clock:    p.Clock,
+		Keys:     keys,
+		Baseline: p.Settings.Baseline,
+		Metrics:  p.Metrics,
+		Log:      p.Log,
 	}), nil
 }
 
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/session"
@@ -38,6 +39,9 @@
 	// the same. TokenKey is the id that new tokens are signed with.
 	TokenKeys map[session.KeyID]string `json:"token_keys"`
 	TokenKey  session.KeyID            `json:"token_key"`
+	// Baseline replaces routing and admission by simpler ones to measure against:
+	// primary_only or random_replica, both first come first served. Empty in earnest.
+	Baseline entry.Baseline `json:"baseline"`
 	// CheckInvariants has a broken invariant end the process instead of being
 	// carried on with.
 	CheckInvariants bool `json:"check_invariants"`
@@ -56,6 +60,9 @@
 }
 
 func (s *Settings) check() error {
+	if s.Baseline != "" && s.Baseline != entry.PrimaryOnly && s.Baseline != entry.RandomReplica {
+		return result.New(result.ConfigInvalid, "baseline: %q is neither %s nor %s", s.Baseline, entry.PrimaryOnly, entry.RandomReplica)
+	}
 	for name, value := range map[string]string{
 		"vm": string(s.VM), "data_centre": string(s.DataCentre), "platform_url": s.PlatformURL,
 	} {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -127,6 +127,13 @@
 	if row == nil {
 		return nil, result.New(result.NoPrimary, "%s", req.group).After(comeBack)
 	}
+	if b := s.server.o.Baseline; b != "" {
+		d, failure := s.server.router.chooseBaseline(b, row, req.class.Kind == config.Write)
+		if failure != nil {
+			return nil, failure
+		}
+		return s.attempt(ctx, req, d, false)
+	}
 	need, failure := s.need(ctx, req, row)
 	if failure != nil {
 		return nil, failure
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -23,6 +23,8 @@
 	View  *view.View
 	Peers *peers.Table
 	Clock mono.Clock
+	// Baseline is for measurements only.
+	Baseline Baseline
 	// Keys sign the sessions' tokens.
 	Keys *session.KeyRing
 	Log  *slog.Logger
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -50,7 +50,7 @@
 		group:          topology.GroupID(in.Group),
 	}
 	begun := time.Now()
-	slot, err := tp.gate.enter(ctx, admissionRequest(req))
+	slot, err := tp.gate.enter(ctx, p.admissionRequest(req))
 	if err != nil {
 		return err
 	}
@@ -74,7 +74,10 @@
 
 // admissionRequest says what the queue weighs. A read at the primary comes after
 // the writes of its priority: it could have run elsewhere.
-func admissionRequest(req *request) admission.Request {
+func (p *Pooler) admissionRequest(req *request) admission.Request {
+	if p.o.FirstCome {
+		return admission.Request{Member: req.Member, Class: req.Class, Priority: admission.Normal}
+	}
 	r := admission.Request{
 		Member:     req.Member,
 		Class:      req.Class,
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -67,6 +67,8 @@
 	Directory Directory
 	Clock     mono.Clock
 	Log       *slog.Logger
+	// FirstCome serves requests in the order of their arrival: a baseline.
+	FirstCome bool
 	// TransactionIdle is how long a transaction may sit idle.
 	TransactionIdle time.Duration
 	// MaxResult bounds one answer in bytes.
