authority: a handover ends no right and unsyncs no replica

A holder that has just taken over judged replicas by samples younger than the positions that promoters report each 250 ms, took all for lagging and unsynced them. And two changes of the list in a row dropped the version under which writes were under way before the next one was promised. Ruled out: retrying 1216 at the entry; a transaction's statement can't be. Conclusion: the older version is safe to keep, since its list stays unsettled while promises under it stand.

--- a/pkg/authority/holder.go
+++ b/pkg/authority/holder.go
@@ -164,10 +164,7 @@
 		return
 	}
 	h.opts.checkSuccessor(g.now.row, row)
-	g.prev = relied{}
-	if g.now.row != nil && g.now.row.Term == row.Term {
-		g.prev = g.now
-	}
+	g.prev = h.previous(g, row, now)
 	if g.now.row == nil || g.now.row.Term != row.Term {
 		g.drain = nil
 		g.settlement = newSettlement()
@@ -192,6 +189,23 @@
 	g.urgent = true
 }
 
+// previous picks the version whose right is kept while promises under row are
+// asked for: the newest under which one stands. Failure: two changes of the list
+// follow each other before the first is promised, as in a handover, and a write
+// under way loses its right although nobody withdrew it. The older list is
+// unsettled as long as promises under it may stand, so promotions count with it.
+func (h *Holder) previous(g *held, row *topology.Group, now mono.Time) relied {
+	if g.now.row == nil || g.now.row.Term != row.Term {
+		return relied{}
+	}
+	_, nowStands := h.until(g, g.now, now)
+	_, prevStands := h.until(g, g.prev, now)
+	if prevStands && !nowStands {
+		return g.prev
+	}
+	return g.now
+}
+
 // until returns when the right under one version ends, and whether it stands.
 func (h *Holder) until(g *held, r relied, now mono.Time) (mono.Time, bool) {
 	if r.row == nil || !r.known || r.row.Primary != g.target || r.row.Version <= h.released[r.row.ID].version {
--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -157,7 +158,16 @@
 		return v.reachable && now.Sub(v.at) < freshPrimary && g.holdsSince(p.Replica, now.Add(-freshPrimary))
 	}
 	sampled := len(g.primary) > 0 && now.Sub(g.primary[len(g.primary)-1].began) < freshPrimary/2
-	return !sampled || g.holdsSince(p.Replica, now.Add(-unsyncAfter))
+	return !sampled || !g.watchedFor(unsyncAfter, now) || g.holdsSince(p.Replica, now.Add(-unsyncAfter))
+}
+
+// watchedFor reports whether the primary's samples reach back for d. Those of a
+// holder that has just taken over do not, and positions of replicas are older
+// than they: were all replicas taken for lagging, classes that wait would find
+// none right after a handover. To wait for one that does lag costs time, never
+// a write.
+func (g *held) watchedFor(d time.Duration, now mono.Time) bool {
+	return len(g.primary) > 0 && !g.primary[0].began.After(now.Add(-d))
 }
 
 // holdsSince reports whether the replica holds a position that the primary had
