membership: one slow answer moves no pooler

Cause: the first failed attempt made a VM suspect, and only live ones are chosen; a pause of 300 ms moved all its targets away and back. A suspect VM now stays chosen until it refuses a connection or two attempts that began 250 ms apart stay unanswered. Ruled out: a longer time-out of the attempts, which would delay real deaths more.

--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -24,6 +24,12 @@
 	// RefusedToDead is the same for connections that its VM refuses: nothing
 	// listens there, so only a restart has to be waited for.
 	RefusedToDead = 300 * time.Millisecond
+	// SilenceToAvoid is how far apart two unanswered attempts must have begun
+	// before a suspect VM is chosen for nothing. Failure: one slow answer moves
+	// the pooler of many targets away and, with the next answer, back; each move
+	// costs new connections and promises. A process that pauses for up to this
+	// long and the time-out of an attempt answers the second one.
+	SilenceToAvoid = 250 * time.Millisecond
 	// EvidenceFresh is how long a sign of life outweighs that the list lacks
 	// the VM.
 	EvidenceFresh = 10 * time.Second
@@ -94,6 +100,15 @@
 	State State
 	// Since is when the state began.
 	Since mono.Time
+	// Avoided: a suspect VM that is chosen for nothing: it refused a connection,
+	// or stayed silent for SilenceToAvoid.
+	Avoided bool
+}
+
+// choosable reports whether the VM may be given work. One failed attempt makes a
+// VM suspect, and so probed, but does not move its work.
+func (s Status) choosable() bool {
+	return s.State == Live || s.State == Suspect && !s.Avoided
 }
 
 // entry is one row of the table.
@@ -227,7 +242,10 @@
 	if e.State == Leaving {
 		return false
 	}
-	return e.become(Suspect, ev.At)
+	avoided := ev.Kind == ConnectionRefused || ev.At.Sub(e.troubleSince) >= SilenceToAvoid
+	newlyAvoided := avoided && !e.Avoided
+	e.Avoided = e.Avoided || avoided
+	return e.become(Suspect, ev.At) || newlyAvoided
 }
 
 // settle makes an entry without failed attempts live or leaving. Leaving sticks to the
@@ -248,5 +266,8 @@
 		return false
 	}
 	e.State, e.Since = s, now
+	if s != Suspect {
+		e.Avoided = false
+	}
 	return true
 }
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -40,12 +40,13 @@
 	hash        uint64
 }
 
-// View takes the live VMs, without leaving and suspect ones. regions gives each
+// View takes the VMs that may be given work: live ones, and suspect ones until
+// their silence has lasted. regions gives each
 // data centre's region, also of those without a VM.
 func (t *Table) View(regions map[topology.DataCentre]string) *View {
 	v := &View{regions: regions, centres: map[topology.DataCentre]*centre{}}
 	for _, e := range t.entries {
-		if e.State == Live {
+		if e.choosable() {
 			v.add(e.VM)
 		}
 	}
