Leaving targets and planned stops cut no request

Targets take a mark 'leaving' in the configuration: reads avoid them, poolers refuse new work for them, promoters' lists leave them out, and a primary is switched over after its open requests and transactions have ended. Before: idle sessions got FATAL at once, also with a request on its way; the stop did not wait for statements under way or the promoters' lists.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,9 +24,6 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// drainTime bounds a planned stop.
-const drainTime = 30 * time.Second
-
 // New builds the daemon's application from its settings.
 func New(s Settings) *fx.App {
 	return fx.New(
@@ -50,13 +47,14 @@
 			newProber,
 			newLister,
 			newRoles,
+			newLeaver,
 			newEntry,
 			metrics.Provide,
 			metrics.NewEntry,
 			metrics.NewPooler,
 		),
 		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
-		fx.StopTimeout(drainTime+time.Second),
+		fx.StopTimeout(longestStop),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/failover"
@@ -58,8 +59,9 @@
 // condition that there is none makes a second writer lose.
 func (r *roles) create(ctx context.Context, conf *config.View, part failover.Part) {
 	g, _ := conf.Group(part.Group)
-	first := g.Targets[0].ID
-	if !contains(part.Targets, first) {
+	staying := slices.DeleteFunc(slices.Clone(g.Targets), func(t config.Target) bool { return t.Leaving })
+	first := staying[0].ID // A document whose targets all leave is refused.
+	if !slices.Contains(part.Targets, first) {
 		return
 	}
 	row := topology.Group{ID: part.Group, Version: 1, Term: 1, Primary: first, ChangeID: "create/" + string(r.view.Self().ID)}
@@ -69,7 +71,7 @@
 			row.Promoters = append(row.Promoters, c)
 		}
 	}
-	if len(row.Promoters) < len(g.Targets)-1 {
+	if len(row.Promoters) < len(staying)-1 {
 		return // The list is never empty, so the group waits for its VMs.
 	}
 	value, err := json.Marshal(row)
@@ -88,15 +90,6 @@
 	r.log.Info("event=group_created", "group", part.Group, "primary", first, "committed", out.Committed, "error", err)
 }
 
-func contains(ids []topology.TargetID, id topology.TargetID) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 // assign gives a target the role that the row has for it. A replica that this VM
 // is promoting is left alone: it is fenced on purpose.
 func (r *roles) assign(ctx context.Context, conf *config.View, row *topology.Group, id topology.TargetID) {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -9,7 +9,6 @@
 
 	"go.uber.org/fx"
 
-	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/liveness"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
@@ -35,6 +34,7 @@
 	Prober    *liveness.Prober
 	Lister    *lister
 	Roles     *roles
+	Leaver    *leaver
 	Pooler    *pooler.Pooler
 }
 
@@ -52,6 +52,7 @@
 			go s.Prober.Run(ctx)
 			go every(ctx, listPeriod, s.Lister.tick)
 			go every(ctx, rolesPeriod, s.Roles.tick)
+			go every(ctx, leaverPeriod, s.Leaver.tick)
 			go every(ctx, queuePeriod, func(context.Context) { s.Pooler.Tick() })
 			go every(ctx, time.Second, func(context.Context) { s.Pooler.Sweep(time.Now()) })
 			return nil
@@ -119,55 +120,3 @@
 		},
 	})
 }
-
-type callerParts struct {
-	fx.In
-	Lifecycle fx.Lifecycle
-	Settings  Settings
-	Entry     *entry.Server
-	View      *view.View
-	Lister    *lister
-	Pooler    *pooler.Pooler
-	Log       *slog.Logger
-}
-
-// serveCallers accepts sessions; a planned stop drains them before the peers'
-// server goes, since their last requests may run on this VM's own targets.
-func serveCallers(p callerParts) {
-	var l net.Listener
-	p.Lifecycle.Append(fx.Hook{
-		OnStart: func(context.Context) (err error) {
-			l, err = net.Listen("tcp", p.Settings.CallerAddress)
-			if err != nil {
-				return err
-			}
-			p.Log.Info("event=callers_served", "address", p.Settings.CallerAddress)
-			go func() { _ = p.Entry.Serve(l) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			p.leave(ctx)
-			l.Close()
-			return nil
-		},
-	})
-}
-
-// handOver is how long the others have to notice the leaving mark, which rides
-// on every answer, before this VM stops to answer.
-const handOver = time.Second
-
-// leave ends this VM's work in order: nothing new is given to it, what runs is
-// finished, the peers have had time to turn elsewhere.
-func (p *callerParts) leave(ctx context.Context) {
-	begun := time.Now()
-	p.View.Leave()
-	p.Lister.tick(ctx)
-	p.Log.Info("event=leaving", "sessions", p.Entry.Sessions())
-	p.Entry.Drain(ctx)
-	p.Pooler.Drain(ctx)
-	if rest := handOver - time.Since(begun); rest > 0 {
-		time.Sleep(rest)
-	}
-	p.Log.Info("event=left", "took", time.Since(begun))
-}
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -74,8 +74,7 @@
 func (l *lister) tick(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listPeriod)
 	defer cancel()
-	if err := l.platform.Register(ctx, l.view.Self()); err != nil {
-		l.log.Debug("event=platform_unreachable", "error", err)
+	if !l.register(ctx) {
 		return
 	}
 	vms, err := l.platform.List(ctx)
@@ -85,3 +84,14 @@
 	}
 	l.view.SetList(vms)
 }
+
+// register makes this VM known to the platform's list.
+func (l *lister) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listPeriod)
+	defer cancel()
+	if err := l.platform.Register(ctx, l.view.Self()); err != nil {
+		l.log.Debug("event=platform_unreachable", "error", err)
+		return false
+	}
+	return true
+}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -152,7 +152,11 @@
 		QueueLength: e.queue,
 		InFlight:    e.inFlight,
 	}
-	if e.failed && now.Sub(e.failedAt) < suspectFor {
+	switch {
+	case t.Leaving && !c.Primary:
+		c.State = routing.Leaving
+	case t.Leaving, e.failed && now.Sub(e.failedAt) < suspectFor:
+		// A leaving primary still takes writes until its successor is promoted.
 		c.State = routing.Suspect
 	}
 	return c
@@ -211,7 +215,7 @@
 		} else {
 			g.fresh.MarkBehind(target, position.Position{}, now)
 		}
-	case result.TargetUnreachable, result.TargetSilent, result.PoolerUnreachable, result.OutcomeUnknown:
+	case result.TargetUnreachable, result.TargetSilent, result.PoolerUnreachable, result.OutcomeUnknown, result.Leaving:
 		e.failed = true
 		e.failedAt = now
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -3,7 +3,6 @@
 package entry
 
 import (
-	"context"
 	"errors"
 	"log/slog"
 	"net"
@@ -125,27 +124,3 @@
 	defer s.mu.Unlock()
 	return len(s.sessions)
 }
-
-// Drain refuses new sessions, ends idle ones and waits until those in a
-// transaction have finished it or ctx ends.
-func (s *Server) Drain(ctx context.Context) {
-	s.mu.Lock()
-	s.leaving = true
-	open := make([]*caller, 0, len(s.sessions))
-	for _, sess := range s.sessions {
-		open = append(open, sess)
-	}
-	s.mu.Unlock()
-	for _, sess := range open {
-		sess.leaveWhenIdle()
-	}
-	done := make(chan struct{})
-	go func() {
-		s.wait.Wait()
-		close(done)
-	}()
-	select {
-	case <-done:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -39,10 +39,12 @@
 	tx       *transaction
 	session  *session.Session
 
-	mu      sync.Mutex
-	idle    bool
-	leaving bool
-	cancel  context.CancelFunc // of the request under way
+	drain drainState
+
+	mu     sync.Mutex
+	idle   bool
+	grace  time.Time          // set: the daemon leaves, and idle sessions end then
+	cancel context.CancelFunc // of the request under way
 }
 
 func newCaller(s *Server, nc net.Conn) *caller {
@@ -58,9 +60,6 @@
 	}
 }
 
-// errLeaving ends an idle session of a daemon that leaves.
-var errLeaving = errors.New("entry: leaving")
-
 // run serves requests until the caller goes.
 func (s *caller) run() error {
 	s.backend.SetMaxBodyLen(s.server.o.View.Config().Limits().MessageBytes)
@@ -79,54 +78,18 @@
 		if !whole {
 			continue
 		}
+		s.drain.countUnit(&s.unit)
 		if err := s.serve(); err != nil {
 			return err
 		}
 	}
 }
 
-// receive waits for a message; a daemon that leaves interrupts it only between
-// requests and outside transactions.
-func (s *caller) receive() (pgproto3.FrontendMessage, error) {
-	if s.tx == nil && s.unit.empty() && !s.setIdle(true) {
-		return nil, errLeaving
-	}
-	msg, err := s.backend.Receive()
-	s.setIdle(false)
-	return msg, err
-}
-
-// setIdle returns false when the session is to end now.
-func (s *caller) setIdle(idle bool) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.idle = idle
-	return !idle || !s.leaving
-}
-
-// leaveWhenIdle ends the session between requests.
-func (s *caller) leaveWhenIdle() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leaving = true
-	if s.idle {
-		_ = s.net.SetReadDeadline(time.Now())
-	}
-}
-
-func (s *caller) isLeaving() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.leaving
-}
-
 func (s *caller) endOnReadError(err error) error {
 	var tooLarge *pgproto3.ExceededMaxBodyLenErr
-	var timeout net.Error
 	switch {
-	case errors.Is(err, errLeaving), errors.As(err, &timeout) && timeout.Timeout() && s.isLeaving():
-		_ = s.net.SetDeadline(time.Now().Add(startUpTimeout))
-		return s.fatal(result.New(result.Leaving, "%s", s.server.o.View.Self().ID).After(comeBack))
+	case errors.Is(err, errLeaving):
+		return s.endLeaving()
 	case errors.As(err, &tooLarge):
 		return s.fatal(result.New(result.MessageTooLarge, "%v", err))
 	case errors.Is(err, net.ErrClosed):
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -17,6 +17,7 @@
 	current  string // the prepared statement that the unnamed one now holds
 	local    []localSet
 	simple   bool
+	executes bool // a statement of the caller's runs
 }
 
 // localSet is a SET of a session option within a unit.
@@ -39,6 +40,7 @@
 			u.local = append(u.local, localSet{name, value})
 			return true, nil
 		}
+		u.executes = true
 		return true, u.append(m)
 	case *pgproto3.Sync:
 		return true, u.append(m)
@@ -54,6 +56,7 @@
 	case *pgproto3.Close:
 		return false, u.addClose(s, m)
 	case *pgproto3.Execute:
+		u.executes = true
 		return false, u.append(m)
 	}
 	return false, result.New(result.BadProtocol, "message %T is not served", msg)
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -49,6 +49,10 @@
 		key:            txKey{in.Entry, in.EntryIncarnation, in.Transaction},
 		group:          topology.GroupID(in.Group),
 	}
+	if err := p.begin(tp, in); err != nil {
+		return err
+	}
+	defer tp.work.end()
 	begun := time.Now()
 	slot, err := tp.gate.enter(ctx, admissionRequest(req))
 	if err != nil {
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -89,6 +89,7 @@
 	gate    *gate
 	floors  *sessionFloors
 	control *Control
+	work    work
 }
 
 // New makes a pooler; pools open on first use.
@@ -172,31 +173,6 @@
 	return tp.openTransactions()
 }
 
-// Drain waits until no transaction is open or ctx ends.
-func (p *Pooler) Drain(ctx context.Context) {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for p.anyTransaction() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// drainPoll is how often Drain looks.
-const drainPoll = 20 * time.Millisecond
-
-func (p *Pooler) anyTransaction() bool {
-	for _, tp := range p.all() {
-		if tp.openTransactions() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Close ends all idle connections.
 func (p *Pooler) Close() {
 	for _, tp := range p.all() {
--- a/internal/view/directory.go
+++ b/internal/view/directory.go
@@ -15,7 +15,7 @@
 	}
 	t, ok := conf.Target(id)
 	return pooler.TargetLimits{
-		Target:      topology.Target{ID: t.ID, Group: t.Group, DataCentre: t.DataCentre, Address: t.Address},
+		Target:      topology.Target{ID: t.ID, Group: t.Group, DataCentre: t.DataCentre, Address: t.Address, Leaving: t.Leaving},
 		Slots:       t.Slots,
 		Connections: t.Connections,
 	}, ok
--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -35,6 +35,30 @@
 	v.refresh()
 }
 
+// Chosen returns the other VMs that may be given work.
+func (v *View) Chosen() []topology.VM {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.liveVMs()
+}
+
+// Promotes counts the groups whose row names this start of this VM as a promoter.
+func (v *View) Promotes() int {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	n := 0
+	for _, row := range v.groups {
+		if slices.ContainsFunc(row.Promoters, v.isSelf) {
+			n++
+		}
+	}
+	return n
+}
+
+func (v *View) isSelf(p topology.Promoter) bool {
+	return p.VM == v.self.ID && p.Incarnation == v.self.Incarnation
+}
+
 // Statuses returns what is known of all VMs.
 func (v *View) Statuses() []membership.Status {
 	v.mu.RLock()
@@ -101,6 +125,9 @@
 			if vm.ID == v.self.ID {
 				part.Targets = append(part.Targets, t.ID)
 			}
+			if t.Leaving {
+				continue // It is not to become the primary.
+			}
 			part.Candidates = append(part.Candidates, topology.Promoter{VM: vm.ID, Incarnation: vm.Incarnation, Replica: t.ID})
 		}
 		if len(part.Targets) > 0 {
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -78,6 +78,8 @@
 	Connections int `json:"connections" min:"1"`
 	// ConnectTime is what a new connection usually takes.
 	ConnectTime Duration `json:"connect_time" min:"0s" max:"60s"`
+	// Leaving: the target is to get no new work; a primary is switched over.
+	Leaving bool `json:"leaving"`
 }
 
 // Class says what a kind of request needs.
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"regexp"
+	"slices"
 
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -150,6 +151,9 @@
 		v.add(path, "the group has no target", "at least one")
 		return
 	}
+	if !slices.ContainsFunc(g.Targets, func(t Target) bool { return !t.Leaving }) {
+		v.add(path, "every target of the group is leaving", "at least one target that stays")
+	}
 	centres := map[topology.DataCentre]bool{}
 	for _, t := range g.Targets {
 		centres[t.DataCentre] = true
