--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -16,6 +16,13 @@
 	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"put the content of an earlier version in force again"`
 	Preset   *presetCommand   `arg:"subcommand:preset" help:"list, show or switch the preset in force"`
 
+	Config     *configCommand     `arg:"subcommand:config" help:"what the daemons have in force"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"what one daemon knows: groups, targets, vms, sessions or config"`
+	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell where one daemon would send a request, and why"`
+	Switchover *switchoverCommand `arg:"subcommand:switchover" help:"make a replica the primary; waits until it is"`
+	Drain      *drainCommand      `arg:"subcommand:drain" help:"mark a target as leaving, in a new configuration version"`
+	Completion *completionCommand `arg:"subcommand:completion" help:"write a completion script for bash"`
+
 	Settings string `arg:"--settings" default:"bts-ctl.json" help:"settings file; not needed offline"`
 	JSON     bool   `arg:"--json" help:"write JSON in place of a table"`
 }
@@ -23,7 +30,7 @@
 // Description is go-arg's text above the usage.
 func (arguments) Description() string {
 	return "bts-ctl checks and changes the configuration of buckthornshore.\n" +
-		"Exit codes: 0 ok, 1 refused, 2 usage, 3 platform unavailable, 4 outcome unknown."
+		"Exit codes: 0 ok, 1 refused, 2 usage, 3 platform or daemon unavailable, 4 outcome unknown."
 }
 
 type checkCommand struct {
@@ -53,6 +60,36 @@
 	Switch *presetSwitchCommand `arg:"subcommand:switch" help:"put a preset in force"`
 }
 
+type configCommand struct {
+	Status *configStatusCommand `arg:"subcommand:status" help:"which version each daemon has in force, and since when"`
+}
+
+type configStatusCommand struct{}
+
+type statusCommand struct {
+	Kind string `arg:"positional,required" help:"groups, targets, vms, sessions or config"`
+}
+
+type explainCommand struct {
+	Service string `arg:"--service,required" help:"service"`
+	Class   string `arg:"--class,required" help:"request class"`
+	Group   string `arg:"--group" help:"group [default: that of the empty shard key]"`
+	Floor   string `arg:"--floor" help:"term/index that a read must find"`
+}
+
+type switchoverCommand struct {
+	Group string `arg:"positional,required" help:"group, as service/group"`
+	To    string `arg:"--to" help:"replica [default: the first that holds every write]"`
+}
+
+type drainCommand struct {
+	Target string `arg:"positional,required" help:"target"`
+}
+
+type completionCommand struct {
+	Shell string `arg:"positional,required" help:"bash"`
+}
+
 type presetListCommand struct{}
 
 type presetShowCommand struct{}
@@ -90,5 +127,9 @@
 	if a.Preset != nil {
 		return a.Preset.List != nil || a.Preset.Show != nil || a.Preset.Switch != nil
 	}
-	return a.Check != nil || a.Diff != nil || a.Apply != nil || a.History != nil || a.Rollback != nil
+	if a.Config != nil {
+		return a.Config.Status != nil
+	}
+	operators := a.Status != nil || a.Explain != nil || a.Switchover != nil || a.Drain != nil || a.Completion != nil
+	return operators || a.Check != nil || a.Diff != nil || a.Apply != nil || a.History != nil || a.Rollback != nil
 }
--- /dev/null
+++ b/internal/ctl/completion.go
@@ -0,0 +1,31 @@
+package ctl
+
+import (
+	"io"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// bashCompletion completes the commands and their fixed words.
+const bashCompletion = `_bts_ctl() {
+  local word="${COMP_WORDS[COMP_CWORD]}" words
+  case "${COMP_WORDS[1]}" in
+    preset) words="list show switch" ;;
+    config) words="status" ;;
+    status) words="groups targets vms sessions config" ;;
+    completion) words="bash" ;;
+    check|diff|apply) COMPREPLY=($(compgen -f -- "$word")); return ;;
+    *) words="check diff apply history rollback preset config status explain switchover drain completion" ;;
+  esac
+  COMPREPLY=($(compgen -W "$words --json --settings --help" -- "$word"))
+}
+complete -F _bts_ctl bts-ctl
+`
+
+func (t *tool) completion(c *completionCommand) error {
+	if c.Shell != "bash" {
+		return result.New(result.NotFound, "completion for %q; there is bash", c.Shell)
+	}
+	_, err := io.WriteString(t.out.stdout, bashCompletion)
+	return err
+}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -18,7 +18,8 @@
 	// nothing was done.
 	ExitRefused = 1
 	ExitUsage   = 2
-	// ExitUnavailable: the platform can't be reached; nothing was done.
+	// ExitUnavailable: the platform or the daemon can't be reached; nothing was
+	// done.
 	ExitUnavailable = 3
 	// ExitUnknown: the change may have been made; look at the history.
 	ExitUnknown = 4
@@ -52,6 +53,8 @@
 		return t.check(a.Check)
 	case a.Diff != nil:
 		return t.diff(a.Diff)
+	case a.Completion != nil:
+		return t.completion(a.Completion)
 	}
 	p, err := t.connect()
 	if err != nil {
@@ -66,6 +69,16 @@
 		return p.history(ctx)
 	case a.Rollback != nil:
 		return p.rollback(ctx, a.Rollback)
+	case a.Drain != nil:
+		return p.drain(ctx, a.Drain)
+	case a.Config != nil:
+		return p.configStatus(ctx)
+	case a.Status != nil:
+		return p.status(ctx, a.Status)
+	case a.Explain != nil:
+		return p.explain(ctx, a.Explain)
+	case a.Switchover != nil:
+		return p.switchover(ctx, a.Switchover)
 	case a.Preset.List != nil:
 		return p.listPresets(ctx)
 	case a.Preset.Show != nil:
@@ -80,7 +93,7 @@
 	}
 	r := result.From(err)
 	switch {
-	case r.Code == result.PlatformUnavailable:
+	case r.Code == result.PlatformUnavailable, r.Code == result.PoolerUnreachable:
 		return ExitUnavailable
 	case r.Ran == result.Unknown:
 		return ExitUnknown
--- a/internal/ctl/online.go
+++ b/internal/ctl/online.go
@@ -23,6 +23,10 @@
 	PlatformURL string `json:"platform_url"`
 	// Operator is the name that changes are recorded under.
 	Operator string `json:"operator"`
+	// Daemon is one daemon's admin or peer address; it tells the others'.
+	Daemon string `json:"daemon"`
+	// OperatorSecret is the one of the daemons' settings.
+	OperatorSecret string `json:"operator_secret"`
 	// Timeout bounds one command; 15 s when left out.
 	Timeout settings.Duration `json:"timeout"`
 }
--- a/internal/daemon/admin.go
+++ b/internal/daemon/admin.go
@@ -14,14 +14,28 @@
 	"github.com/buckthornshore/buckthornshore/internal/view"
 )
 
-// serveAdmin serves metrics and health where the settings ask for it.
-func serveAdmin(lc fx.Lifecycle, s Settings, r *metrics.Registry, v *view.View, e *entry.Server, log *slog.Logger) {
+type adminParts struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Settings  Settings
+	Registry  *metrics.Registry
+	View      *view.View
+	Entry     *entry.Server
+	Operators *operators
+	Log       *slog.Logger
+}
+
+// serveAdmin serves metrics, health and operators where the settings ask for it.
+func serveAdmin(p adminParts) {
+	s, log := p.Settings, p.Log
 	if s.AdminAddress == "" {
 		return
 	}
-	handler := metrics.Handler(r, func() string { return notReady(v, e) })
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	lc.Append(fx.Hook{
+	mux := http.NewServeMux()
+	mux.Handle("/", metrics.Handler(p.Registry, func() string { return notReady(p.View, p.Entry) }))
+	mux.Handle(p.Operators.handler(s.OperatorSecret))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	p.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := net.Listen("tcp", s.AdminAddress)
 			if err != nil {
--- a/internal/daemon/configkeeper.go
+++ b/internal/daemon/configkeeper.go
@@ -5,11 +5,14 @@
 	"log/slog"
 	"os"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
+	"github.com/buckthornshore/buckthornshore/internal/settings"
+	"github.com/buckthornshore/buckthornshore/internal/status"
 	"github.com/buckthornshore/buckthornshore/internal/view"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/config/store"
@@ -30,6 +33,7 @@
 
 	mu      sync.Mutex
 	inForce config.InForce
+	since   time.Time
 }
 
 func newConfigKeeper(s Settings, v *view.View, rows *relay.Store, blobs *relay.Server, p *peers.Table, log *slog.Logger) *configKeeper {
@@ -113,10 +117,28 @@
 		return err
 	}
 	k.view.SetConfig(k.inForce.View())
-	k.log.Info("event=config_in_force", "config", state.Config.Version, "preset", state.Preset.Version, "preset_name", presetOf(state))
+	k.since = time.Now()
+	k.log.Info("event=config_in_force", "config", state.Config.Version, "preset", state.Preset.Version,
+		"preset_name", presetOf(state), "platform_age", k.rows.PlatformAge(k.since))
 	return nil
 }
 
+// status tells what is in force here.
+func (k *configKeeper) status() status.Config {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	held := k.inForce.Held()
+	return status.Config{
+		VM:            k.view.Self().ID,
+		Config:        held.Versions.Config,
+		PresetVersion: held.Versions.Preset,
+		Preset:        held.Preset,
+		Hash:          held.Hash,
+		Since:         k.since,
+		PlatformAge:   settings.Duration(k.rows.PlatformAge(time.Now()).Truncate(time.Millisecond)),
+	}
+}
+
 func presetOf(state store.State) string {
 	if state.Preset.Version == 0 {
 		return config.OrdinaryPreset
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 			newLister,
 			newRoles,
 			newLeaver,
+			newOperators,
 			newEntry,
 			metrics.Provide,
 			metrics.NewEntry,
--- a/internal/daemon/leaver.go
+++ b/internal/daemon/leaver.go
@@ -101,6 +101,13 @@
 		return 0, result.New(result.Leaving, "a switchover of %s is under way", group).After(switchPause)
 	}
 	defer l.end(group)
+	row := l.view.Group(group)
+	if row == nil {
+		return 0, result.New(result.NotFound, "group %s", group)
+	}
+	if vm, ok := l.view.PoolerOf(row.Primary); !ok || vm.ID != l.view.Self().ID {
+		return 0, result.New(result.WrongPooler, "%s is pooled by %s", row.Primary, vm.ID)
+	}
 	return l.switchOver(ctx, group, to)
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -87,6 +87,7 @@
 	Pooler    *pooler.Pooler
 	Relay     *relay.Server
 	Driver    *failover.Driver
+	Operators *operators
 	Log       *slog.Logger
 }
 
@@ -103,6 +104,8 @@
 	} {
 		mux.Handle(handler.PathPrefix(), handler)
 	}
+	// Operators ask any daemon here, too: the peers' addresses are known to all.
+	mux.Handle(s.Operators.handler(s.Settings.OperatorSecret))
 	server := &http.Server{Handler: peers.Handler(mux, s.View, s.Clock), ReadHeaderTimeout: headerTimeout}
 	s.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/opauth"
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/session"
@@ -22,7 +23,7 @@
 	CallerAddress string `json:"caller_address"`
 	// PeerAddress is where other VMs connect, ip:port.
 	PeerAddress string `json:"peer_address"`
-	// AdminAddress serves metrics and health, ip:port; optional.
+	// AdminAddress serves metrics, health and operators, ip:port; optional.
 	AdminAddress string `json:"admin_address"`
 	// PlatformURL of the platform's service.
 	PlatformURL string `json:"platform_url"`
@@ -34,6 +35,8 @@
 	// PlatformTimeout bounds one call to the platform.
 	PlatformTimeout settings.Duration `json:"platform_timeout"`
 	LogLevel        string            `json:"log_level"`
+	// OperatorSecret signs operators' requests; without it none is served.
+	OperatorSecret string `json:"operator_secret"`
 	// TokenKeys sign the sessions' tokens, hexadecimal by key id; all daemons have
 	// the same. TokenKey is the id that new tokens are signed with.
 	TokenKeys map[session.KeyID]string `json:"token_keys"`
@@ -63,6 +66,9 @@
 			return result.New(result.ConfigInvalid, "%s is missing", name)
 		}
 	}
+	if n := len(s.OperatorSecret); n > 0 && n < opauth.MinSecret {
+		return result.New(result.ConfigInvalid, "operator_secret has %d bytes; %d or more are wanted", n, opauth.MinSecret)
+	}
 	addresses := map[string]string{"caller_address": s.CallerAddress, "peer_address": s.PeerAddress}
 	if s.AdminAddress != "" {
 		addresses["admin_address"] = s.AdminAddress
--- /dev/null
+++ b/internal/entry/explain.go
@@ -0,0 +1,41 @@
+package entry
+
+import (
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/routing"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// Explain says where a request of the class would go from here now, and why.
+// floor is what a read must find; for a class without staleness a real read
+// fetches the newest position first, so without a floor any replica fits here.
+func (s *Server) Explain(group topology.GroupID, class config.Class, floor position.Position) (*routing.Explanation, *result.Error) {
+	row := s.o.View.Group(group)
+	if row == nil {
+		return nil, result.New(result.NoPrimary, "%s", group)
+	}
+	need := routing.Request{Write: class.Kind == config.Write, Floor: floor, Staleness: class.Staleness.Std()}
+	if need.Staleness == 0 {
+		need.Staleness = routing.AnyAge
+	}
+	return s.router.explain(row, need)
+}
+
+func (r *router) explain(row *topology.Group, req routing.Request) (*routing.Explanation, *result.Error) {
+	targets := r.configured(row.ID)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	g := r.group(row)
+	candidates := make([]routing.Candidate, 0, len(targets))
+	for _, t := range targets {
+		candidates = append(candidates, r.candidate(g, row, t, now))
+	}
+	why, err := routing.Choose(now, req, g.fresh, candidates, r.random)
+	if err != nil {
+		return why, result.From(err)
+	}
+	return why, nil
+}
--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -56,6 +56,9 @@
 	close(l.stop)
 	l.wait.Wait()
 	GinkgoWriter.Printf("acknowledged=%d told=%d ended=%d\n", l.acked.Load(), l.told.Load(), l.ended.Load())
+	for _, f := range l.failures {
+		GinkgoWriter.Println(f)
+	}
 	Expect(l.failures).To(BeEmpty())
 	Expect(l.ended.Load()).To(BeZero(), "sessions were ended that had not been told")
 	Expect(l.acked.Load()).To(BeNumerically(">", 0))
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -30,6 +30,8 @@
 	databases map[topology.TargetID]*process
 	proxies   []*process
 	callers   []string // caller addresses, as proxies
+	peers     []string // peer addresses, as proxies
+	admins    []string // admin addresses, as proxies
 	standIn   platformpb.StandIn
 }
 
@@ -118,6 +120,8 @@
 		ConfigFile:      d.configFile(),
 		PlatformTimeout: settings.Duration(time.Second),
 		LogLevel:        "debug",
+		AdminAddress:    freeAddress(),
+		OperatorSecret:  operatorSecret,
 	}
 	raw, err := json.Marshal(s)
 	Expect(err).NotTo(HaveOccurred())
@@ -125,6 +129,8 @@
 	Expect(os.WriteFile(file, raw, 0o600)).To(Succeed())
 	d.proxies = append(d.proxies, d.process(string(s.VM), "bts-proxy", file))
 	d.callers = append(d.callers, s.CallerAddress)
+	d.peers = append(d.peers, s.PeerAddress)
+	d.admins = append(d.admins, s.AdminAddress)
 }
 
 // awaitWrites returns once every group takes a write.
