--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -48,6 +48,8 @@
 type Directory interface {
 	Target(id topology.TargetID) (TargetLimits, bool)
 	Class(service, class string) (ClassLimits, bool)
+	// Group returns the newest known row of a group, or nil.
+	Group(id topology.GroupID) *topology.Group
 	// Admission returns the limits of a target's queue as the preset has them.
 	Admission(id topology.TargetID) admission.Limits
 }
@@ -78,6 +80,7 @@
 	o        Options
 	rights   Rights
 	evidence Evidence
+	flights  flights
 
 	mu    sync.Mutex
 	pools map[topology.TargetID]*targetPool
@@ -145,8 +148,10 @@
 	}
 }
 
-// Tick answers requests whose deadline has passed in a queue.
+// Tick answers requests whose deadline has passed in a queue, and those that a
+// replaced primary will not answer.
 func (p *Pooler) Tick() {
+	p.flights.cut(p.o.Directory)
 	for _, tp := range p.all() {
 		tp.gate.tick()
 	}
