Floors by history, transactions freed with their entry, cancel to the target

Cause: the pooler compared positions, so a former primary that ran past the end of its term passed as the newest; the entry accepted a read from a later term than its row, so a lost write could go missing without a word. Now routing.Holds decides (without the row: behind), an answer of a later term waits for that row and asks the floor again, and writes settle too, since their transactions read. Ruled out: the pooler reporting WriteLost itself; it does not know the session's floors.

Transactions. Cause: a killed entry sends no Release; only the idle time-out, a constant of 10 s, freed its locks. A transaction is named by the hop that opened it: an attempt given up by its entry could open late and take the place of its retry's. Abandoning a busy transaction gave its place back twice. Idle time-out and result limit come from the configuration.

Pooler.Cancel was empty. It ends the wait in the queue (not run), or sends a CancelRequest with the pid and secret of the connection that runs the statement, and holds that connection until the target took it: else it would end the next request's statement.

Also: a dead replica was preferred to a healthy primary until a read's three attempts were spent (BT203 after a failover, seen in the lost-write test).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,24 +114,23 @@
 	return &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
 }
 
-// Defaults of the pooler until the configuration says otherwise.
-const (
-	transactionIdle = 10 * time.Second
-	maxResult       = 8 << 20
-)
-
-func newPooler(d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
+func newPooler(d pooler.Dialer, v *view.View, prober *liveness.Prober, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
-		Dialer:          d,
-		Directory:       v,
-		Clock:           clock,
-		Log:             log,
-		TransactionIdle: transactionIdle,
-		MaxResult:       maxResult,
-		Metrics:         m,
+		Dialer:    d,
+		Directory: v,
+		Entries:   entryWatch{v, prober},
+		Clock:     clock,
+		Log:       log,
+		Metrics:   m,
 	})
 }
 
+// entryWatch tells the pooler which entries have gone.
+type entryWatch struct {
+	*view.View
+	*liveness.Prober
+}
+
 func newProber(v *view.View, p *peers.Table) *liveness.Prober { return liveness.New(v, p) }
 
 type driverParts struct {
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
-	"github.com/buckthornshore/buckthornshore/internal/pgwire"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -30,11 +29,10 @@
 func (s *caller) route(req *request) (*peerpb.ExecuteResponse, *result.Error) {
 	ctx, cancel := context.WithTimeout(context.Background(), req.class.Deadline.Std())
 	defer cancel()
-	s.setCancel(cancel)
-	defer s.setCancel(nil)
+	s.beginFlight(cancel)
+	defer s.endFlight()
 	if s.tx != nil {
-		d := destination{target: s.tx.target, pooler: s.tx.pooler, term: s.tx.term}
-		return s.attempt(ctx, req, d, true)
+		return s.continueTransaction(ctx, req)
 	}
 	deadline := s.server.deadline(ctx)
 	policy := retry.DefaultPolicy()
@@ -44,6 +42,9 @@
 		if failure == nil {
 			return resp, nil
 		}
+		if stopped := s.cancelled(failure); stopped != nil {
+			return nil, stopped
+		}
 		if reachedTarget(failure) {
 			reached++
 		}
@@ -56,7 +57,7 @@
 			return nil, decision.Err
 		}
 		s.server.o.Metrics.Retry(s.options.member, req.class.Name)
-		if !pause(ctx, min(decision.After, longestPause)) {
+		if !pause(ctx, min(decision.After, longestPauseOf(req, attempt))) {
 			return nil, final(failure, req)
 		}
 	}
@@ -66,11 +67,26 @@
 // any moment, and then the next attempt finds the new primary.
 const longestPause = 50 * time.Millisecond
 
+const (
+	// quickTries of a read go to other targets almost at once: what failed at
+	// one of them says nothing of the next. A few, as a group has few targets.
+	quickTries = 3
+	quickPause = 2 * time.Millisecond
+)
+
+func longestPauseOf(req *request, attempt int) time.Duration {
+	if req.class.Kind == config.Read && attempt <= quickTries {
+		return quickPause
+	}
+	return longestPause
+}
+
 // reachedTarget tells attempts that count against the class's limit from those
 // that found nobody to run them.
 func reachedTarget(failure *result.Error) bool {
 	switch failure.Code {
-	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable, result.Leaving, result.AgeNotShown:
+	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable, result.Leaving, result.AgeNotShown,
+		result.TargetUnreachable, result.ReplicaBehind:
 		return false
 	}
 	return true
@@ -136,20 +152,46 @@
 	if need.Write {
 		return s.attempt(ctx, req, d, false)
 	}
-	ctx, cancel := context.WithTimeout(ctx, s.server.router.patienceFor(row, d.target))
+	hopCtx, cancel := context.WithTimeout(ctx, s.server.router.patienceFor(row, d.target))
 	defer cancel()
-	return s.attempt(ctx, req, d, false)
+	resp, failure := s.attempt(hopCtx, req, d, false)
+	if failure != nil {
+		return nil, failure
+	}
+	accepted, failure := s.accept(ctx, req, row, resp)
+	if failure != nil {
+		s.releaseTransaction()
+	}
+	return accepted, failure
 }
 
-// need tells what a target must hold to answer the request.
-func (s *caller) need(ctx context.Context, req *request, row *topology.Group) (routing.Request, *result.Error) {
+// continueTransaction runs the request where its transaction is open.
+func (s *caller) continueTransaction(ctx context.Context, req *request) (*peerpb.ExecuteResponse, *result.Error) {
+	row := s.server.o.View.Group(req.group)
+	d := destination{target: s.tx.target, pooler: s.tx.pooler, term: s.tx.term}
+	resp, failure := s.attempt(ctx, req, d, true)
+	if failure != nil {
+		if stopped := s.cancelled(failure); stopped != nil {
+			return nil, stopped
+		}
+		return nil, failure
+	}
 	if req.class.Kind == config.Write {
-		return routing.Request{Write: true}, nil
+		return resp, nil
 	}
+	return s.accept(ctx, req, row, resp)
+}
+
+// need tells what a target must hold to answer the request.
+func (s *caller) need(ctx context.Context, req *request, row *topology.Group) (routing.Request, *result.Error) {
 	floor, err := s.session.ReadFloor(row)
 	if err != nil {
+		// A write, too: its transaction may read, and would miss the lost one.
 		return routing.Request{}, result.From(err)
 	}
+	if req.class.Kind == config.Write {
+		return routing.Request{Write: true}, nil
+	}
 	staleness := req.class.Staleness.Std()
 	if staleness > 0 && !floor.Fetch {
 		return routing.Request{Staleness: staleness, Floor: floor.Position}, nil
@@ -201,7 +243,7 @@
 		queued:   time.Duration(resp.QueueUs) * time.Microsecond,
 		ran:      time.Duration(resp.RunUs) * time.Microsecond,
 	})
-	s.noteTransaction(req, d, byte(resp.TxStatus))
+	s.noteTransaction(req, d, resp)
 	s.measureServed(req, d)
 	return resp, nil
 }
@@ -209,6 +251,12 @@
 // hop carries the request to the pooler's VM and its answer back.
 func (s *caller) hop(ctx context.Context, req *request, d destination, inTransaction bool) (*peerpb.ExecuteResponse, *result.Error) {
 	msg := s.message(ctx, req, d, inTransaction)
+	defer s.endHop()
+	if !s.beginHop(d.pooler, msg) {
+		e := result.New(result.Cancelled, "it has not run")
+		e.Ran = result.NotRun
+		return nil, e
+	}
 	resp, err := s.server.o.Peers.Get(d.pooler).Execute(ctx, msg)
 	if err != nil {
 		return nil, peers.HopResult(d.pooler, err)
@@ -224,9 +272,14 @@
 func (s *caller) message(ctx context.Context, req *request, d destination, inTransaction bool) *peerpb.ExecuteRequest {
 	self := s.server.o.View.Self()
 	deadline, _ := ctx.Deadline()
+	hopID := s.server.hopID.Add(1)
+	number := hopID // of the transaction that the request may open
+	if s.tx != nil {
+		number = s.tx.number
+	}
 	left := max(0, min(time.Until(deadline).Milliseconds(), math.MaxUint32))
 	return &peerpb.ExecuteRequest{
-		HopId:            s.server.hopID.Add(1),
+		HopId:            hopID,
 		Entry:            string(self.ID),
 		EntryIncarnation: uint64(self.Incarnation),
 		Group:            string(req.group),
@@ -240,51 +293,10 @@
 		DeadlineMs:       uint32(left),
 		Floor:            peers.PositionTo(d.floor),
 		FloorWaitMs:      uint32(floorWait.Milliseconds()),
-		Transaction:      s.number,
+		Transaction:      number,
 		InTransaction:    inTransaction,
 		Messages:         req.messages,
 		Write:            req.class.Kind == config.Write,
 		Syncs:            req.syncs,
 	}
 }
-
-// noteTransaction remembers where the session's open transaction runs.
-func (s *caller) noteTransaction(req *request, d destination, status byte) {
-	if status == pgwire.Idle {
-		s.tx = nil
-		return
-	}
-	s.tx = &transaction{
-		group:  req.group,
-		target: d.target,
-		pooler: d.pooler,
-		term:   d.term,
-		write:  req.class.Kind == config.Write,
-	}
-}
-
-// releaseTimeout bounds the message that frees a transaction; its pooler frees
-// it by itself after the idle time-out when the message is lost.
-const releaseTimeout = time.Second
-
-// releaseTransaction frees the connection of a transaction that the session
-// leaves open.
-func (s *caller) releaseTransaction() {
-	if s.tx == nil {
-		return
-	}
-	tx := s.tx
-	s.tx = nil
-	self := s.server.o.View.Self()
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
-	defer cancel()
-	_, err := s.server.o.Peers.Get(tx.pooler).Release(ctx, &peerpb.ReleaseRequest{
-		Entry:            string(self.ID),
-		EntryIncarnation: uint64(self.Incarnation),
-		Target:           string(tx.target),
-		Transaction:      s.number,
-	})
-	if err != nil {
-		s.server.o.Log.Info("event=release_failed", "target", tx.target, "error", err)
-	}
-}
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -47,6 +47,9 @@
 	inFlight int
 	failedAt mono.Time
 	failed   bool
+	// avoid: reads leave it out while the failure is young. The target refuses
+	// connections, or has failed twice in a row.
+	avoid bool
 }
 
 // groupTable is one group as this entry knows it.
@@ -154,6 +157,11 @@
 	}
 	if e.failed && now.Sub(e.failedAt) < suspectFor {
 		c.State = routing.Suspect
+		if e.avoid && !c.Primary {
+			// A suspect replica still comes before a healthy primary, so a read
+			// would meet a dead one until its attempts are spent.
+			c.State = routing.Dead
+		}
 	}
 	return c
 }
@@ -182,7 +190,7 @@
 	g := r.group(row)
 	e := g.estimate(d.target)
 	e.inFlight--
-	e.failed = false
+	e.failed, e.avoid = false, false
 	e.queue = a.queue
 	e.service = average(e.service, a.ran)
 	e.latency = average(e.latency, max(0, now.Sub(begun)-a.queued))
@@ -212,6 +220,8 @@
 			g.fresh.MarkBehind(target, position.Position{}, now)
 		}
 	case result.TargetUnreachable, result.TargetSilent, result.PoolerUnreachable, result.OutcomeUnknown:
+		young := e.failed && now.Sub(e.failedAt) < 2*suspectFor
+		e.avoid = young || failure.Code == result.TargetUnreachable
 		e.failed = true
 		e.failedAt = now
 	}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -57,7 +57,7 @@
 
 func (s *caller) status() byte {
 	if s.tx != nil {
-		return pgwire.InTransaction
+		return s.tx.status
 	}
 	return pgwire.Idle
 }
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"crypto/rand"
 	"net"
 	"sync"
@@ -18,6 +17,9 @@
 
 // transaction is the open transaction of a session: where it runs.
 type transaction struct {
+	// number is the hop id of the request that opened it.
+	number uint64
+	status byte // as the target last reported it
 	group  topology.GroupID
 	target topology.TargetID
 	pooler topology.VM
@@ -42,7 +44,7 @@
 	mu      sync.Mutex
 	idle    bool
 	leaving bool
-	cancel  context.CancelFunc // of the request under way
+	flight  flight
 }
 
 func newCaller(s *Server, nc net.Conn) *caller {
@@ -178,18 +180,3 @@
 	s.session = opened
 	return nil
 }
-
-// cancelRequest ends the request under way, if any.
-func (s *caller) cancelRequest() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cancel != nil {
-		s.cancel()
-	}
-}
-
-func (s *caller) setCancel(c context.CancelFunc) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cancel = c
-}
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -124,13 +124,20 @@
 // cancel ends the request that a session has under way. A wrong key is passed
 // over in silence, as the protocol has it.
 func (s *Server) cancel(m *pgproto3.CancelRequest) {
+	if sess := s.sessionOf(m); sess != nil {
+		sess.cancelRequest()
+	}
+}
+
+func (s *Server) sessionOf(m *pgproto3.CancelRequest) *caller {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, sess := range s.sessions {
 		if uint32(sess.number) == m.ProcessID && keysEqual(sess.secret, m.SecretKey) {
-			sess.cancelRequest()
+			return sess
 		}
 	}
+	return nil
 }
 
 func keysEqual(a, b []byte) bool {
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -31,6 +31,7 @@
 	proxies   []*process
 	callers   []string // caller addresses, as proxies
 	standIn   platformpb.StandIn
+	shape     shape
 }
 
 // shape of a deployment under test.
@@ -39,11 +40,14 @@
 	proxies int
 	// databaseArgs are added to every database's flags.
 	databaseArgs []string
+	// edit changes the configuration, and settings those of the i-th proxy.
+	edit     func(*config.Document)
+	settings func(i int, s *daemon.Settings)
 }
 
 // deploy starts everything and waits until a write goes through.
 func deploy(s shape) *deployment {
-	d := &deployment{dir: GinkgoT().TempDir(), databases: map[topology.TargetID]*process{}}
+	d := &deployment{dir: GinkgoT().TempDir(), databases: map[topology.TargetID]*process{}, shape: s}
 	DeferCleanup(d.end)
 	d.readExample(s.groups)
 	d.startPlatform()
@@ -67,6 +71,9 @@
 			doc.Groups[i].Targets[j].Address = freeAddress()
 		}
 	}
+	if d.shape.edit != nil {
+		d.shape.edit(doc)
+	}
 	d.doc = doc
 	raw, err = json.Marshal(doc)
 	Expect(err).NotTo(HaveOccurred())
@@ -119,6 +126,9 @@
 		PlatformTimeout: settings.Duration(time.Second),
 		LogLevel:        "debug",
 	}
+	if d.shape.settings != nil {
+		d.shape.settings(i, &s)
+	}
 	raw, err := json.Marshal(s)
 	Expect(err).NotTo(HaveOccurred())
 	file := filepath.Join(d.dir, string(s.VM)+".json")
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -106,13 +106,25 @@
 	SeverityFatal = "FATAL"
 )
 
+// StateCancelled is PostgreSQL's state of a statement that its caller cancelled.
+const StateCancelled = "57014"
+
+// stateOf returns the result code as a state, but for the one that clients wait
+// for after a cancel request.
+func stateOf(c result.Code) string {
+	if c == result.Cancelled {
+		return StateCancelled
+	}
+	return c.SQLState()
+}
+
 // ErrorResponse turns a result into what a PostgreSQL client understands: the
 // state is the result code, the hint tells when to come back.
 func ErrorResponse(e *result.Error, severity string) *pgproto3.ErrorResponse {
 	resp := &pgproto3.ErrorResponse{
 		Severity:            severity,
 		SeverityUnlocalized: severity,
-		Code:                e.Code.SQLState(),
+		Code:                stateOf(e.Code),
 		Message:             e.Error(),
 	}
 	if e.RetryAfter > 0 {
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -51,6 +51,8 @@
 	lastUsed time.Time
 	pid      uint32
 	secret   []byte
+	// tainted: a cancel request may still arrive for it; never reused.
+	tainted bool
 }
 
 // answer is what a target sent for one unit.
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -23,6 +23,7 @@
 	sqlTermRefused     = "BT202"
 	sqlNotReplicated   = "BT208"
 	sqlUniqueViolation = "23505"
+	sqlCancelled       = pgwire.StateCancelled
 )
 
 // request is one unit on its way through the pooler.
@@ -31,10 +32,12 @@
 	class ClassLimits
 	key   txKey
 	group topology.GroupID
-	right authority.Right // of a request to a primary
+	// flight can be cancelled.
+	flight *flight
+	right  authority.Right // of a request to a primary
 }
 
-func (p *Pooler) execute(ctx context.Context, in *peerpb.ExecuteRequest, resp *peerpb.ExecuteResponse) *result.Error {
+func (p *Pooler) execute(ctx context.Context, f *flight, in *peerpb.ExecuteRequest, resp *peerpb.ExecuteResponse) *result.Error {
 	class, ok := p.o.Directory.Class(in.Service, in.Class)
 	if !ok {
 		return result.New(result.UnknownClass, "%s", in.Class)
@@ -48,6 +51,7 @@
 		class:          class,
 		key:            txKey{in.Entry, in.EntryIncarnation, in.Transaction},
 		group:          topology.GroupID(in.Group),
+		flight:         f,
 	}
 	begun := time.Now()
 	slot, err := tp.gate.enter(ctx, admissionRequest(req))
@@ -114,7 +118,7 @@
 
 // start runs a unit outside a transaction; it may open one.
 func (p *Pooler) start(ctx context.Context, tp *targetPool, req *request, resp *peerpb.ExecuteResponse) *result.Error {
-	if err := tp.waitForFloor(ctx, req); err != nil {
+	if err := p.waitForFloor(ctx, tp, req); err != nil {
 		return err
 	}
 	want, err := p.settingsFor(req)
@@ -131,7 +135,7 @@
 		return result.New(result.TargetUnreachable, "%s: %v", tp.target.ID, err).After(verifyAfter)
 	}
 	begun := time.Now()
-	a, failure := p.runUnit(ctx, c, req)
+	a, failure := p.runCancellable(ctx, tp, c, req, p.runUnit)
 	if failure != nil {
 		tp.discard(c)
 		p.doubtAfter(tp, failure)
@@ -166,12 +170,12 @@
 		return failure
 	}
 	begun := time.Now()
-	a, err := h.conn.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
-	if err != nil {
+	a, failure := p.runCancellable(ctx, tp, h.conn, req, p.runPlain)
+	if failure != nil {
 		tp.drop(req.key)
 		tp.discard(h.conn)
-		p.evidence.Doubted(tp.target.ID)
-		return lostAnswer(tp.target.ID, err)
+		p.doubtAfter(tp, failure)
+		return failure
 	}
 	p.evidence.Answered(tp.target.ID, time.Since(begun))
 	at := h.conn.position
@@ -205,15 +209,29 @@
 
 // settle gives the connection back when the transaction has ended.
 func (p *pool) settle(key txKey, h *heldConn, status byte) {
-	if status == pgwire.Idle {
-		p.drop(key)
-		p.release(h.conn)
+	if p.stays(h, status) {
 		return
 	}
+	p.drop(key)
+	if h.conn.tainted || status != pgwire.Idle {
+		p.discard(h.conn)
+		return
+	}
+	p.release(h.conn)
+}
+
+// stays puts the connection back to its open transaction; false when that has
+// ended or was abandoned meanwhile.
+func (p *pool) stays(h *heldConn, status byte) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if status == pgwire.Idle || h.gone {
+		h.conn.tainted = h.conn.tainted || h.gone
+		return false
+	}
 	h.busy = false
 	h.since = time.Now()
+	return true
 }
 
 // settingsFor tells what the connection must be bound to for the request.
@@ -239,7 +257,11 @@
 	if req.class.Write && !req.class.Repeatable {
 		return p.runOnce(ctx, c, req)
 	}
-	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
+	return p.runPlain(ctx, c, req)
+}
+
+func (p *Pooler) runPlain(ctx context.Context, c *conn, req *request) (answer, *result.Error) {
+	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.Directory.Bounds().ResultBytes)
 	if err != nil {
 		return a, lostAnswer(topology.TargetID(req.Target), err)
 	}
@@ -269,7 +291,7 @@
 	if a.sqlState == sqlNotReplicated {
 		return result.New(result.NotReplicated, "%s", req.Target).After(time.Second)
 	}
-	if at.Less(peers.Position(req.Floor)) {
+	if !p.holds(req.group, at, peers.Position(req.Floor)) {
 		return result.New(result.ReplicaBehind, "%s holds %s", req.Target, at).After(verifyAfter)
 	}
 	resp.Messages = a.messages
@@ -281,40 +303,6 @@
 	return nil
 }
 
-// floorPoll is how often a replica that is behind is asked again.
-const floorPoll = 2 * time.Millisecond
-
-// waitForFloor waits a short while until the target holds the request's floor.
-func (tp *targetPool) waitForFloor(ctx context.Context, req *request) *result.Error {
-	floor := peers.Position(req.Floor)
-	if floor.IsZero() || !tp.newestPosition().Less(floor) {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(req.FloorWaitMs)*time.Millisecond+verifyTimeout)
-	defer cancel()
-	deadline := time.Now().Add(time.Duration(req.FloorWaitMs) * time.Millisecond)
-	for {
-		s, err := tp.control.Status(ctx)
-		if err != nil {
-			return result.New(result.TargetUnreachable, "%s: %v", req.Target, err).After(verifyAfter)
-		}
-		tp.seen(s.Position)
-		if !s.Position.Less(floor) {
-			return nil
-		}
-		if time.Now().After(deadline) {
-			return result.New(result.ReplicaBehind, "%s holds %s, wanted %s", req.Target, s.Position, floor).After(verifyAfter)
-		}
-		time.Sleep(floorPoll)
-	}
-}
-
-func (p *pool) seen(at position.Position) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.notePosition(at)
-}
-
 // termRefused is "not run" only when the refusal came before anything: a unit
 // of several statements may have had its first ones committed.
 func termRefused(req *request, a answer) *result.Error {
--- a/internal/pooler/once.go
+++ b/internal/pooler/once.go
@@ -37,7 +37,7 @@
 	if first.sqlState != "" {
 		return first, ledgerRefused(req, first)
 	}
-	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.MaxResult)
+	a, err := c.exchange(ctx, req.Messages, int(req.Syncs), p.o.Directory.Bounds().ResultBytes)
 	if err != nil {
 		return a, lostAnswer(target, err)
 	}
@@ -54,6 +54,8 @@
 		return result.New(result.AlreadyRan, "request %s", req.CallerRequestId)
 	case sqlTermRefused:
 		return result.New(result.TermRefused, "%s", req.Target).After(verifyAfter)
+	case sqlCancelled:
+		return cancelledUnsent()
 	}
 	return result.New(result.TransactionAborted, "%s: ledger: SQLSTATE %s", req.Target, a.sqlState).After(time.Second)
 }
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -26,17 +26,20 @@
 	idleClose = 30 * time.Second
 )
 
-// txKey names the transaction of one session at one start of its entry.
+// txKey names a transaction: by the hop that opened it, at one start of its entry.
+// A session's number would not do: an attempt that its entry gave up may open its
+// transaction late, and would take the place of the one that the retry opened.
 type txKey struct {
 	entry       string
 	incarnation uint64
-	session     uint64
+	hop         uint64
 }
 
 // heldConn is a connection that an open transaction owns.
 type heldConn struct {
 	conn  *conn
 	busy  bool // a request is using it
+	gone  bool // abandoned while busy; its request discards the connection
 	since time.Time
 }
 
@@ -139,6 +142,10 @@
 
 // release gives a healthy connection back.
 func (p *pool) release(c *conn) {
+	if c.tainted {
+		p.discard(c)
+		return
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.notePosition(c.position)
@@ -205,15 +212,30 @@
 }
 
 // abandon ends a transaction whose session has gone: its connection is closed,
-// which rolls it back at the target.
+// which rolls it back at the target. While a request uses the connection, that
+// request gives its place back: twice would let the pool open one too many.
 func (p *pool) abandon(key txKey) {
+	if h := p.removeHeld(key); h != nil {
+		p.discard(h.conn)
+	}
+}
+
+// removeHeld returns the connection of an idle transaction. One in use is closed
+// only, which ends its request with an error.
+func (p *pool) removeHeld(key txKey) *heldConn {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	h := p.held[key]
-	delete(p.held, key)
-	p.mu.Unlock()
-	if h != nil {
-		p.discard(h.conn)
+	if h == nil {
+		return nil
 	}
+	if h.busy {
+		h.gone = true
+		h.conn.close()
+		return nil
+	}
+	delete(p.held, key)
+	return h
 }
 
 // sweep closes transactions idle for longer than txIdle and connections idle
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -50,6 +50,26 @@
 	Class(service, class string) (ClassLimits, bool)
 	// Admission returns the limits of a target's queue as the preset has them.
 	Admission(id topology.TargetID) admission.Limits
+	// Group returns the newest known row of a group; nil when there is none.
+	Group(id topology.GroupID) *topology.Group
+	// Bounds returns what the configuration allows one request or transaction.
+	Bounds() Bounds
+}
+
+// Bounds of one request or transaction.
+type Bounds struct {
+	// TransactionIdle is how long a transaction may sit idle.
+	TransactionIdle time.Duration
+	// ResultBytes is the largest answer.
+	ResultBytes int
+}
+
+// Entries tells which entries have gone, and asks one that is silent.
+type Entries interface {
+	// Gone reports whether the VM is dead, or has been started anew since.
+	Gone(id topology.VMID, incarnation topology.Incarnation) bool
+	// Ask sends the VM a sign of life to answer; what comes of it shows in Gone.
+	Ask(ctx context.Context, id topology.VMID)
 }
 
 // TargetLimits is a target with its limits.
@@ -65,10 +85,8 @@
 	Directory Directory
 	Clock     mono.Clock
 	Log       *slog.Logger
-	// TransactionIdle is how long a transaction may sit idle.
-	TransactionIdle time.Duration
-	// MaxResult bounds one answer in bytes.
-	MaxResult int
+	// Entries may be nil: then only the idle time-out ends abandoned transactions.
+	Entries Entries
 	// Metrics may be nil.
 	Metrics *metrics.Pooler
 }
@@ -79,6 +97,8 @@
 	rights   Rights
 	evidence Evidence
 
+	flights flights
+
 	mu    sync.Mutex
 	pools map[topology.TargetID]*targetPool
 }
@@ -137,7 +157,8 @@
 // daemon calls it each second.
 func (p *Pooler) Sweep(now time.Time) {
 	for _, tp := range p.all() {
-		tp.sweep(now, p.o.TransactionIdle)
+		p.sweepEntries(tp, now)
+		tp.sweep(now, p.o.Directory.Bounds().TransactionIdle)
 		tp.floors.tick()
 		tp.gate.setLimits(p.o.Directory.Admission(tp.target.ID))
 		p.o.Metrics.Connections(string(tp.target.ID), tp.inUse())
@@ -213,7 +234,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(req.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	resp := &peerpb.ExecuteResponse{HopId: req.HopId}
-	if err := p.execute(ctx, req, resp); err != nil {
+	ctx, f := p.flights.begin(ctx, flightKey{req.Entry, req.EntryIncarnation, req.HopId})
+	defer p.flights.end(f)
+	if err := f.explain(p.execute(ctx, f, req, resp)); err != nil {
 		resp.Failure = peers.Failure(err)
 		resp.Messages = nil
 	}
@@ -250,11 +273,6 @@
 	return resp, nil
 }
 
-// Cancel implements peerpb.Pooler.
-func (p *Pooler) Cancel(ctx context.Context, req *peerpb.CancelRequest) (*peerpb.CancelResponse, error) {
-	return &peerpb.CancelResponse{}, nil
-}
-
 // Release implements peerpb.Pooler.
 func (p *Pooler) Release(_ context.Context, req *peerpb.ReleaseRequest) (*peerpb.ReleaseResponse, error) {
 	tp, failure := p.pool(topology.TargetID(req.Target))
--- /dev/null
+++ b/internal/view/entries.go
@@ -0,0 +1,35 @@
+package view
+
+import (
+	"github.com/buckthornshore/buckthornshore/internal/pooler"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/membership"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// Gone reports whether the VM is dead, or has been started anew since the
+// incarnation: what it held then, nobody will ask for again.
+func (v *View) Gone(id topology.VMID, incarnation topology.Incarnation) bool {
+	for _, s := range v.Statuses() {
+		if s.VM.ID == id {
+			return s.State == membership.Dead || s.VM.Incarnation > incarnation
+		}
+	}
+	return false
+}
+
+// Bounds implements pooler.Directory.
+func (v *View) Bounds() pooler.Bounds {
+	conf := v.Config()
+	if conf == nil {
+		return pooler.Bounds{
+			TransactionIdle: config.DefaultIdleInTransactionTimeout.Std(),
+			ResultBytes:     config.DefaultResultBytes,
+		}
+	}
+	limits := conf.Limits()
+	return pooler.Bounds{
+		TransactionIdle: limits.IdleInTransactionTimeout.Std(),
+		ResultBytes:     limits.ResultBytes,
+	}
+}
