--- /dev/null
+++ b/internal/entry/local.go
@@ -0,0 +1,172 @@
+package entry
+
+import (
+	"regexp"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// localKind is what a statement asks of the entry itself.
+type localKind int
+
+const (
+	localSet localKind = iota + 1
+	localReset
+	localShow
+	localOutcome
+)
+
+// local is a statement that the entry answers itself.
+type local struct {
+	kind  localKind
+	name  string // of the option, without its prefix
+	value string // of a SET; the request id of an outcome
+}
+
+// value is a quoted or a bare one.
+const valuePattern = `('(?:[^']|'')*'|[^\s;']+)`
+
+// The statements of ours, matched literally at the start of the text: all other
+// SQL passes through unread.
+var localPatterns = []struct {
+	kind    localKind
+	pattern *regexp.Regexp
+}{
+	{localSet, localPattern(`set\s+(?:session\s+)?buckthornshore\.([a-z_]+)\s*(?:=|\s+to\s+)\s*` + valuePattern)},
+	{localReset, localPattern(`reset\s+buckthornshore\.([a-z_]+)`)},
+	{localShow, localPattern(`show\s+buckthornshore\.([a-z_]+)`)},
+	{localOutcome, localPattern(`select\s+buckthornshore\.(outcome)\s*\(\s*` + valuePattern + `\s*\)`)},
+}
+
+func localPattern(statement string) *regexp.Regexp {
+	return regexp.MustCompile(`(?is)^\s*` + statement + `\s*(?:;\s*|$)`)
+}
+
+// parseLocal reads a statement of ours from the start of sql; rest is what
+// follows it.
+func parseLocal(sql string) (l local, rest string, ok bool) {
+	if !mentionsOptions(sql) {
+		return local{}, sql, false
+	}
+	for _, p := range localPatterns {
+		m := p.pattern.FindStringSubmatch(sql)
+		if m == nil {
+			continue
+		}
+		l = local{kind: p.kind, name: strings.ToLower(m[1])}
+		if len(m) > 2 {
+			l.value = unquote(m[2])
+		}
+		return l, sql[len(m[0]):], true
+	}
+	return local{}, sql, false
+}
+
+func unquote(value string) string {
+	if len(value) >= 2 && value[0] == '\'' {
+		return strings.ReplaceAll(value[1:len(value)-1], "''", "'")
+	}
+	return value
+}
+
+// mentionsOptions is a quick look that most statements fail.
+func mentionsOptions(sql string) bool {
+	const word = len(optionPrefix)
+	for i := 0; i+word <= len(sql); i++ {
+		if sql[i]|lowerCase == optionPrefix[0] && strings.EqualFold(sql[i:i+word], optionPrefix) {
+			return true
+		}
+	}
+	return false
+}
+
+// lowerCase is the bit by which ASCII letters differ from their capitals.
+const lowerCase = 0x20
+
+// guarded matches what would change the settings by which a pooler binds its
+// connection to a term and to the replicas that a commit waits for.
+var guarded = regexp.MustCompile(`(?is)\b(?:set|reset|set_config)\b[^;]*buckthornshore\.`)
+
+// checkPassedOn refuses statements that the entry would have to answer itself
+// but can't, because they do not come first: a target would take them for its own.
+func checkPassedOn(sql string) *result.Error {
+	if mentionsOptions(sql) && guarded.MatchString(sql) {
+		return result.New(result.BadOption, "SET, RESET, SHOW and outcome of %s* are written plainly and come first", optionPrefix)
+	}
+	return nil
+}
+
+// hasRow tells statements that return one row with one column.
+func (l *local) hasRow() bool { return l.kind == localShow || l.kind == localOutcome }
+
+func (l *local) tag() string {
+	switch l.kind {
+	case localSet:
+		return "SET"
+	case localReset:
+		return "RESET"
+	case localShow:
+		return "SHOW"
+	case localOutcome:
+	}
+	return "SELECT 1"
+}
+
+// description is the statement's RowDescription, or NoData.
+func (l *local) description() pgproto3.BackendMessage {
+	if !l.hasRow() {
+		return &pgproto3.NoData{}
+	}
+	name := l.name
+	if l.kind == localShow {
+		name = optionPrefix + l.name
+	}
+	return &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+		{Name: []byte(name), DataTypeOID: pgtype.TextOID, DataTypeSize: -1, TypeModifier: -1},
+	}}
+}
+
+// runLocal carries the statement out and returns its DataRow, if any, and its
+// CommandComplete.
+func (s *caller) runLocal(l *local) ([]byte, *result.Error) {
+	value, failure := s.evaluate(l)
+	if failure != nil {
+		return nil, failure
+	}
+	var out []byte
+	if l.hasRow() {
+		out = encode(out, &pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+	}
+	return encode(out, &pgproto3.CommandComplete{CommandTag: []byte(l.tag())}), nil
+}
+
+func (s *caller) evaluate(l *local) (string, *result.Error) {
+	switch l.kind {
+	case localSet:
+		return "", s.setOption(l.name, l.value)
+	case localReset:
+		return "", s.resetOption(l.name)
+	case localShow:
+		field := s.options.field(l.name)
+		if field == nil {
+			return "", result.New(result.BadOption, "no option %q", optionPrefix+l.name)
+		}
+		return *field, nil
+	case localOutcome:
+		return s.outcome(l.value)
+	}
+	return "", result.New(result.Internal, "local statement %d", l.kind)
+}
+
+// encode appends a message; those of the entry itself always encode.
+func encode(out []byte, m pgproto3.BackendMessage) []byte {
+	grown, err := m.Encode(out)
+	if err != nil {
+		return out
+	}
+	return grown
+}
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -1,9 +1,6 @@
 package entry
 
 import (
-	"regexp"
-	"strings"
-
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
 
@@ -60,20 +57,3 @@
 	}
 	return nil
 }
-
-// setStatement matches a SET of one of our options, and nothing else: all other
-// SQL passes through unread.
-var setStatement = regexp.MustCompile(`(?is)^\s*set\s+(?:session\s+)?buckthornshore\.([a-z_]+)\s*(?:=|\s+to\s+)\s*(.*?)\s*;?\s*$`)
-
-// parseSet reads a SET statement of ours.
-func parseSet(sql string) (name, value string, ok bool) {
-	m := setStatement.FindStringSubmatch(sql)
-	if m == nil {
-		return "", "", false
-	}
-	value = m[2]
-	if len(value) >= 2 && value[0] == '\'' && value[len(value)-1] == '\'' {
-		value = strings.ReplaceAll(value[1:len(value)-1], "''", "'")
-	}
-	return strings.ToLower(m[1]), value, true
-}
--- /dev/null
+++ b/internal/entry/outcome.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/internal/pgwire"
+	"github.com/buckthornshore/buckthornshore/internal/pooler"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// Answers of SELECT buckthornshore.outcome('id').
+const (
+	outcomeRun    = "run"
+	outcomeNotRun = "not run"
+)
+
+// claimedBy marks the ledger row of a request that was asked for before it ran.
+// No class has this name.
+const claimedBy = "!not run"
+
+// askedTable gets a row with each question. The question is a write of its own,
+// so its acknowledgement waits as the class wants it: the replicas that hold it
+// hold all before it too, and neither answer can be undone by a failover.
+const askedTable = "buckthornshore_asked"
+
+// outcome tells for good whether the request has run. It claims the id in the
+// ledger: the request, were it still under way somewhere, would find its row
+// taken and fail as a whole, so "not run" stays true.
+func (s *caller) outcome(id string) (string, *result.Error) {
+	if s.tx != nil {
+		return "", result.New(result.BadOption, "outcome is not asked for within a transaction")
+	}
+	req, failure := s.newOutcomeRequest(id)
+	if failure != nil {
+		return "", failure
+	}
+	begun := time.Now()
+	resp, failure := s.route(req)
+	s.measure(req, begun, failure)
+	if failure != nil {
+		return "", failure
+	}
+	return readOutcome(resp.Messages)
+}
+
+func (s *caller) newOutcomeRequest(id string) (*request, *result.Error) {
+	conf := s.server.o.View.Config()
+	class, ok := conf.Class(s.options.service, s.options.class)
+	if !ok || class.Kind != config.Write {
+		return nil, result.New(result.UnknownClass, "outcome needs the write class of the request, not %q", s.options.class)
+	}
+	group, failure := s.groupOf(conf)
+	if failure != nil {
+		return nil, failure
+	}
+	messages, err := (&pgproto3.Query{String: outcomeSQL(id)}).Encode(nil)
+	if err != nil {
+		return nil, result.New(result.BadRequestID, "%v", err)
+	}
+	class.Repeatable = true
+	return &request{session: s, group: group, class: class, messages: messages, syncs: 1, repeats: true}, nil
+}
+
+func outcomeSQL(id string) string {
+	key := "'" + strings.ReplaceAll(id, "'", "''") + "'"
+	return "INSERT INTO " + pooler.LedgerTable + " (k, v) VALUES (" + key + ", '" + claimedBy + "') ON CONFLICT (k) DO NOTHING; " +
+		"INSERT INTO " + askedTable + " (k, v) VALUES (" + key + ", '') ON CONFLICT (k) DO UPDATE SET v = excluded.v; " +
+		"SELECT v FROM " + pooler.LedgerTable + " WHERE k = " + key
+}
+
+// readOutcome finds the ledger row in the target's answer.
+func readOutcome(messages []byte) (string, *result.Error) {
+	answer, state := "", ""
+	err := pgwire.Split(messages, func(f pgwire.Frame) error {
+		switch f.Type() {
+		case pgwire.TypeError:
+			state = pgwire.SQLState(f)
+		case pgwire.TypeDataRow:
+			var row pgproto3.DataRow
+			if err := row.Decode(f.Body()); err != nil {
+				return err
+			}
+			answer = outcomeRun
+			if len(row.Values) == 1 && string(row.Values[0]) == claimedBy {
+				answer = outcomeNotRun
+			}
+		}
+		return nil
+	})
+	if err != nil || state != "" || answer == "" {
+		return "", result.New(result.Internal, "the outcome was not answered: SQLSTATE %q, %v", state, err)
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/entry/prepared.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// Bounds of the prepared statements that one session keeps: the entry holds
+// their texts for as long as the session lasts.
+const (
+	maxPrepared      = 1024
+	maxPreparedBytes = 4 << 20
+)
+
+// preparedStatement is one as the caller prepared it.
+type preparedStatement struct {
+	pgproto3.Parse        // without a name
+	local          *local // not nil: the entry answers it itself
+}
+
+// preparedTable holds a session's prepared statements by name. The zero value is
+// ready.
+type preparedTable struct {
+	statements map[string]*preparedStatement
+	bytes      int
+}
+
+func (t *preparedTable) get(name string) *preparedStatement { return t.statements[name] }
+
+func (t *preparedTable) put(name string, p *preparedStatement) *result.Error {
+	t.remove(name)
+	if len(t.statements) >= maxPrepared {
+		return result.New(result.BadProtocol, "more than %d prepared statements", maxPrepared)
+	}
+	if t.bytes+size(name, p) > maxPreparedBytes {
+		return result.New(result.MessageTooLarge, "prepared statements of more than %d bytes", maxPreparedBytes)
+	}
+	if t.statements == nil {
+		t.statements = map[string]*preparedStatement{}
+	}
+	t.statements[name] = p
+	t.bytes += size(name, p)
+	return nil
+}
+
+func (t *preparedTable) remove(name string) {
+	if p := t.statements[name]; p != nil {
+		t.bytes -= size(name, p)
+		delete(t.statements, name)
+	}
+}
+
+func size(name string, p *preparedStatement) int {
+	const perParameter = 4
+	return len(name) + len(p.Query) + perParameter*len(p.ParameterOIDs)
+}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -295,6 +295,7 @@
 		FloorWaitMs:      uint32(floorWait.Milliseconds()),
 		Transaction:      number,
 		InTransaction:    inTransaction,
+		Repeatable:       req.repeats,
 		Messages:         req.messages,
 		Write:            req.class.Kind == config.Write,
 		Syncs:            req.syncs,
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
@@ -21,13 +22,21 @@
 	class    config.Class
 	messages []byte
 	syncs    uint32
+	// repeats: the messages may run twice, whatever the class says.
+	repeats bool
 }
 
 // serve answers the collected unit.
 func (s *caller) serve() error {
 	defer s.unit.reset()
-	if len(s.unit.local) > 0 {
-		return s.serveLocal()
+	if s.unit.failure != nil {
+		return s.refuseUnit(s.unit.failure)
+	}
+	if failure := s.runLocals(); failure != nil {
+		return s.fail(failure)
+	}
+	if len(s.unit.messages) == 0 {
+		return s.answerLocally()
 	}
 	begun := time.Now()
 	req, failure := s.newRequest()
@@ -43,18 +52,54 @@
 	return s.answer(req, resp)
 }
 
-// serveLocal applies the session's own SET statements.
-func (s *caller) serveLocal() error {
-	for _, set := range s.unit.local {
-		if failure := s.setOption(set.name, set.value); failure != nil {
-			return s.refuse(failure)
+// runLocals carries out the unit's statements of ours; they come first in it.
+func (s *caller) runLocals() *result.Error {
+	for i := range s.unit.steps {
+		st := &s.unit.steps[i]
+		if st.local == nil {
+			continue
 		}
-		s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte("SET")})
+		out, failure := s.runLocal(st.local)
+		if failure != nil {
+			return failure
+		}
+		st.reply = append(st.reply, out...)
+	}
+	return nil
+}
+
+// answerLocally answers a unit that holds nothing for a target.
+func (s *caller) answerLocally() error {
+	out, _, err := s.unit.splice(nil)
+	if err != nil {
+		return err
+	}
+	if err := s.backend.Flush(); err != nil {
+		return err
 	}
-	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
+	_, err = s.net.Write(encode(out, &pgproto3.ReadyForQuery{TxStatus: s.status()}))
+	return err
+}
+
+// refuseUnit answers a unit that is wrong in itself. With a transaction open the
+// connection ends, as it does after every failure there.
+func (s *caller) refuseUnit(e *pgproto3.ErrorResponse) error {
+	s.forgetParses(s.unit.steps)
+	if s.tx != nil {
+		s.releaseTransaction()
+		e.Severity, e.SeverityUnlocalized = pgwire.SeverityFatal, pgwire.SeverityFatal
+		s.backend.Send(e)
+		_ = s.backend.Flush()
+		return errUnitRefused
+	}
+	s.backend.Send(e)
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: pgwire.Idle})
 	return s.backend.Flush()
 }
 
+// errUnitRefused ends a session whose transaction was spoilt by its own messages.
+var errUnitRefused = errors.New("entry: bad unit in a transaction")
+
 func (s *caller) status() byte {
 	if s.tx != nil {
 		return s.tx.status
@@ -66,6 +111,7 @@
 // transaction is gone, and a caller that sends its next statements unread must
 // not have them run one by one outside it.
 func (s *caller) fail(e *result.Error) error {
+	s.forgetParses(s.unit.steps)
 	if s.tx == nil {
 		return s.refuse(e)
 	}
@@ -79,14 +125,21 @@
 	if !ok {
 		return nil, result.New(result.UnknownClass, "%q of service %q", s.options.class, s.options.service)
 	}
-	if class.Kind == config.Write && !class.Repeatable && s.options.requestID == "" {
+	if class.Kind == config.Write && !class.Repeatable && s.unit.runs && s.options.requestID == "" {
 		return nil, result.New(result.BadRequestID, "class %q", class.Name)
 	}
 	group, failure := s.groupOf(conf)
 	if failure != nil {
 		return nil, failure
 	}
-	return &request{session: s, group: group, class: class, messages: s.unit.messages, syncs: 1}, nil
+	req := &request{session: s, group: group, class: class, messages: s.unit.messages, syncs: 1}
+	if !s.unit.runs {
+		// Preparing a statement must not use up the request's id: the execution
+		// that follows would be refused as run.
+		req.repeats = true
+		req.class.Repeatable = true
+	}
+	return req, nil
 }
 
 func (s *caller) groupOf(conf *config.View) (topology.GroupID, *result.Error) {
@@ -109,7 +162,7 @@
 
 // answer passes the target's answer on and notes what it says of the session.
 func (s *caller) answer(req *request, resp *peerpb.ExecuteResponse) error {
-	messages, err := s.unit.strip(resp.Messages)
+	messages, err := s.spliceAnswer(resp.Messages)
 	if err != nil {
 		return s.fatal(result.New(result.Internal, "answer: %v", err))
 	}
@@ -124,6 +177,26 @@
 	return err
 }
 
+// spliceAnswer merges the target's answer with the entry's own. A statement whose
+// preparation failed is forgotten.
+func (s *caller) spliceAnswer(messages []byte) ([]byte, error) {
+	if !s.unit.spliced {
+		return messages, nil
+	}
+	out, answered, err := s.unit.splice(messages)
+	s.forgetParses(s.unit.steps[answered:])
+	return out, err
+}
+
+// forgetParses drops the statements whose preparation was not answered.
+func (s *caller) forgetParses(steps []step) {
+	for _, st := range steps {
+		if st.kind == stepParse && !st.injected {
+			s.prepared.remove(st.name)
+		}
+	}
+}
+
 // tokenParameter reports the session's token, to be presented when it roams.
 const tokenParameter = optionPrefix + "token"
 
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/rand"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -36,7 +37,8 @@
 	number   uint64
 	secret   []byte
 	options  options
-	prepared map[string]*pgproto3.Parse
+	initial  options // of the start-up, for RESET
+	prepared preparedTable
 	unit     unit
 	tx       *transaction
 	session  *session.Session
@@ -51,12 +53,11 @@
 	secret := make([]byte, secretLength)
 	_, _ = rand.Read(secret) // Never fails on Linux.
 	return &caller{
-		server:   s,
-		net:      nc,
-		backend:  pgproto3.NewBackend(nc, nc),
-		number:   s.number.Add(1),
-		secret:   secret,
-		prepared: map[string]*pgproto3.Parse{},
+		server:  s,
+		net:     nc,
+		backend: pgproto3.NewBackend(nc, nc),
+		number:  s.number.Add(1),
+		secret:  secret,
 	}
 }
 
@@ -74,11 +75,7 @@
 		if _, ok := msg.(*pgproto3.Terminate); ok {
 			return nil
 		}
-		whole, failure := s.unit.add(s, msg)
-		if failure != nil {
-			return s.fatal(failure)
-		}
-		if !whole {
+		if !s.unit.add(s, msg) {
 			continue
 		}
 		if err := s.serve(); err != nil {
@@ -131,10 +128,12 @@
 		return s.fatal(result.New(result.Leaving, "%s", s.server.o.View.Self().ID).After(comeBack))
 	case errors.As(err, &tooLarge):
 		return s.fatal(result.New(result.MessageTooLarge, "%v", err))
-	case errors.Is(err, net.ErrClosed):
+	case errors.Is(err, net.ErrClosed), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return nil
+	case errors.As(err, &timeout):
+		return err
 	}
-	return err
+	return s.fatal(result.New(result.BadProtocol, "%v", err))
 }
 
 // fatal tells the caller the result and ends the connection.
@@ -171,6 +170,18 @@
 	return nil
 }
 
+// resetOption gives an option the value of the start-up again.
+func (s *caller) resetOption(name string) *result.Error {
+	field := s.initial.field(name)
+	if field == nil {
+		return result.New(result.BadOption, "no option %q", optionPrefix+name)
+	}
+	if name == "token" && *field == "" {
+		return nil // Floors stay: a session never forgets what it wrote.
+	}
+	return s.setOption(name, *field)
+}
+
 // openSession starts the session that the options name.
 func (s *caller) openSession() *result.Error {
 	opened, err := session.Open(s.options.session, s.options.token, s.server.o.Keys)
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -49,7 +49,7 @@
 	for {
 		msg, err := s.backend.ReceiveStartupMessage()
 		if err != nil {
-			return nil, err
+			return nil, s.endOnReadError(err)
 		}
 		switch m := msg.(type) {
 		case *pgproto3.StartupMessage:
@@ -77,12 +77,34 @@
 			return failure
 		}
 	}
+	if failure := s.takeOptions(parameters["options"]); failure != nil {
+		return failure
+	}
 	if failure := s.checkOptions(); failure != nil {
 		return failure
 	}
+	s.initial = s.options
 	return s.openSession()
 }
 
+// takeOptions reads the start-up parameter "options" ("-c name=value"), the one
+// way to give start-up parameters from psql. Those that are not ours are passed
+// over, since they would be the target's.
+func (s *caller) takeOptions(text string) *result.Error {
+	for _, word := range strings.Fields(text) {
+		word = strings.TrimLeft(strings.TrimPrefix(word, "-c"), "-")
+		name, value, _ := strings.Cut(word, "=")
+		short, ours := strings.CutPrefix(name, optionPrefix)
+		if !ours {
+			continue
+		}
+		if failure := s.setOption(short, value); failure != nil {
+			return failure
+		}
+	}
+	return nil
+}
+
 // checkOptions finds what a session must name before its first request.
 func (s *caller) checkOptions() *result.Error {
 	conf := s.server.o.View.Config()
--- a/internal/entry/unit.go
+++ b/internal/entry/unit.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"fmt"
+
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/buckthornshore/buckthornshore/internal/pgwire"
@@ -10,152 +12,252 @@
 // unit collects a caller's messages up to a Query or a Sync: what is sent to a
 // target and answered as a whole.
 type unit struct {
-	messages []byte
-	// injected tells, for each Parse in messages, whether the entry put it
-	// there: its ParseComplete is not the caller's.
-	injected []bool
-	current  string // the prepared statement that the unnamed one now holds
-	local    []localSet
-	simple   bool
+	messages []byte // for the target
+	steps    []step // one for each message, of the target's and of the entry's own
+	current  string // the prepared statement that the target's unnamed one holds
+	holds    bool   // false: the unnamed one holds nothing yet
+	portals  map[string]*local
+	// runs tells that the messages execute something at the target.
+	runs bool
+	// spliced: the target's answer has to be merged with the entry's own.
+	spliced bool
+	// failure is the first error; what follows up to the Sync is passed over.
+	failure *pgproto3.ErrorResponse
 }
 
-// localSet is a SET of a session option within a unit.
-type localSet struct{ name, value string }
-
-func (u *unit) empty() bool { return len(u.messages) == 0 && len(u.local) == 0 }
+func (u *unit) empty() bool { return len(u.steps) == 0 && u.failure == nil }
 
-func (u *unit) reset() { *u = unit{messages: u.messages[:0], injected: u.injected[:0]} }
+func (u *unit) reset() { *u = unit{messages: u.messages[:0], steps: u.steps[:0]} }
 
 // add takes a message in; whole is true when the unit can be served.
 //
 // Named prepared statements live here, not at a target: connections are shared
 // between sessions, so a statement prepared on one would be missing on, or
 // belong to somebody else on, the next. Each use sends its text again.
-func (u *unit) add(s *caller, msg pgproto3.FrontendMessage) (whole bool, failure *result.Error) {
+func (u *unit) add(s *caller, msg pgproto3.FrontendMessage) (whole bool) {
+	if _, ok := msg.(*pgproto3.Sync); ok {
+		return u.sync()
+	}
+	if u.failure != nil {
+		return false // As PostgreSQL does: after an error all is passed over up to the Sync.
+	}
+	if len(u.messages) > s.server.o.View.Config().Limits().MessageBytes {
+		u.fail(pgwire.ErrorResponse(result.New(result.MessageTooLarge, "all messages up to the Sync"), pgwire.SeverityError))
+		return false
+	}
 	switch m := msg.(type) {
 	case *pgproto3.Query:
-		u.simple = true
-		if name, value, ok := parseSet(m.String); ok {
-			u.local = append(u.local, localSet{name, value})
-			return true, nil
-		}
-		return true, u.append(m)
-	case *pgproto3.Sync:
-		return true, u.append(m)
-	case *pgproto3.Flush:
-		// Answers come with the Sync: a target's answer travels as a whole.
-		return false, nil
+		u.addQuery(m)
+		return true
+	case *pgproto3.FunctionCall:
+		u.refuse(result.New(result.BadProtocol, "function calls are not served"))
+		return true
 	case *pgproto3.Parse:
-		return false, u.addParse(s, m)
+		u.addParse(s, m)
 	case *pgproto3.Bind:
-		return false, u.addBind(s, m)
+		u.addBind(s, m)
 	case *pgproto3.Describe:
-		return false, u.addDescribe(s, m)
-	case *pgproto3.Close:
-		return false, u.addClose(s, m)
+		u.addDescribe(s, m)
 	case *pgproto3.Execute:
-		return false, u.append(m)
+		u.addExecute(m)
+	case *pgproto3.Close:
+		u.addClose(s, m)
+	case *pgproto3.Flush, *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		// Answers come with the Sync: a target's answer travels as a whole. Copy
+		// messages outside of a COPY are passed over, as PostgreSQL does.
+	default:
+		u.refuse(result.New(result.BadProtocol, "message %T is not served", msg))
 	}
-	return false, result.New(result.BadProtocol, "message %T is not served", msg)
+	return false
 }
 
-func (u *unit) append(m pgproto3.FrontendMessage) *result.Error {
+// sync ends the unit.
+func (u *unit) sync() bool {
+	if len(u.messages) > 0 {
+		u.messages, _ = (&pgproto3.Sync{}).Encode(u.messages) // Has nothing to encode.
+	}
+	return true
+}
+
+func (u *unit) fail(e *pgproto3.ErrorResponse) { u.failure = e }
+
+func (u *unit) refuse(e *result.Error) { u.fail(pgwire.ErrorResponse(e, pgwire.SeverityError)) }
+
+// remote adds a message for the target.
+func (u *unit) remote(st step, m pgproto3.FrontendMessage) {
 	out, err := m.Encode(u.messages)
 	if err != nil {
-		return result.New(result.BadProtocol, "%v", err)
+		u.refuse(result.New(result.BadProtocol, "%v", err))
+		return
 	}
 	u.messages = out
-	return nil
+	u.steps = append(u.steps, st)
+	u.spliced = u.spliced || st.injected || st.kind == stepParse && st.name != ""
+	u.runs = u.runs || st.kind == stepExecute || st.kind == stepQuery
 }
 
-// maxPrepared bounds the statements that one session keeps.
-const maxPrepared = 1024
+// own adds a message that the entry answers itself.
+func (u *unit) own(st step) {
+	st.kind = stepLocal
+	if st.local != nil && u.runs {
+		u.refuse(result.New(result.BadOption, "statements of %s* come before the others of their batch", optionPrefix))
+		return
+	}
+	u.steps = append(u.steps, st)
+	u.spliced = true
+}
 
-func (u *unit) addParse(s *caller, m *pgproto3.Parse) *result.Error {
-	if len(s.prepared) >= maxPrepared {
-		return result.New(result.BadProtocol, "more than %d prepared statements", maxPrepared)
+// addQuery splits the leading statements of ours off a simple query.
+func (u *unit) addQuery(m *pgproto3.Query) {
+	rest := m.String
+	for {
+		l, after, ok := parseLocal(rest)
+		if !ok {
+			break
+		}
+		st := step{local: &l}
+		if l.hasRow() {
+			st.reply = encode(nil, l.description())
+		}
+		u.own(st)
+		rest = after
+	}
+	if rest == "" && len(u.steps) > 0 {
+		return
 	}
-	kept := &pgproto3.Parse{Query: m.Query, ParameterOIDs: append([]uint32(nil), m.ParameterOIDs...)}
-	s.prepared[m.Name] = kept
-	return u.sendParse(m.Name, kept, false)
+	if failure := checkPassedOn(rest); failure != nil {
+		u.refuse(failure)
+		return
+	}
+	u.remote(step{kind: stepQuery}, &pgproto3.Query{String: rest})
 }
 
-func (u *unit) sendParse(name string, m *pgproto3.Parse, injected bool) *result.Error {
-	u.current = name
-	u.injected = append(u.injected, injected)
-	return u.append(m)
+func (u *unit) addParse(s *caller, m *pgproto3.Parse) {
+	if m.Name != "" && s.prepared.get(m.Name) != nil {
+		u.fail(statementError(stateDuplicateStatement, "prepared statement %q already exists", m.Name))
+		return
+	}
+	kept := &preparedStatement{Parse: pgproto3.Parse{Query: m.Query, ParameterOIDs: append([]uint32(nil), m.ParameterOIDs...)}}
+	l, rest, ok := parseLocal(m.Query)
+	if ok && rest != "" {
+		u.refuse(result.New(result.BadOption, "one statement at a time can be prepared"))
+		return
+	}
+	if ok {
+		kept.local = &l
+	} else if failure := checkPassedOn(m.Query); failure != nil {
+		u.refuse(failure)
+		return
+	}
+	if failure := s.prepared.put(m.Name, kept); failure != nil {
+		u.refuse(failure)
+		return
+	}
+	if ok {
+		u.own(step{reply: encode(nil, &pgproto3.ParseComplete{})})
+		return
+	}
+	u.sendParse(m.Name, kept, false)
+}
+
+func (u *unit) sendParse(name string, p *preparedStatement, injected bool) {
+	u.current, u.holds = name, true
+	u.remote(step{kind: stepParse, injected: injected, name: name}, &p.Parse)
 }
 
-// ensure makes the unnamed statement hold the named one.
-func (u *unit) ensure(s *caller, name string) *result.Error {
-	if len(u.injected) > 0 && u.current == name {
-		return nil
+// ensure makes the target's unnamed statement hold the named one.
+func (u *unit) ensure(name string, p *preparedStatement) {
+	if !u.holds || u.current != name {
+		u.sendParse(name, p, true)
 	}
-	kept := s.prepared[name]
-	if kept == nil {
-		return result.New(result.BadProtocol, "no prepared statement %q", name)
+}
+
+// find returns a prepared statement, or nil and fails the unit.
+func (u *unit) find(s *caller, name string) *preparedStatement {
+	p := s.prepared.get(name)
+	if p == nil {
+		u.fail(statementError(stateNoStatement, "prepared statement %q does not exist", name))
 	}
-	return u.sendParse(name, kept, true)
+	return p
 }
 
-func (u *unit) addBind(s *caller, m *pgproto3.Bind) *result.Error {
-	if failure := u.ensure(s, m.PreparedStatement); failure != nil {
-		return failure
+func (u *unit) addBind(s *caller, m *pgproto3.Bind) {
+	p := u.find(s, m.PreparedStatement)
+	if p == nil {
+		return
+	}
+	if p.local != nil {
+		if u.portals == nil {
+			u.portals = map[string]*local{}
+		}
+		u.portals[m.DestinationPortal] = p.local
+		u.own(step{reply: encode(nil, &pgproto3.BindComplete{})})
+		return
 	}
+	delete(u.portals, m.DestinationPortal)
+	u.ensure(m.PreparedStatement, p)
 	b := *m
 	b.PreparedStatement = ""
-	return u.append(&b)
+	u.remote(step{kind: stepBind}, &b)
 }
 
 // objectStatement marks a prepared statement in Describe and Close.
 const objectStatement = 'S'
 
-func (u *unit) addDescribe(s *caller, m *pgproto3.Describe) *result.Error {
+func (u *unit) addDescribe(s *caller, m *pgproto3.Describe) {
 	if m.ObjectType != objectStatement {
-		return u.append(m)
+		if l := u.portals[m.Name]; l != nil {
+			u.own(step{reply: encode(nil, l.description())})
+			return
+		}
+		u.remote(step{kind: stepDescribe}, m)
+		return
+	}
+	p := u.find(s, m.Name)
+	if p == nil {
+		return
 	}
-	if failure := u.ensure(s, m.Name); failure != nil {
-		return failure
+	if p.local != nil {
+		u.own(step{reply: encode(encode(nil, &pgproto3.ParameterDescription{}), p.local.description())})
+		return
 	}
-	return u.append(&pgproto3.Describe{ObjectType: objectStatement})
+	u.ensure(m.Name, p)
+	u.remote(step{kind: stepDescribe}, &pgproto3.Describe{ObjectType: objectStatement})
 }
 
-func (u *unit) addClose(s *caller, m *pgproto3.Close) *result.Error {
-	if m.ObjectType != objectStatement {
-		return u.append(m)
+func (u *unit) addExecute(m *pgproto3.Execute) {
+	if l := u.portals[m.Portal]; l != nil {
+		u.own(step{local: l})
+		return
 	}
-	delete(s.prepared, m.Name)
-	if u.current == m.Name {
-		u.current = ""
-	}
-	return u.append(&pgproto3.Close{ObjectType: objectStatement})
+	u.remote(step{kind: stepExecute}, m)
 }
 
-// strip removes the ParseComplete messages that answer injected Parses.
-func (u *unit) strip(messages []byte) ([]byte, error) {
-	if !u.anyInjected() {
-		return messages, nil
-	}
-	out := make([]byte, 0, len(messages))
-	next := 0
-	err := pgwire.Split(messages, func(f pgwire.Frame) error {
-		if f.Type() == pgwire.TypeParseComplete && next < len(u.injected) {
-			next++
-			if u.injected[next-1] {
-				return nil
-			}
+func (u *unit) addClose(s *caller, m *pgproto3.Close) {
+	if m.ObjectType != objectStatement {
+		if u.portals[m.Name] == nil {
+			u.remote(step{kind: stepClose}, m)
+			return
 		}
-		out = append(out, f...)
-		return nil
-	})
-	return out, err
+		delete(u.portals, m.Name)
+	} else {
+		s.prepared.remove(m.Name)
+		u.holds = u.holds && u.current != m.Name
+	}
+	u.own(step{reply: encode(nil, &pgproto3.CloseComplete{})})
 }
 
-func (u *unit) anyInjected() bool {
-	for _, injected := range u.injected {
-		if injected {
-			return true
-		}
+// PostgreSQL's states of errors with prepared statements.
+const (
+	stateNoStatement        = "26000"
+	stateDuplicateStatement = "42P05"
+)
+
+func statementError(state, format string, args ...any) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            pgwire.SeverityError,
+		SeverityUnlocalized: pgwire.SeverityError,
+		Code:                state,
+		Message:             fmt.Sprintf(format, args...),
 	}
-	return false
 }
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -53,6 +53,10 @@
 	secret   []byte
 	// tainted: a cancel request may still arrive for it; never reused.
 	tainted bool
+	// altered: a statement changed the session at the target.
+	altered bool
+	// unbound: a statement reset the settings that bind it.
+	unbound bool
 }
 
 // answer is what a target sent for one unit.
@@ -172,6 +176,12 @@
 		}
 	case pgwire.TypeParameterStatus:
 		return false, c.observeParameter(frame, a)
+	case pgwire.TypeCommandComplete:
+		c.noteCommand(frame.Body())
+	case pgwire.TypeCopyIn, pgwire.TypeCopyOut, pgwire.TypeCopyBoth:
+		// The target waits for, or sends, data that has no place in a whole
+		// answer; both sides would wait until the deadline.
+		return false, errCopy
 	case 'K':
 		return false, c.observeKey(frame)
 	case pgwire.TypeNotification:
@@ -223,9 +233,13 @@
 // when they are so already. The round trip is not pipelined with the request:
 // were the binding to fail, the request behind it would run unguarded.
 func (c *conn) bind(ctx context.Context, want connSettings) error {
+	if c.unbound {
+		c.settings = connSettings{readOnly: !want.readOnly} // Send them all again.
+	}
 	if c.settings == want {
 		return nil
 	}
+	altered := c.altered // By the open transaction.
 	var sql strings.Builder
 	if c.settings.term != want.term {
 		sql.WriteString("SET buckthornshore.term = '" + termValue(want.term) + "'; ")
@@ -245,6 +259,7 @@
 		return &targetError{state: a.sqlState}
 	}
 	c.settings = want
+	c.altered, c.unbound = altered, false
 	return nil
 }
 
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -254,7 +254,7 @@
 // runUnit sends the unit; a class that may not be repeated gets its ledger row
 // in the same transaction.
 func (p *Pooler) runUnit(ctx context.Context, c *conn, req *request) (answer, *result.Error) {
-	if req.class.Write && !req.class.Repeatable {
+	if req.class.Write && !req.class.Repeatable && !req.Repeatable {
 		return p.runOnce(ctx, c, req)
 	}
 	return p.runPlain(ctx, c, req)
@@ -274,6 +274,11 @@
 	if errors.Is(err, pgwire.ErrFrameTooLarge) {
 		return result.New(result.ResultTooLarge, "%s", id)
 	}
+	if errors.Is(err, errCopy) {
+		e := result.New(result.BadProtocol, "COPY is not served")
+		e.Ran = result.Unknown // What came before it in its batch may have run.
+		return e
+	}
 	return result.New(result.TargetSilent, "%s: %v", id, err).After(verifyAfter)
 }
 
--- a/internal/pooler/pool.go
+++ b/internal/pooler/pool.go
@@ -108,12 +108,16 @@
 	return nil, true
 }
 
+// usable prepares an idle connection for its next request.
 func (p *pool) usable(ctx context.Context, c *conn) bool {
-	if time.Since(c.lastUsed) < verifyAfter {
-		return true
-	}
 	ctx, cancel := context.WithTimeout(ctx, verifyTimeout)
 	defer cancel()
+	switch {
+	case c.altered:
+		return c.resetSession(ctx) == nil
+	case time.Since(c.lastUsed) < verifyAfter:
+		return true
+	}
 	return c.verify(ctx) == nil
 }
 
