--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -38,7 +38,7 @@
 	policy := retry.DefaultPolicy()
 	reached := 0
 	for attempt := 1; ; attempt++ {
-		resp, failure := s.try(ctx, req)
+		resp, failure := s.tryInTurn(ctx, req)
 		if failure == nil {
 			return resp, nil
 		}
@@ -57,7 +57,7 @@
 			return nil, decision.Err
 		}
 		s.server.o.Metrics.Retry(s.options.member, req.class.Name)
-		if !pause(ctx, min(decision.After, longestPauseOf(req, attempt))) {
+		if !waitForNext(ctx, req, failure, min(decision.After, longestPauseOf(req, attempt))) {
 			return nil, final(failure, req)
 		}
 	}
@@ -81,15 +81,20 @@
 	return longestPause
 }
 
+// waitForNext pauses before the next attempt; false when the time is up. A write
+// whose primary takes none does not: it waits for its turn in awaitPrimary. A
+// read has no such turn and would spend its attempts within milliseconds.
+func waitForNext(ctx context.Context, req *request, failure *result.Error, d time.Duration) bool {
+	if req.class.Kind == config.Write && interrupts(failure) {
+		return true
+	}
+	return pause(ctx, d)
+}
+
 // reachedTarget tells attempts that count against the class's limit from those
 // that found nobody to run them.
 func reachedTarget(failure *result.Error) bool {
-	switch failure.Code {
-	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable, result.Leaving, result.AgeNotShown,
-		result.TargetUnreachable, result.ReplicaBehind:
-		return false
-	}
-	return true
+	return !interrupts(failure) && failure.Code != result.AgeNotShown && failure.Code != result.ReplicaBehind
 }
 
 // final is the answer when no further attempt is made. A write of unknown outcome
@@ -132,6 +137,19 @@
 	return s.o.Clock.Now().Add(time.Until(at))
 }
 
+// tryInTurn makes one attempt; a write waits while its group's primary takes none.
+func (s *caller) tryInTurn(ctx context.Context, req *request) (*peerpb.ExecuteResponse, *result.Error) {
+	if req.class.Kind != config.Write {
+		return s.try(ctx, req)
+	}
+	if failure := s.server.router.awaitPrimary(ctx, req.group); failure != nil {
+		return nil, failure
+	}
+	resp, failure := s.try(ctx, req)
+	s.server.router.noteWrite(req.group, failure)
+	return resp, failure
+}
+
 // try makes one attempt.
 func (s *caller) try(ctx context.Context, req *request) (*peerpb.ExecuteResponse, *result.Error) {
 	row := s.server.o.View.Group(req.group)
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -173,6 +173,10 @@
 }
 
 func (d *deployment) end() {
+	if CurrentSpecReport().Failed() {
+		raw, _ := json.Marshal(d.row())
+		fmt.Fprintf(GinkgoWriter, "--- row\n%s\n", raw)
+	}
 	all := append([]*process{d.platform}, d.proxies...)
 	for _, p := range d.databases {
 		all = append(all, p)
@@ -181,7 +185,7 @@
 		if p == nil {
 			continue
 		}
-		if CurrentSpecReport().Failed() {
+		if CurrentSpecReport().Failed() || os.Getenv("BTS_LOGS") != "" {
 			dumpLog(p)
 		}
 		p.kill()
--- a/internal/pooler/flight.go
+++ b/internal/pooler/flight.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
 
@@ -33,6 +34,8 @@
 	cancelled bool
 	conn      *conn  // runs the request now; nil when none does
 	address   string // of conn's target
+	group     topology.GroupID
+	term      uint64 // 0: conn is not bound to one
 	unsure    bool   // a cancel request may still arrive on conn
 }
 
@@ -69,15 +72,48 @@
 	return fs.all[key]
 }
 
+// cut ends the exchanges whose group has gone on to another term. A frozen
+// primary would hold them to their deadlines; its answer could not be
+// acknowledged any more, so the caller is told at once that it is unknown.
+func (fs *flights) cut(d Directory) {
+	for _, f := range fs.list() {
+		f.cutAfter(d)
+	}
+}
+
+func (fs *flights) list() []*flight {
+	fs.mu.Lock()
+	defer fs.mu.Unlock()
+	all := make([]*flight, 0, len(fs.all))
+	for _, f := range fs.all {
+		all = append(all, f)
+	}
+	return all
+}
+
+func (f *flight) cutAfter(d Directory) {
+	if !f.mu.TryLock() {
+		return // A cancel request is on its way; the next tick looks again.
+	}
+	defer f.mu.Unlock()
+	if f.conn == nil || f.term == 0 {
+		return
+	}
+	if row := d.Group(f.group); row != nil && row.Term > f.term {
+		_ = f.conn.net.SetDeadline(time.Now())
+	}
+}
+
 // attach tells that c runs the request from now on; false when it was cancelled
 // before, so that nothing may be sent.
-func (f *flight) attach(c *conn, address string) bool {
+func (f *flight) attach(c *conn, address string, req *request) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.cancelled {
 		return false
 	}
 	f.conn, f.address = c, address
+	f.group, f.term = req.group, req.Term
 	return true
 }
 
@@ -147,7 +183,7 @@
 
 // runCancellable runs the request so that Cancel finds its connection.
 func (p *Pooler) runCancellable(ctx context.Context, tp *targetPool, c *conn, req *request, run runner) (answer, *result.Error) {
-	if !req.flight.attach(c, tp.target.Address) {
+	if !req.flight.attach(c, tp.target.Address, req) {
 		return answer{}, cancelledUnsent()
 	}
 	a, failure := run(ctx, c, req)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -96,8 +96,7 @@
 	o        Options
 	rights   Rights
 	evidence Evidence
-
-	flights flights
+	flights  flights
 
 	mu    sync.Mutex
 	pools map[topology.TargetID]*targetPool
@@ -165,8 +164,10 @@
 	}
 }
 
-// Tick answers requests whose deadline has passed in a queue.
+// Tick answers requests whose deadline has passed in a queue, and those that a
+// replaced primary will not answer.
 func (p *Pooler) Tick() {
+	p.flights.cut(p.o.Directory)
 	for _, tp := range p.all() {
 		tp.gate.tick()
 	}
