Waiting for replicas holds no slot, and follows the list as it changes

Cause: the target waited for the replicas named when a write began, holding a slot: a dead replica cost every waiting write BT208 after 3.8 s, a lagging one stalled its group (seen by the load tool: up to 22 s at a lag of 2 s). Ruled out: the list's own change (in place within a second in the log).

--- a/internal/entry/drain.go
+++ b/internal/entry/drain.go
@@ -27,7 +27,7 @@
 // countUnit notes that the unit about to be served is the last one. One that
 // only prepares a statement does not count: its caller is about to run it.
 func (d *drainState) countUnit(u *unit) {
-	if d.told && u.executes {
+	if d.told && u.runs {
 		d.served = true
 	}
 }
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -33,15 +33,9 @@
 // connSettings are what a connection is bound to at its target.
 type connSettings struct {
 	term     uint64 // 0: not bound to a term
-	waitFor  string // replicas that a commit waits for, comma separated
 	readOnly bool
 }
 
-// replicaWait bounds a commit's wait for its replicas. A replica that dies is
-// taken off the list well within it; after it the caller learns that the write
-// is committed but not replicated.
-const replicaWait = 3 * time.Second
-
 // conn is one connection to a target. It is used by one request at a time.
 type conn struct {
 	net      net.Conn
@@ -51,6 +45,12 @@
 	lastUsed time.Time
 	pid      uint32
 	secret   []byte
+	// tainted: a cancel request may still arrive for it; never reused.
+	tainted bool
+	// altered: a statement changed the session at the target.
+	altered bool
+	// unbound: a statement reset the settings that bind it.
+	unbound bool
 }
 
 // answer is what a target sent for one unit.
@@ -170,6 +170,12 @@
 		}
 	case pgwire.TypeParameterStatus:
 		return false, c.observeParameter(frame, a)
+	case pgwire.TypeCommandComplete:
+		c.noteCommand(frame.Body())
+	case pgwire.TypeCopyIn, pgwire.TypeCopyOut, pgwire.TypeCopyBoth:
+		// The target waits for, or sends, data that has no place in a whole
+		// answer; both sides would wait until the deadline.
+		return false, errCopy
 	case 'K':
 		return false, c.observeKey(frame)
 	case pgwire.TypeNotification:
@@ -221,17 +227,17 @@
 // when they are so already. The round trip is not pipelined with the request:
 // were the binding to fail, the request behind it would run unguarded.
 func (c *conn) bind(ctx context.Context, want connSettings) error {
+	if c.unbound {
+		c.settings = connSettings{readOnly: !want.readOnly} // Send them all again.
+	}
 	if c.settings == want {
 		return nil
 	}
+	altered := c.altered // By the open transaction.
 	var sql strings.Builder
 	if c.settings.term != want.term {
 		sql.WriteString("SET buckthornshore.term = '" + termValue(want.term) + "'; ")
 	}
-	if c.settings.waitFor != want.waitFor {
-		sql.WriteString("SET buckthornshore.wait_for = '" + want.waitFor + "'; ")
-		sql.WriteString("SET buckthornshore.wait_timeout_ms = '" + strconv.FormatInt(replicaWait.Milliseconds(), 10) + "'; ")
-	}
 	if c.settings.readOnly != want.readOnly {
 		sql.WriteString("SET default_transaction_read_only = '" + onOff(want.readOnly) + "'; ")
 	}
@@ -243,6 +249,7 @@
 		return &targetError{state: a.sqlState}
 	}
 	c.settings = want
+	c.altered, c.unbound = altered, false
 	return nil
 }
 
