authority: completeness proved by positions once the rights have ended

Cause: two changes of the list within seconds of a start leave two unsettled lists, each with another synced replica. No replica is synced in both, and settling needs a position of the primary: killed then, the group is stuck until it returns. A new primary that dies before a replica is synced, too.

Now a candidate also counts as complete when, for each list with a synced entry that it is not synced in, a synced replica holds no more than the candidate. The positions are read by the candidate itself on new connections, begun after the last right ended, so no cached status and no other VM's memory counts; a position counts only if its entry is of the row's term. A list is settled only when a list that stays covers what waited under it. A holder whose primary is dead leaves the row to the promoters: its changes ended their attempts.

Ruled out: ages in ReplicaStatus or WithdrawResponse (the answering VM may be dead with the primary, and clocks of two VMs are compared).

failover: actions of one database run in order, one at a time; a replica counts as following once it holds an entry of the term, that is after its rewind.

--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -90,6 +90,7 @@
 	held     map[topology.GroupID]topology.TargetID
 	seen     map[topology.GroupID]uint64            // term last logged
 	health   map[topology.TargetID]authority.Health // last logged
+	lanes    lanes
 	woken    chan struct{}
 	assigned func(context.Context)
 }
@@ -107,6 +108,7 @@
 		held:     map[topology.GroupID]topology.TargetID{},
 		seen:     map[topology.GroupID]uint64{},
 		health:   map[topology.TargetID]authority.Health{},
+		lanes:    newLanes(),
 		woken:    make(chan struct{}, 1),
 		assigned: func(context.Context) {},
 	}
@@ -154,7 +156,7 @@
 	actions = append(actions, d.promoter.Tick(now)...)
 	d.mu.Unlock()
 	for i, a := range actions {
-		go d.perform(ctx, a, i < holderActions)
+		d.perform(ctx, a, i < holderActions)
 	}
 }
 
--- /dev/null
+++ b/pkg/authority/exchange.go
@@ -0,0 +1,83 @@
+package authority
+
+import (
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// exchange reads the row before anything is withdrawn. Failure: the platform is
+// down and the suspicion wrong; withdrawing would end the right for the whole
+// outage without any promotion being possible.
+func (p *Promoter) exchange(s *standing, now mono.Time) []Action {
+	a := s.attempt
+	others := p.others(s)
+	waited := now.Sub(a.began) >= p.opts.ExchangeWait
+	if a.rowFresh && (waited || len(a.answered) >= len(others)) {
+		a.stage = waiting
+		a.turn = now
+		if !a.planned {
+			a.turn = now.Add(time.Duration(p.rank(s))*p.opts.Stagger + p.jitter(p.opts.Stagger/5))
+		}
+		return nil
+	}
+	if a.asked != 0 && now.Sub(a.asked) < p.opts.RetryEvery {
+		return nil
+	}
+	a.asked = now
+	out := []Action{ReadRow{Group: s.row.ID}}
+	for _, o := range others {
+		out = append(out, SendWithdraw{To: o.VM, Request: WithdrawRequest{Group: s.row.ID}})
+	}
+	return out
+}
+
+func (p *Promoter) others(s *standing) []topology.Promoter {
+	var out []topology.Promoter
+	for _, e := range s.row.Promoters {
+		if e.VM != p.self.ID {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// rank counts the candidates that answered and go first: those that need no proof
+// before those that do, then those that hold more, and of equals those before
+// this one in the list.
+func (p *Promoter) rank(s *standing) int {
+	n := 0
+	before := true
+	complete := Complete(s.row, s.replica)
+	for _, e := range s.row.Promoters {
+		if e.VM == p.self.ID {
+			before = false
+			continue
+		}
+		pos, ok := s.positions[e.VM]
+		if !ok || !s.attempt.answered[e.VM] {
+			continue
+		}
+		other := Complete(s.row, e.Replica)
+		c := pos.Compare(s.status.Position)
+		more := c > 0 || (c == 0 && before)
+		if (other && !complete) || (other == complete && more) {
+			n++
+		}
+	}
+	return n
+}
+
+// ObserveWithdraw takes the answer of a VM to a SendWithdraw of this table.
+func (p *Promoter) ObserveWithdraw(from topology.VMID, r WithdrawResponse, now mono.Time) {
+	s := p.standing(r.Group)
+	s.settlement.observe(&p.opts, r, now)
+	if s.attempt != nil && r.ReplicaReachable {
+		s.positions[from] = r.Position
+		s.attempt.answered[from] = true
+		if p.opts.faults.stalePosition {
+			p.noteStale(s, from, r.Position)
+		}
+	}
+}
--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -9,7 +9,15 @@
 )
 
 // propose changes the row: one change at a time, the most urgent first.
+//
+// Failure: the primary is dead, the promoters withdraw, and the holder takes
+// their silence for a reason to change the list; each change ends the attempts
+// under way. Without a primary there is nothing to acknowledge, so it leaves the
+// row to the promoters.
 func (h *Holder) propose(g *held, now mono.Time) []Action {
+	if g.proposal == nil && g.health == Dead {
+		return nil
+	}
 	if g.proposal == nil {
 		next := h.nextRow(g, now)
 		if next == nil {
@@ -183,7 +191,7 @@
 			continue
 		}
 		more := keepCompleteness(row, append(slices.Clone(done), l.Version))
-		if !g.mayBecomeComplete(Settle(row, more, ""), max(since, at)) {
+		if !g.stillHeld(Settle(row, more, ""), max(since, at)) {
 			continue
 		}
 		done = more
@@ -195,18 +203,24 @@
 	return Settle(row, done, h.changeID())
 }
 
-// mayBecomeComplete reports whether each replica that next makes complete holds
-// what the primary held after since. Failure: a write waited for the replicas of
-// the list that goes, and not for this one, which is then promoted without it.
-// All such writes were there when the last right under that list had ended;
-// since is also after this row was learned, and so after the lists that other
-// holders settled had ended.
-func (g *held) mayBecomeComplete(next *topology.Group, since mono.Time) bool {
-	for _, list := range lists(g.now.row) {
-		for _, t := range Synced(list) {
-			if Complete(next, t) && !Complete(g.now.row, t) && !g.holdsSince(t, since) {
-				return false
-			}
+// stillHeld reports whether what waited under the lists that next has no more
+// stays covered: for each of them, next has a list whose synced replicas all hold
+// it. A candidate of next is synced in that list or holds as much as one of them.
+//
+// Failure: a write waited for the replicas of the list that goes, and not for
+// this one, which is then promoted without it. All such writes were there when
+// the last right under that list had ended; since is also after this row was
+// learned, and so after the lists that other holders settled had ended.
+func (g *held) stillHeld(next *topology.Group, since mono.Time) bool {
+	stay := syncedLists(next)
+	for _, gone := range syncedLists(g.now.row) {
+		covers := func(list []topology.TargetID) bool {
+			return !slices.ContainsFunc(list, func(t topology.TargetID) bool {
+				return !slices.Contains(gone, t) && !g.holdsSince(t, since)
+			})
+		}
+		if !slices.ContainsFunc(stay, covers) {
+			return false
 		}
 	}
 	return true
--- a/pkg/authority/join.go
+++ b/pkg/authority/join.go
@@ -8,13 +8,13 @@
 )
 
 // mayJoin reports whether this VM should enter the list by itself: the primary
-// looks dead, the replica is complete, but this start of the VM is not listed,
+// looks dead, the replica may be complete, but this start of the VM is not listed,
 // and the holder that would list it may have died with the primary.
 func (p *Promoter) mayJoin(s *standing) bool {
 	if _, ok := p.member(s.row.Promoters); ok || !s.suspected || s.replica == "" {
 		return false
 	}
-	return Complete(s.row, s.replica)
+	return p.mayPromote(s.row, s.replica)
 }
 
 // join proposes a list with this VM in place of its earlier start.
--- a/pkg/authority/mistakes_test.go
+++ b/pkg/authority/mistakes_test.go
@@ -69,6 +69,22 @@
 	w.run(2 * time.Second)
 }
 
+// staleProof: db1 alone is synced, db2 has caught up, and the holder can't mark
+// it. vm2 hears what db1 holds, and is cut off from the primary, which goes on
+// acknowledging writes that wait for db1 until vm2's last promise lapses. What db1
+// held before does not show that db2 holds these.
+func staleProof(w *world) {
+	w.dbs[2].lagging = true
+	w.run(3 * time.Second)
+	w.platCut[0] = true
+	w.dbs[2].lagging = false
+	w.run(time.Second)
+	w.vms[2].suspects = true
+	w.run(30*time.Millisecond + time.Duration(w.rng.Int64N(int64(100*time.Millisecond))))
+	w.cut[0][2], w.cut[2][0] = true, true
+	w.run(3 * time.Second)
+}
+
 var _ = Describe("planted mistakes", func() {
 	DescribeTable("are caught by the checks of the world", func(m mistake) {
 		opts := modelOptions()
@@ -122,5 +138,9 @@
 			plant:  func(m *mutations) { m.confirmWithoutWaits = true },
 			script: missedReplica,
 		}),
+		Entry("a position from before the end of the rights proves", mistake{
+			plant:  func(m *mutations) { m.stalePosition = true },
+			script: staleProof,
+		}),
 	)
 })
--- a/pkg/authority/options.go
+++ b/pkg/authority/options.go
@@ -70,6 +70,7 @@
 	keepOldIncarnation  bool
 	ignoreMargin        bool
 	confirmWithoutWaits bool
+	stalePosition       bool
 }
 
 // DefaultOptions returns the defaults.
--- a/pkg/authority/promotion.go
+++ b/pkg/authority/promotion.go
@@ -18,7 +18,10 @@
 	waiting
 	// withdrawn: no promise is given; those given lapse or are released.
 	withdrawn
-	// fencing: no right is left; the replica stops following.
+	// proving: no right is left; positions are read of the replicas that hold
+	// what waited.
+	proving
+	// fencing: the replica is complete; it stops following.
 	fencing
 	// committing the row of the next term.
 	committing
@@ -40,6 +43,7 @@
 	fenceAsked   bool
 	end          position.Position
 	answered     map[topology.VMID]bool
+	proof        proof
 	proposal     *proposal
 }
 
@@ -65,16 +69,14 @@
 
 func (p *Promoter) newAttempt(s *standing, now mono.Time) *attempt {
 	a := &attempt{began: now, answered: map[topology.VMID]bool{}}
+	a.proof.read = map[topology.TargetID]position.Position{}
 	a.before = s.withdrawn
 	return a
 }
 
 func (p *Promoter) eligible(s *standing) bool {
 	e, ok := p.member(s.row.Promoters)
-	if !ok || e.Replica != s.replica || e.Replica == s.row.Primary {
-		return false
-	}
-	return p.opts.faults.promoteUnsynced || Complete(s.row, e.Replica)
+	return ok && e.Replica == s.replica && p.mayPromote(s.row, e.Replica)
 }
 
 // Tick runs the systems and returns what is to be carried out.
@@ -116,6 +118,8 @@
 		return p.withdraw(s, now)
 	case withdrawn:
 		return p.withdraw(s, now)
+	case proving:
+		return p.prove(s, now)
 	case fencing:
 		return p.fence(s, now)
 	case committing:
@@ -187,74 +191,6 @@
 	return time.Duration(p.rand.Int64N(int64(d)))
 }
 
-// exchange reads the row before anything is withdrawn. Failure: the platform is
-// down and the suspicion wrong; withdrawing would end the right for the whole
-// outage without any promotion being possible.
-func (p *Promoter) exchange(s *standing, now mono.Time) []Action {
-	a := s.attempt
-	others := p.others(s)
-	waited := now.Sub(a.began) >= p.opts.ExchangeWait
-	if a.rowFresh && (waited || len(a.answered) >= len(others)) {
-		a.stage = waiting
-		a.turn = now
-		if !a.planned {
-			a.turn = now.Add(time.Duration(p.rank(s))*p.opts.Stagger + p.jitter(p.opts.Stagger/5))
-		}
-		return nil
-	}
-	if a.asked != 0 && now.Sub(a.asked) < p.opts.RetryEvery {
-		return nil
-	}
-	a.asked = now
-	out := []Action{ReadRow{Group: s.row.ID}}
-	for _, o := range others {
-		out = append(out, SendWithdraw{To: o.VM, Request: WithdrawRequest{Group: s.row.ID}})
-	}
-	return out
-}
-
-func (p *Promoter) others(s *standing) []topology.Promoter {
-	var out []topology.Promoter
-	for _, e := range s.row.Promoters {
-		if e.VM != p.self.ID {
-			out = append(out, e)
-		}
-	}
-	return out
-}
-
-// rank counts the candidates that answered and go first: those that hold more,
-// and of equals those before this one in the list.
-func (p *Promoter) rank(s *standing) int {
-	n := 0
-	before := true
-	for _, e := range s.row.Promoters {
-		if e.VM == p.self.ID {
-			before = false
-			continue
-		}
-		pos, ok := s.positions[e.VM]
-		if !ok || !s.attempt.answered[e.VM] || !Complete(s.row, e.Replica) {
-			continue
-		}
-		c := pos.Compare(s.status.Position)
-		if c > 0 || (c == 0 && before) {
-			n++
-		}
-	}
-	return n
-}
-
-// ObserveWithdraw takes the answer of a VM to a SendWithdraw of this table.
-func (p *Promoter) ObserveWithdraw(from topology.VMID, r WithdrawResponse, now mono.Time) {
-	s := p.standing(r.Group)
-	s.settlement.observe(&p.opts, r, now)
-	if s.attempt != nil && r.ReplicaReachable {
-		s.positions[from] = r.Position
-		s.attempt.answered[from] = true
-	}
-}
-
 // ObserveRelease takes a holder's answer to a SendRelease. It counts only while
 // the version is withdrawn: before that, the holder could get a new promise.
 func (p *Promoter) ObserveRelease(from topology.VMID, r ReleaseRightResponse) {
@@ -277,9 +213,7 @@
 	a := s.attempt
 	current := !p.lapse(s, s.row.Version).After(now)
 	if current && p.unsettledDone(s, now) {
-		a.stage = fencing
-		a.asked = 0
-		return p.fence(s, now)
+		return p.proveOrFence(s, now)
 	}
 	out := p.askUnsettled(s, now)
 	if current || (a.asked != 0 && now.Sub(a.asked) < p.opts.RetryEvery) {
@@ -294,6 +228,17 @@
 	return out
 }
 
+// proveOrFence goes on once no right is left.
+func (p *Promoter) proveOrFence(s *standing, now mono.Time) []Action {
+	s.attempt.asked = 0
+	if !p.complete(s.row, s.replica) {
+		s.attempt.stage = proving
+		return p.prove(s, now)
+	}
+	s.attempt.stage = fencing
+	return p.fence(s, now)
+}
+
 func (p *Promoter) askUnsettled(s *standing, now mono.Time) []Action {
 	if len(s.row.Unsettled) == 0 {
 		return nil
@@ -343,6 +288,8 @@
 	a.stage = committing
 	next := Promote(s.row, s.replica, at, p.nextList(s), p.changeID())
 	p.opts.invariant(!p.lapse(s, s.row.Version).After(now), "group %s: promotion before the promises lapsed", f.Group)
+	complete := p.complete(s.row, s.replica) || a.proof.proves(s.row, s.replica, at)
+	p.opts.invariant(complete, "group %s: %s is promoted at %v and not complete", f.Group, s.replica, at)
 	a.proposal = &proposal{row: next, again: true}
 }
 
--- a/pkg/authority/world_database_test.go
+++ b/pkg/authority/world_database_test.go
@@ -73,6 +73,8 @@
 		d.term = term
 		d.primary = d.id
 		d.rewind = false
+		// The first entry of the term tells its log from others' (contract).
+		d.log = append(d.log, entry{term: term})
 		w.checkWrites(d)
 	}
 	return true
--- a/pkg/authority/world_test.go
+++ b/pkg/authority/world_test.go
@@ -78,6 +78,8 @@
 	last   *topology.Group
 	broken string
 	writes int
+	// blocked counts the attempts given up for a replica out of reach.
+	blocked int
 }
 
 func newWorld(seed uint64, opts Options) *world {
--- a/pkg/authority/world_vm_test.go
+++ b/pkg/authority/world_vm_test.go
@@ -233,6 +233,10 @@
 		if row := v.promoter.Row(a.Group); row != nil {
 			v.database().follow(row.Term, row.Primary)
 		}
+	case ReadReplica:
+		v.readReplica(a)
+	case PromotionBlocked:
+		w.blocked++
 	case PromoteReplica:
 		if v.database().promote(w, a.Term) {
 			w.after(w.delay(), v.own(func() { v.holder.ObservePromoted(a.Group, a.Term) }))
@@ -240,6 +244,22 @@
 	}
 }
 
+// readReplica asks a database by a connection of its own, past its VM.
+func (v *vm) readReplica(a ReadReplica) {
+	w := v.w
+	d := w.dbs[indexOf(string(a.Target))]
+	if w.lost() || w.cut[v.dc][d.dc] {
+		return
+	}
+	w.after(w.delay(), func() {
+		if !d.up || w.cut[d.dc][v.dc] {
+			return
+		}
+		at := d.position()
+		w.after(w.delay(), v.own(func() { v.promoter.ObservePosition(a, at) }))
+	})
+}
+
 // write runs one write through the two checks; the completion of a paused VM is
 // looked at when it wakes.
 func (v *vm) write(wait bool) {
