failover: fewer rows at a start, faster marks after a promotion, ordered calls

Cause: VMs hear of each other one by one, and each step changed the list; classes that wait are refused until a status (250 ms), a heartbeat (250 ms) and a commit have followed each other after a promotion. Commits and statuses had no bound.

A list change that can wait is proposed once the candidates are the same for 500 ms; one for a silent promoter or for want of a synced replica at once. A new holder unsyncs nothing for the first second, in which it has heard of no position. While no entry is synced heartbeats go each 50 ms and statuses each 40 ms, for 3 s after a row; 100 ms while something is to be marked or writes wait; 250 ms at rest. One status request per target is under way at most.

Platform calls of the driver: eight at a time, counted and logged each minute. A row in place with the own ChangeID is Committed on every path. A failed dial of a commit is ErrUnavailable. Withdrawals, releases and heartbeats to this VM itself don't leave it. A primary's status counts in the row's term only.

Planted mistake 'a promise of another version counts': its script relied on a list change at once; it now lets the change come when vm2's old start has been silent.

--- a/internal/failover/actions.go
+++ b/internal/failover/actions.go
@@ -52,6 +52,12 @@
 }
 
 func (d *Driver) heartbeat(ctx context.Context, a authority.SendHeartbeat) {
+	if a.To == d.o.Directory.Self().ID {
+		d.locked(func(now mono.Time) {
+			d.holder.ObserveHeartbeat(a.To, d.promoter.HandleHeartbeat(a.Request, now), now)
+		})
+		return
+	}
 	vm, ok := d.o.Directory.VM(a.To)
 	if !ok {
 		return
@@ -66,6 +72,12 @@
 }
 
 func (d *Driver) withdraw(ctx context.Context, a authority.SendWithdraw, holder bool) {
+	if a.To == d.o.Directory.Self().ID {
+		d.locked(func(now mono.Time) {
+			d.observeWithdraw(a.To, d.promoter.HandleWithdraw(a.Request, now), holder, now)
+		})
+		return
+	}
 	vm, ok := d.o.Directory.VM(a.To)
 	if !ok {
 		return
@@ -82,16 +94,24 @@
 		return
 	}
 	answer := withdrawAnswerFrom(a.Request, resp)
-	d.locked(func(now mono.Time) {
-		if holder {
-			d.holder.ObserveWithdraw(answer, now)
-			return
-		}
-		d.promoter.ObserveWithdraw(a.To, answer, now)
-	})
+	d.locked(func(now mono.Time) { d.observeWithdraw(a.To, answer, holder, now) })
+}
+
+// observeWithdraw gives an answer to the table that asked; the caller holds the
+// lock.
+func (d *Driver) observeWithdraw(from topology.VMID, answer authority.WithdrawResponse, holder bool, now mono.Time) {
+	if holder {
+		d.holder.ObserveWithdraw(answer, now)
+		return
+	}
+	d.promoter.ObserveWithdraw(from, answer, now)
 }
 
 func (d *Driver) release(ctx context.Context, a authority.SendRelease) {
+	if a.To == d.o.Directory.Self().ID {
+		d.locked(func(now mono.Time) { d.promoter.ObserveRelease(a.To, d.holder.HandleRelease(a.Request, now)) })
+		return
+	}
 	vm, ok := d.o.Directory.VM(a.To)
 	if !ok {
 		return
--- /dev/null
+++ b/internal/failover/assign.go
@@ -0,0 +1,142 @@
+package failover
+
+import (
+	"context"
+	"slices"
+
+	"github.com/buckthornshore/buckthornshore/pkg/authority"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// assign works out which groups this VM holds and stands in.
+func (d *Driver) assign(context.Context) {
+	parts := d.o.Directory.Parts()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.o.Clock.Now()
+	present := map[topology.GroupID]bool{}
+	for _, part := range parts {
+		present[part.Group] = true
+		d.assignPart(d.withListed(part), now)
+	}
+	for id := range d.parts {
+		if present[id] {
+			continue
+		}
+		if part := d.withListed(Part{Group: id}); len(part.Targets) > 0 {
+			d.assignPart(part, now)
+			continue
+		}
+		d.dropPart(id)
+	}
+}
+
+// listed returns the replica that the group's list has this VM for, or "".
+func (d *Driver) listed(id topology.GroupID) topology.TargetID {
+	row := d.o.Directory.Group(id)
+	if row == nil {
+		return ""
+	}
+	self := d.o.Directory.Self()
+	for _, e := range row.Promoters {
+		if e.VM == self.ID && e.Incarnation == self.Incarnation && e.Replica != row.Primary {
+			return e.Replica
+		}
+	}
+	return ""
+}
+
+// withListed adds the replica that the list has this VM for.
+//
+// Failure: another VM has come to pool the replica, and the primary dies before
+// the list says so. The one in the list looks away, the other one may not promote
+// yet, and callers' writes wait until a new list's promises have lapsed.
+func (d *Driver) withListed(part Part) Part {
+	replica := d.listed(part.Group)
+	if replica == "" || slices.Contains(part.Targets, replica) {
+		return part
+	}
+	part.Targets = append(slices.Clone(part.Targets), replica)
+	return part
+}
+
+func (d *Driver) assignPart(part Part, now mono.Time) {
+	d.parts[part.Group] = part
+	row := d.o.Directory.Group(part.Group)
+	if row == nil {
+		return
+	}
+	read := authority.RowRead{Row: row}
+	d.holder.ObserveRow(read, now)
+	d.promoter.ObserveRow(read, now)
+	d.detector.Watch(row.Primary, now)
+	if t := d.standsFor(part, row); t != "" {
+		d.promoter.Stand(part.Group, t)
+	}
+	if slices.Contains(part.Targets, row.Primary) {
+		d.held[part.Group] = row.Primary
+		d.holder.Serve(part.Group, row.Primary)
+		d.holder.Candidates(part.Group, candidatesFor(row, part.Candidates))
+	} else {
+		d.dropHeld(part.Group)
+	}
+	d.logTerm(row)
+}
+
+// standsFor picks the replica that this VM speaks for: the one that the list has
+// it for, or else one that it pools.
+func (d *Driver) standsFor(part Part, row *topology.Group) topology.TargetID {
+	if replica := d.listed(part.Group); replica != "" {
+		return replica
+	}
+	for _, t := range part.Targets {
+		if t != row.Primary {
+			return t
+		}
+	}
+	return ""
+}
+
+// candidatesFor leaves out the primary itself.
+func candidatesFor(row *topology.Group, all []topology.Promoter) []topology.Promoter {
+	var list []topology.Promoter
+	for _, p := range all {
+		if p.Replica != row.Primary {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func (d *Driver) logTerm(row *topology.Group) {
+	if d.seen[row.ID] == row.Term {
+		return
+	}
+	d.seen[row.ID] = row.Term
+	d.o.Log.Info("event=primary", "group", row.ID, "term", row.Term, "primary", row.Primary, "version", row.Version)
+}
+
+func (d *Driver) dropPart(id topology.GroupID) {
+	d.dropHeld(id)
+	if _, held := d.held[id]; held {
+		return
+	}
+	for _, t := range d.parts[id].Targets {
+		delete(d.asking, t)
+	}
+	delete(d.paces, id)
+	delete(d.parts, id)
+}
+
+// dropHeld ends this VM's part as the primary's pooler, but not while
+// a transaction is open here: its commit would be refused although nothing is
+// wrong. Until then two VMs hold for the same term, which is harmless.
+func (d *Driver) dropHeld(id topology.GroupID) {
+	target, ok := d.held[id]
+	if !ok || d.o.Pooler.OpenTransactions(target) > 0 {
+		return
+	}
+	delete(d.held, id)
+	d.holder.Drop(id)
+}
--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"math/rand/v2"
 	"sync"
@@ -25,8 +24,6 @@
 	tickPeriod = 25 * time.Millisecond
 	// assignPeriod is how often this VM's parts are worked out anew.
 	assignPeriod = 250 * time.Millisecond
-	// statusPeriod is how often this VM's targets tell their positions.
-	statusPeriod = 250 * time.Millisecond
 	// peerTimeout of one message to another VM.
 	peerTimeout = 400 * time.Millisecond
 	// controlTimeout of one control statement.
@@ -91,6 +88,9 @@
 	seen     map[topology.GroupID]uint64            // term last logged
 	health   map[topology.TargetID]authority.Health // last logged
 	lanes    lanes
+	table    *calls
+	asking   map[topology.TargetID]asking
+	paces    map[topology.GroupID]pace
 	woken    chan struct{}
 	assigned func(context.Context)
 }
@@ -109,6 +109,9 @@
 		seen:     map[topology.GroupID]uint64{},
 		health:   map[topology.TargetID]authority.Health{},
 		lanes:    newLanes(),
+		table:    newCalls(o.Table),
+		asking:   map[topology.TargetID]asking{},
+		paces:    map[topology.GroupID]pace{},
 		woken:    make(chan struct{}, 1),
 		assigned: func(context.Context) {},
 	}
@@ -124,7 +127,8 @@
 		d.assign(ctx)
 		d.assigned(ctx)
 	})
-	go loop(ctx, statusPeriod, nil, d.askTargets)
+	go loop(ctx, statusTick, nil, d.askTargets)
+	go loop(ctx, reportCalls, nil, d.reportPlatform)
 	loop(ctx, tickPeriod, nil, d.tick)
 }
 
@@ -181,90 +185,6 @@
 	}
 }
 
-// assign works out which groups this VM holds and stands in.
-func (d *Driver) assign(context.Context) {
-	parts := d.o.Directory.Parts()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := d.o.Clock.Now()
-	present := map[topology.GroupID]bool{}
-	for _, part := range parts {
-		present[part.Group] = true
-		d.assignPart(part, now)
-	}
-	for id := range d.parts {
-		if !present[id] {
-			d.dropPart(id)
-		}
-	}
-}
-
-func (d *Driver) assignPart(part Part, now mono.Time) {
-	d.parts[part.Group] = part
-	row := d.o.Directory.Group(part.Group)
-	if row == nil {
-		return
-	}
-	read := authority.RowRead{Row: row}
-	d.holder.ObserveRow(read, now)
-	d.promoter.ObserveRow(read, now)
-	d.detector.Watch(row.Primary, now)
-	holds := false
-	for _, t := range part.Targets {
-		if t == row.Primary {
-			holds = true
-			continue
-		}
-		d.promoter.Stand(part.Group, t)
-	}
-	if holds {
-		d.held[part.Group] = row.Primary
-		d.holder.Serve(part.Group, row.Primary)
-		d.holder.Candidates(part.Group, candidatesFor(row, part.Candidates))
-	} else {
-		d.dropHeld(part.Group)
-	}
-	d.logTerm(row)
-}
-
-// candidatesFor leaves out the primary itself.
-func candidatesFor(row *topology.Group, all []topology.Promoter) []topology.Promoter {
-	var list []topology.Promoter
-	for _, p := range all {
-		if p.Replica != row.Primary {
-			list = append(list, p)
-		}
-	}
-	return list
-}
-
-func (d *Driver) logTerm(row *topology.Group) {
-	if d.seen[row.ID] == row.Term {
-		return
-	}
-	d.seen[row.ID] = row.Term
-	d.o.Log.Info("event=primary", "group", row.ID, "term", row.Term, "primary", row.Primary, "version", row.Version)
-}
-
-func (d *Driver) dropPart(id topology.GroupID) {
-	d.dropHeld(id)
-	if _, held := d.held[id]; !held {
-		delete(d.parts, id)
-	}
-}
-
-// dropHeld ends this VM's part as the primary's pooler, but not while
-// a transaction is open here: its commit would be refused although nothing is
-// wrong. Until then two VMs hold for the same term, which is harmless.
-func (d *Driver) dropHeld(id topology.GroupID) {
-	target, ok := d.held[id]
-	if !ok || d.o.Pooler.OpenTransactions(target) > 0 {
-		return
-	}
-	delete(d.held, id)
-	d.holder.Drop(id)
-}
-
 // ObserveRows takes rows in; began is the instant before the platform read that
 // showed them, or the zero time when they were heard from a peer.
 func (d *Driver) ObserveRows(rows []*topology.Group, began time.Time) {
@@ -326,7 +246,11 @@
 func (d *Driver) Confirm(r authority.Right, waited bool) *result.Error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.holder.Confirm(r, waited, d.o.Clock.Now())
+	now := d.o.Clock.Now()
+	if waited {
+		d.noteWaited(r.Group, now)
+	}
+	return d.holder.Confirm(r, waited, now)
 }
 
 // Answered implements pooler.Evidence: the target answered on some connection.
@@ -374,26 +298,3 @@
 	defer d.mu.Unlock()
 	d.holder.Drained(group, d.o.Clock.Now())
 }
-
-func encodeRow(row *topology.Group) []byte {
-	if row == nil {
-		return nil
-	}
-	raw, err := json.Marshal(row)
-	if err != nil {
-		panic(err) // A plain struct of strings and numbers always encodes.
-	}
-	return raw
-}
-
-// decodeRow returns nil for none and for a row that can't be read.
-func decodeRow(raw []byte) *topology.Group {
-	if len(raw) == 0 {
-		return nil
-	}
-	var g topology.Group
-	if err := json.Unmarshal(raw, &g); err != nil {
-		return nil
-	}
-	return &g
-}
--- a/internal/failover/messages.go
+++ b/internal/failover/messages.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"encoding/json"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
@@ -79,3 +80,26 @@
 		ReplicaReachable: r.ReplicaReachable,
 	}
 }
+
+func encodeRow(row *topology.Group) []byte {
+	if row == nil {
+		return nil
+	}
+	raw, err := json.Marshal(row)
+	if err != nil {
+		panic(err) // A plain struct of strings and numbers always encodes.
+	}
+	return raw
+}
+
+// decodeRow returns nil for none and for a row that can't be read.
+func decodeRow(raw []byte) *topology.Group {
+	if len(raw) == 0 {
+		return nil
+	}
+	var g topology.Group
+	if err := json.Unmarshal(raw, &g); err != nil {
+		return nil
+	}
+	return &g
+}
--- a/internal/failover/rows.go
+++ b/internal/failover/rows.go
@@ -44,16 +44,12 @@
 		return res
 	}
 	if current == nil || current.Version != row.Version-1 {
-		res.Status = authority.Conflict
-		res.Row = current
-		if current != nil && current.ChangeID == row.ChangeID {
-			res.Status = authority.Committed
-		}
+		conflict(&res, current)
 		return res
 	}
 	key := groupPrefix + string(row.ID)
 	value := encodeRow(row)
-	out, err := d.o.Table.Commit(ctx, platform.Txn{
+	out, err := d.table.Commit(ctx, platform.Txn{
 		Conditions: []platform.Condition{{Key: key, Revision: revision}},
 		Writes:     []platform.Write{{Key: key, Value: value}},
 	})
@@ -63,8 +59,7 @@
 	case err != nil:
 		res.Status = authority.Unknown
 	case !out.Committed:
-		res.Status = authority.Conflict
-		res.Row = conflictRow(out)
+		conflict(&res, conflictRow(out))
 	default:
 		res.Status = authority.Committed
 		d.o.Publish(platform.Row{Key: key, Value: value, Revision: out.Revision})
@@ -72,6 +67,18 @@
 	return res
 }
 
+// conflict tells that another row is in place than the one to be replaced. It is
+// the committer's own when an earlier try took effect and its answer was lost,
+// also between the read of this try and its commit.
+func conflict(res *authority.CommitResult, inPlace *topology.Group) {
+	if inPlace != nil && inPlace.ChangeID == res.ChangeID {
+		res.Status = authority.Committed
+		return
+	}
+	res.Status = authority.Conflict
+	res.Row = inPlace
+}
+
 func conflictRow(out platform.Outcome) *topology.Group {
 	if len(out.Conflicts) == 0 {
 		return nil
@@ -82,7 +89,7 @@
 // currentRow reads the group's row and the table's revision of it.
 func (d *Driver) currentRow(ctx context.Context, id topology.GroupID) (*topology.Group, uint64, error) {
 	key := groupPrefix + string(id)
-	rows, _, err := d.o.Table.Scan(ctx, key, 0)
+	rows, _, err := d.table.Scan(ctx, key, 0)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/internal/failover/status.go
+++ b/internal/failover/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
@@ -9,19 +10,113 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// askTargets has this VM's targets tell their roles and positions.
+// How often a target is asked for its status.
+const (
+	// statusTick is the finest of them.
+	statusTick = 25 * time.Millisecond
+	// statusHurried: no replica is synced, and classes that wait are refused until
+	// one is seen to have caught up.
+	statusHurried = 40 * time.Millisecond
+	// statusBusy: writes wait for replicas, or some replica or list is to be
+	// marked, and each needs positions that are not old.
+	statusBusy = 100 * time.Millisecond
+	// statusAtRest keeps the detector and the views of replicas alive.
+	statusAtRest = 250 * time.Millisecond
+	// hurryFor bounds the hurry after a row: with no replica alive it would last.
+	hurryFor = 3 * time.Second
+	// waitedFor is how long a write that waited for a replica keeps a group busy.
+	waitedFor = time.Second
+)
+
+// asking is one target's status requests.
+type asking struct {
+	last mono.Time
+	open bool
+}
+
+// pace is what a group's status period rests on.
+type pace struct {
+	version uint64
+	// since is when the version was first seen here.
+	since mono.Time
+	// waited is when a write last waited for replicas.
+	waited mono.Time
+}
+
+// period returns how often the targets of a group are asked.
+func (p pace) period(row *topology.Group, now mono.Time) time.Duration {
+	if row == nil {
+		return statusAtRest
+	}
+	synced := len(authority.Synced(row.Promoters))
+	switch {
+	case synced == 0 && now.Sub(p.since) < hurryFor:
+		return statusHurried
+	case synced < len(row.Promoters), len(row.Unsettled) > 0:
+		return statusBusy
+	case p.waited != 0 && now.Sub(p.waited) < waitedFor:
+		return statusBusy
+	}
+	return statusAtRest
+}
+
+// askTargets asks the targets that are due for their roles and positions. Each
+// has one request under way at most: a target that hangs would else gather them
+// on its control connection, and a fence would wait behind all.
 func (d *Driver) askTargets(ctx context.Context) {
-	d.mu.Lock()
-	parts := make([]Part, 0, len(d.parts))
-	for _, p := range d.parts {
-		parts = append(parts, p)
+	for _, due := range d.dueTargets() {
+		go d.askTarget(ctx, due.group, due.target)
 	}
-	d.mu.Unlock()
-	for _, part := range parts {
-		for _, t := range part.Targets {
-			go d.askTarget(ctx, part.Group, t)
+}
+
+// dueTarget is a target that is to be asked now.
+type dueTarget struct {
+	group  topology.GroupID
+	target topology.TargetID
+}
+
+func (d *Driver) dueTargets() (due []dueTarget) {
+	d.locked(func(now mono.Time) {
+		for id, part := range d.parts {
+			period := d.paceOf(id, now)
+			for _, t := range part.Targets {
+				if d.mayAsk(t, period, now) {
+					due = append(due, dueTarget{group: id, target: t})
+				}
+			}
 		}
+	})
+	return due
+}
+
+// paceOf works out a group's period; the caller holds the lock.
+func (d *Driver) paceOf(id topology.GroupID, now mono.Time) time.Duration {
+	row := d.o.Directory.Group(id)
+	p := d.paces[id]
+	if row != nil && (p.version != row.Version || p.since == 0) {
+		p.version = row.Version
+		p.since = now
+		d.paces[id] = p
+	}
+	return p.period(row, now)
+}
+
+// mayAsk notes a request that is due; the caller holds the lock. A tick may come
+// a little early, so half of one is let pass.
+func (d *Driver) mayAsk(t topology.TargetID, period time.Duration, now mono.Time) bool {
+	a := d.asking[t]
+	if a.open || (a.last != 0 && now.Sub(a.last) < period-statusTick/2) {
+		return false
 	}
+	d.asking[t] = asking{last: now, open: true}
+	return true
+}
+
+// noteWaited keeps the group's status fresh; the caller holds the lock.
+func (d *Driver) noteWaited(id topology.GroupID, now mono.Time) {
+	p := d.paces[id]
+	p.waited = now
+	d.paces[id] = p
 }
 
 func (d *Driver) askTarget(ctx context.Context, group topology.GroupID, t topology.TargetID) {
@@ -30,12 +125,15 @@
 		return c.Status(ctx)
 	})
 	row := d.o.Directory.Group(group)
-	if row == nil {
-		return
-	}
 	d.locked(func(now mono.Time) {
+		if _, ok := d.asking[t]; ok {
+			d.asking[t] = asking{last: began}
+		}
+		if row == nil {
+			return
+		}
 		if row.Primary == t {
-			d.observePrimary(group, t, s, err, began, now)
+			d.observePrimary(row, s, err, began, now)
 			return
 		}
 		d.promoter.ObserveReplica(group, authority.ReplicaStatus{
@@ -47,15 +145,20 @@
 	})
 }
 
-func (d *Driver) observePrimary(group topology.GroupID, t topology.TargetID, s pooler.TargetStatus, err error, began, now mono.Time) {
+// observePrimary takes the primary's status; the caller holds the lock. A target
+// that is primary in another term than the row's tells nothing of the row's log.
+func (d *Driver) observePrimary(row *topology.Group, s pooler.TargetStatus, err error, began, now mono.Time) {
 	if err != nil {
-		d.detector.Doubt(t)
+		d.detector.Doubt(row.Primary)
+		return
+	}
+	d.detector.ObserveAnswer(row.Primary, now.Sub(began), now)
+	if s.Role != pooler.RolePrimary {
 		return
 	}
-	d.detector.ObserveAnswer(t, now.Sub(began), now)
-	if s.Role == pooler.RolePrimary {
-		d.holder.ObservePromoted(group, s.Term)
-		d.holder.ObservePrimary(group, s.Position, began)
+	d.holder.ObservePromoted(row.ID, s.Term)
+	if known := d.holder.Row(row.ID); known != nil && known.Term == s.Term {
+		d.holder.ObservePrimary(row.ID, s.Position, began)
 	}
 }
 
--- a/pkg/authority/holder.go
+++ b/pkg/authority/holder.go
@@ -30,12 +30,13 @@
 	sent   map[topology.VMID]*sentTimes
 	// released outlives Drop. Failure: the VM releases while it does not pool the
 	// group, pools it again, and a promise given before arrives.
-	released map[topology.GroupID]release
-	sequence uint64
-	changes  uint64
-	lastBeat mono.Time
-	beaten   bool
-	ticked   mono.Time
+	released  map[topology.GroupID]release
+	sequence  uint64
+	changes   uint64
+	lastBeat  mono.Time
+	beaten    bool
+	lastHurry mono.Time
+	ticked    mono.Time
 }
 
 // relied is one version of the row that a right may rest on.
@@ -77,9 +78,14 @@
 	proposal   *proposal
 	settlement settlement
 	candidates []topology.Promoter
-	replicas   map[topology.TargetID]replicaView
-	primary    []primarySample
-	readAsked  mono.Time
+	// viewed are the candidates at the last tick, and since when.
+	viewed      []topology.Promoter
+	viewedSince mono.Time
+	// watched is since when this VM holds the group in the row's term.
+	watched   mono.Time
+	replicas  map[topology.TargetID]replicaView
+	primary   []primarySample
+	readAsked mono.Time
 	// inTerm is the term in which the target has confirmed to be the primary.
 	inTerm       uint64
 	promoteAsked mono.Time
@@ -173,6 +179,7 @@
 		g.settlement = newSettlement()
 		g.replicas = map[topology.TargetID]replicaView{}
 		g.primary = nil
+		g.watched = now
 	}
 	g.now = relied{row: row.Clone()}
 	g.learned = now
--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -52,17 +52,39 @@
 // wantedList is the list without those that fell silent and those not wanted any
 // more, with the candidates that are missing, and with what is synced by now.
 func (h *Holder) wantedList(g *held, now mono.Time) []topology.Promoter {
-	row := g.now.row
+	list, urgent := h.remaining(g, now)
+	// Failure: at a start the VMs hear of each other one by one, and each time the
+	// list changes: seven rows and two unsettled lists within 300 ms. A change that
+	// keeps the right going can't wait, nor one that classes wait for because no
+	// replica is synced; any other one waits until the view rests.
+	urgent = urgent || len(Synced(g.now.row.Promoters)) == 0
+	if urgent || now.Sub(g.viewedSince) >= settledView {
+		list = slices.DeleteFunc(list, func(p topology.Promoter) bool { return !g.wants(p) })
+		list = g.addMissing(list, now)
+	}
+	list = h.keepOne(g, list, now)
+	for i, p := range list {
+		list[i].Synced = g.wantSynced(p, now)
+	}
+	return list
+}
+
+// remaining are the entries that are not silent, and whether any other is.
+func (h *Holder) remaining(g *held, now mono.Time) ([]topology.Promoter, bool) {
 	var list []topology.Promoter
-	for _, p := range row.Promoters {
-		silent := now.Sub(g.granted[p.VM]) > h.opts.ReplaceAfter
-		if silent {
+	for _, p := range g.now.row.Promoters {
+		if now.Sub(g.granted[p.VM]) > h.opts.ReplaceAfter {
 			g.shunned[p.VM] = now.Add(shunFor)
+			continue
 		}
-		if !silent && g.wants(p) {
-			list = append(list, p)
-		}
+		list = append(list, p)
 	}
+	return list, len(list) < len(g.now.row.Promoters)
+}
+
+// addMissing adds the candidates that are not listed.
+func (g *held) addMissing(list []topology.Promoter, now mono.Time) []topology.Promoter {
+	row := g.now.row
 	for _, c := range g.candidates {
 		_, listed := entryOf(list, c.VM, c.Incarnation)
 		_, old := entryOf(row.Promoters, c.VM, c.Incarnation)
@@ -73,10 +95,6 @@
 		c.Synced = slices.Contains(Synced(row.Promoters), c.Replica)
 		list = append(list, c)
 	}
-	list = h.keepOne(g, list, now)
-	for i, p := range list {
-		list[i].Synced = g.wantSynced(p, now)
-	}
 	return list
 }
 
@@ -164,8 +182,10 @@
 	if !p.Synced {
 		return v.reachable && now.Sub(v.at) < freshPrimary && g.holdsSince(p.Replica, now.Add(-freshPrimary))
 	}
+	// A holder that has just begun has heard of no position, and knows of none that
+	// it is behind.
 	sampled := len(g.primary) > 0 && now.Sub(g.primary[len(g.primary)-1].began) < freshPrimary/2
-	return !sampled || g.holdsSince(p.Replica, now.Add(-unsyncAfter))
+	return !sampled || now.Sub(g.watched) < unsyncAfter || g.holdsSince(p.Replica, now.Add(-unsyncAfter))
 }
 
 // holdsSince reports whether the replica holds a position that the primary had
--- a/pkg/authority/holder_systems.go
+++ b/pkg/authority/holder_systems.go
@@ -29,6 +29,13 @@
 	caretakerAfter = 5 * time.Second
 	// drainLimit ends a switchover that brought no promotion.
 	drainLimit = 5 * time.Second
+	// settledView is how long the candidates must stay the same before a list
+	// change that can wait is proposed.
+	settledView = 500 * time.Millisecond
+	// hurriedBeat spaces the heartbeats of a group without a synced entry, for
+	// hurryFor after each of its rows.
+	hurriedBeat = 50 * time.Millisecond
+	hurryFor    = 3 * time.Second
 )
 
 // replicaView is a replica as its promoter reports it.
@@ -119,6 +126,7 @@
 		if g.now.row == nil || g.now.row.Primary != g.target {
 			continue
 		}
+		g.noteView(now)
 		out = append(out, h.promote(g, now)...)
 		out = append(out, h.propose(g, now)...)
 		out = append(out, h.settlement(g, now)...)
@@ -168,6 +176,23 @@
 	return g.settlement.ask(&h.opts, g.now.row, now)
 }
 
+// noteView remembers since when the candidates are the same.
+func (g *held) noteView(now mono.Time) {
+	if slices.Equal(g.candidates, g.viewed) {
+		return
+	}
+	g.viewed = g.candidates
+	g.viewedSince = now
+}
+
+// hurried reports whether a replica is to be marked synced soon. Failure: after a
+// promotion no entry is synced, and classes that wait for a replica are refused
+// until a heartbeat tells that one has caught up. Not for long: with no replica
+// alive it would go on for hours.
+func (g *held) hurried(now mono.Time) bool {
+	return len(Synced(g.now.row.Promoters)) == 0 && now.Sub(g.learned) < hurryFor
+}
+
 // heartbeats batches the promise requests of all groups by VM.
 func (h *Holder) heartbeats(now mono.Time) []Action {
 	all := !h.beaten || now.Sub(h.lastBeat) >= h.opts.Heartbeat
@@ -175,11 +200,18 @@
 		h.lastBeat = now
 		h.beaten = true
 	}
+	hurry := now.Sub(h.lastHurry) >= hurriedBeat
+	if hurry {
+		h.lastHurry = now
+	}
 	batch := map[topology.VMID][]PromiseRequest{}
 	for _, id := range sortedKeys(h.groups) {
 		g := h.groups[id]
 		row := g.now.row
-		if row == nil || row.Primary != g.target || (!all && !g.urgent) {
+		if row == nil || row.Primary != g.target {
+			continue
+		}
+		if due := all || g.urgent || (hurry && g.hurried(now)); !due {
 			continue
 		}
 		g.urgent = false
--- a/pkg/authority/join.go
+++ b/pkg/authority/join.go
@@ -2,16 +2,27 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
+// joinAfter is how long a VM that is not listed leaves a suspected primary to
+// those that are. Failure: every VM that pools a replica by now lists itself at
+// once; each new list ends the attempts under way and brings promises to wait for.
+const joinAfter = 600 * time.Millisecond
+
+// delayJoin starts the wait anew: a suspicion, or a list that others promote by.
+func (p *Promoter) delayJoin(s *standing, now mono.Time) {
+	s.joinAt = now.Add(joinAfter + p.jitter(p.opts.Stagger))
+}
+
 // mayJoin reports whether this VM should enter the list by itself: the primary
 // looks dead, the replica may be complete, but this start of the VM is not listed,
 // and the holder that would list it may have died with the primary.
-func (p *Promoter) mayJoin(s *standing) bool {
-	if _, ok := p.member(s.row.Promoters); ok || !s.suspected || s.replica == "" {
+func (p *Promoter) mayJoin(s *standing, now mono.Time) bool {
+	if _, ok := p.member(s.row.Promoters); ok || !s.suspected || s.replica == "" || now.Before(s.joinAt) {
 		return false
 	}
 	return p.mayPromote(s.row, s.replica)
--- a/pkg/authority/mistakes_test.go
+++ b/pkg/authority/mistakes_test.go
@@ -49,16 +49,18 @@
 	w.run(2 * time.Second)
 }
 
-// releasedThenChanged: vm1 has the right of a version released and cannot commit;
-// the holder changes the list for vm2's restart; vm1 hears of that from the
+// releasedThenChanged: vm2 restarts, and the holder changes the list for that only
+// when its old start has been silent for long. Just before, vm1 has the right of
+// the old version released and cannot commit; it hears of the change from the
 // platform alone, and promotes under the new version without having promised it.
 func releasedThenChanged(w *world) {
+	w.vms[2].start()
+	w.run(500*time.Millisecond + time.Duration(w.rng.Int64N(int64(500*time.Millisecond))))
 	w.vms[1].suspects = true
 	w.run(20 * time.Millisecond)
 	w.platCut[1] = true
 	w.run(100*time.Millisecond + time.Duration(w.rng.Int64N(int64(100*time.Millisecond))))
 	w.cut[0][1] = true
-	w.vms[2].start()
 	before := w.last.Version
 	for tries := 100; tries > 0 && w.last.Version == before; tries-- {
 		w.run(step)
--- a/pkg/authority/promoter.go
+++ b/pkg/authority/promoter.go
@@ -47,8 +47,10 @@
 	promoted   []mono.Time
 	status     ReplicaStatus
 	joining    *proposal
-	notBefore  mono.Time
-	positions  map[topology.VMID]position.Position
+	// joinAt is when this VM may list itself.
+	joinAt    mono.Time
+	notBefore mono.Time
+	positions map[topology.VMID]position.Position
 }
 
 // NewPromoter returns an empty table of a VM that started at started.
@@ -105,6 +107,7 @@
 	}
 	s.row = row.Clone()
 	s.settlement.note(row, now)
+	p.delayJoin(s, now)
 	if s.attempt != nil {
 		s.attempt.over = true
 	}
--- a/pkg/authority/promotion.go
+++ b/pkg/authority/promotion.go
@@ -52,6 +52,7 @@
 	s := p.standing(group)
 	if dead && !s.suspected {
 		s.since = now
+		p.delayJoin(s, now)
 	}
 	s.suspected = dead
 }
@@ -92,7 +93,7 @@
 }
 
 func (p *Promoter) step(s *standing, now mono.Time) []Action {
-	if s.attempt == nil && (s.joining != nil || p.mayJoin(s)) {
+	if s.attempt == nil && (s.joining != nil || p.mayJoin(s, now)) {
 		return p.join(s, now)
 	}
 	if s.attempt == nil {
--- a/pkg/platform/remote.go
+++ b/pkg/platform/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 
 	"github.com/cockroachdb/errors"
@@ -31,8 +32,9 @@
 	return rowsFrom(resp.Rows), resp.Revision, nil
 }
 
-// Commit implements Table. Any failed call counts as unknown: the request may
-// have been applied before the connection broke.
+// Commit implements Table. A failed call counts as unknown: the request may have
+// been applied before the connection broke. Only a connection that could not be
+// opened certainly carried nothing.
 func (r *Remote) Commit(ctx context.Context, txn Txn) (Outcome, error) {
 	req := &platformpb.CommitRequest{Caller: r.caller}
 	for _, c := range txn.Conditions {
@@ -43,7 +45,7 @@
 	}
 	resp, err := r.client.Commit(ctx, req)
 	if err != nil {
-		return Outcome{}, errors.Mark(errors.Wrap(err, "commit"), ErrUnknown)
+		return Outcome{}, errors.Mark(errors.Wrap(err, "commit"), lostOrUnsent(err))
 	}
 	return Outcome{Committed: resp.Committed, Revision: resp.Revision, Conflicts: rowsFrom(resp.Conflicts)}, nil
 }
@@ -82,6 +84,17 @@
 	return unavailable(err)
 }
 
+// lostOrUnsent tells a commit that was never sent from one that may have been
+// applied. The client gives every other error the same form, so the dial is the
+// one place that tells.
+func lostOrUnsent(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return ErrUnavailable
+	}
+	return ErrUnknown
+}
+
 func unavailable(err error) error {
 	if err == nil {
 		return nil
