--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -32,6 +32,7 @@
 	proxies   []*process
 	links     []*link
 	callers   []string // caller addresses, as proxies
+	admins    []string // admin addresses, as proxies
 	standIn   platformpb.StandIn
 }
 
@@ -126,6 +127,8 @@
 			PlatformTimeout: settings.Duration(time.Second),
 			CheckInvariants: true,
 			LogLevel:        "debug",
+			AdminAddress:    freeAddress(),
+			OperatorSecret:  operatorSecret,
 		})
 	}
 	if links {
@@ -142,6 +145,7 @@
 	Expect(os.WriteFile(file, raw, 0o600)).To(Succeed())
 	d.proxies = append(d.proxies, d.process(string(s.VM), "bts-proxy", file))
 	d.callers = append(d.callers, s.CallerAddress)
+	d.admins = append(d.admins, s.AdminAddress)
 }
 
 // awaitWrites returns once every group takes a write.
