--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -10,7 +10,15 @@
 )
 
 // propose changes the row: one change at a time, the most urgent first.
+//
+// Failure: the primary is dead, the promoters withdraw, and the holder takes
+// their silence for a reason to change the list; each change ends the attempts
+// under way. Without a primary there is nothing to acknowledge, so it leaves the
+// row to the promoters.
 func (h *Holder) propose(g *held, now mono.Time) []Action {
+	if g.proposal == nil && g.health == Dead {
+		return nil
+	}
 	if g.proposal == nil {
 		next := h.nextRow(g, now)
 		if next == nil {
@@ -45,17 +53,39 @@
 // wantedList is the list without those that fell silent and those not wanted any
 // more, with the candidates that are missing, and with what is synced by now.
 func (h *Holder) wantedList(g *held, now mono.Time) []topology.Promoter {
-	row := g.now.row
+	list, urgent := h.remaining(g, now)
+	// Failure: at a start the VMs hear of each other one by one, and each time the
+	// list changes: seven rows and two unsettled lists within 300 ms. A change that
+	// keeps the right going can't wait, nor one that classes wait for because no
+	// replica is synced; any other one waits until the view rests.
+	urgent = urgent || len(Synced(g.now.row.Promoters)) == 0
+	if urgent || now.Sub(g.viewedSince) >= settledView {
+		list = slices.DeleteFunc(list, func(p topology.Promoter) bool { return !g.wants(p) })
+		list = g.addMissing(list, now)
+	}
+	list = h.keepOne(g, list, now)
+	for i, p := range list {
+		list[i].Synced = g.wantSynced(p, now)
+	}
+	return list
+}
+
+// remaining are the entries that are not silent, and whether any other is.
+func (h *Holder) remaining(g *held, now mono.Time) ([]topology.Promoter, bool) {
 	var list []topology.Promoter
-	for _, p := range row.Promoters {
-		silent := now.Sub(g.granted[p.VM]) > h.opts.ReplaceAfter
-		if silent {
+	for _, p := range g.now.row.Promoters {
+		if now.Sub(g.granted[p.VM]) > h.opts.ReplaceAfter {
 			g.shunned[p.VM] = now.Add(shunFor)
+			continue
 		}
-		if !silent && g.wants(p) {
-			list = append(list, p)
-		}
+		list = append(list, p)
 	}
+	return list, len(list) < len(g.now.row.Promoters)
+}
+
+// addMissing adds the candidates that are not listed.
+func (g *held) addMissing(list []topology.Promoter, now mono.Time) []topology.Promoter {
+	row := g.now.row
 	for _, c := range g.candidates {
 		_, listed := entryOf(list, c.VM, c.Incarnation)
 		_, old := entryOf(row.Promoters, c.VM, c.Incarnation)
@@ -66,10 +96,6 @@
 		c.Synced = slices.Contains(Synced(row.Promoters), c.Replica)
 		list = append(list, c)
 	}
-	list = h.keepOne(g, list, now)
-	for i, p := range list {
-		list[i].Synced = g.wantSynced(p, now)
-	}
 	return list
 }
 
@@ -193,7 +219,7 @@
 			continue
 		}
 		more := keepCompleteness(row, append(slices.Clone(done), l.Version))
-		if !g.mayBecomeComplete(Settle(row, more, ""), max(since, at)) {
+		if !g.stillHeld(Settle(row, more, ""), max(since, at)) {
 			continue
 		}
 		done = more
@@ -205,18 +231,24 @@
 	return Settle(row, done, h.changeID())
 }
 
-// mayBecomeComplete reports whether each replica that next makes complete holds
-// what the primary held after since. Failure: a write waited for the replicas of
-// the list that goes, and not for this one, which is then promoted without it.
-// All such writes were there when the last right under that list had ended;
-// since is also after this row was learned, and so after the lists that other
-// holders settled had ended.
-func (g *held) mayBecomeComplete(next *topology.Group, since mono.Time) bool {
-	for _, list := range lists(g.now.row) {
-		for _, t := range Synced(list) {
-			if Complete(next, t) && !Complete(g.now.row, t) && !g.holdsSince(t, since) {
-				return false
-			}
+// stillHeld reports whether what waited under the lists that next has no more
+// stays covered: for each of them, next has a list whose synced replicas all hold
+// it. A candidate of next is synced in that list or holds as much as one of them.
+//
+// Failure: a write waited for the replicas of the list that goes, and not for
+// this one, which is then promoted without it. All such writes were there when
+// the last right under that list had ended; since is also after this row was
+// learned, and so after the lists that other holders settled had ended.
+func (g *held) stillHeld(next *topology.Group, since mono.Time) bool {
+	stay := syncedLists(next)
+	for _, gone := range syncedLists(g.now.row) {
+		covers := func(list []topology.TargetID) bool {
+			return !slices.ContainsFunc(list, func(t topology.TargetID) bool {
+				return !slices.Contains(gone, t) && !g.holdsSince(t, since)
+			})
+		}
+		if !slices.ContainsFunc(stay, covers) {
+			return false
 		}
 	}
 	return true
