authority: several changes of the list in a row end no right

Up to four whose promises stand now are; their lists stay unsettled for as long, so every promotion counts with them. Ruled out: spacing the changes, as two holders propose them at once.

--- a/pkg/authority/holder.go
+++ b/pkg/authority/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -63,8 +64,10 @@
 	target topology.TargetID
 	now    relied
 	// learned is when the row became known here.
-	learned  mono.Time
-	prev     relied
+	learned mono.Time
+	// older holds earlier versions of the term under which promises may still
+	// stand, the newest first.
+	older    []relied
 	promises map[promiseKey]mono.Time
 	// granted tells, by VM, when its latest granted request was sent; before the
 	// first grant, when the version was learned.
@@ -164,7 +167,7 @@
 		return
 	}
 	h.opts.checkSuccessor(g.now.row, row)
-	g.prev = h.previous(g, row, now)
+	g.older = h.stillRelied(g, row, now)
 	if g.now.row == nil || g.now.row.Term != row.Term {
 		g.drain = nil
 		g.settlement = newSettlement()
@@ -185,7 +188,7 @@
 		g.granted[p.VM] = now
 	}
 	for k := range g.promises {
-		if g.prev.row == nil || k.version < g.prev.row.Version {
+		if !g.reliesOn(k.version) {
 			delete(g.promises, k)
 		}
 	}
@@ -195,21 +198,33 @@
 	g.urgent = true
 }
 
-// previous picks the version whose right is kept while promises under row are
-// asked for: the newest under which one stands. Failure: two changes of the list
-// follow each other before the first is promised, as in a handover, and a write
-// under way loses its right although nobody withdrew it. The older list is
-// unsettled as long as promises under it may stand, so promotions count with it.
-func (h *Holder) previous(g *held, row *topology.Group, now mono.Time) relied {
+// keptVersions bounds the versions before the current one that are relied on.
+const keptVersions = 4
+
+// stillRelied lists the versions before row, the newest first, whose rights stand
+// on while promises under row are asked for. Failure: in a handover the list
+// changes several times within milliseconds; with the version before alone, a
+// write under way loses its right although nobody withdrew it, or has waited for
+// replicas of a list that is forgotten. The older lists are unsettled as long as
+// promises under them may stand, so every promotion counts with them.
+func (h *Holder) stillRelied(g *held, row *topology.Group, now mono.Time) []relied {
 	if g.now.row == nil || g.now.row.Term != row.Term {
-		return relied{}
+		return nil
 	}
-	_, nowStands := h.until(g, g.now, now)
-	_, prevStands := h.until(g, g.prev, now)
-	if prevStands && !nowStands {
-		return g.prev
+	kept := []relied{g.now}
+	for _, r := range g.older {
+		if _, stands := h.until(g, r, now); stands && len(kept) < keptVersions {
+			kept = append(kept, r)
+		}
 	}
-	return g.now
+	return kept
+}
+
+// relied lists the versions under which the right may stand, the newest first.
+func (g *held) relied() []relied { return append([]relied{g.now}, g.older...) }
+
+func (g *held) reliesOn(version uint64) bool {
+	return slices.ContainsFunc(g.older, func(r relied) bool { return r.row.Version == version })
 }
 
 // until returns when the right under one version ends, and whether it stands.
@@ -260,7 +275,7 @@
 	if g.drain != nil {
 		return Right{}, result.New(result.Leaving, "group %s: switchover", group).After(h.opts.Heartbeat)
 	}
-	for _, r := range []relied{g.now, g.prev} {
+	for _, r := range g.relied() {
 		if end, ok := h.until(g, r, now); ok {
 			return Right{Group: group, Term: term, Version: r.row.Version, WaitFor: Synced(r.row.Promoters), Until: end}, nil
 		}
@@ -283,7 +298,7 @@
 		return result.New(result.OutcomeUnknown, "group %s left term %d", right.Group, right.Term)
 	}
 	code := result.OutcomeUnknown
-	for _, r := range []relied{g.now, g.prev} {
+	for _, r := range g.relied() {
 		if _, ok := h.until(g, r, now); !ok {
 			continue
 		}
