--- a/internal/daemon/leaver.go
+++ b/internal/daemon/leaver.go
@@ -21,6 +21,8 @@
 	// finishTime is how long new requests of a primary are held off for the open
 	// ones to end; then they are let in again and the switchover tried later.
 	finishTime = 3 * time.Second
+	// settleTime is how long a row may take until a replica can be promoted.
+	settleTime = 5 * time.Second
 	// promoteTime is how long the successor may take.
 	promoteTime = 5 * time.Second
 	// switchPoll is how often either is looked at.
@@ -119,10 +121,11 @@
 	if row == nil {
 		return 0, result.New(result.NotFound, "group %s", group)
 	}
-	to, failure := successor(l.view.Config(), row, to)
+	to, failure := l.awaitSuccessor(ctx, group, to)
 	if failure != nil {
 		return 0, failure
 	}
+	row = l.view.Group(group)
 	if to == row.Primary {
 		return row.Term, nil
 	}
@@ -145,6 +148,18 @@
 	return now.Term, nil
 }
 
+// awaitSuccessor waits for a replica that can be promoted at once. Failure: soon
+// after a promotion or a handover the row's lists are still being settled; with
+// writes held off then, callers wait for as long as that takes.
+func (l *leaver) awaitSuccessor(ctx context.Context, group topology.GroupID, wanted topology.TargetID) (to topology.TargetID, failure *result.Error) {
+	poll(ctx, settleTime, func() bool {
+		row := l.view.Group(group)
+		to, failure = successor(l.view.Config(), row, wanted)
+		return failure == nil && len(row.Unsettled) == 0
+	})
+	return to, failure
+}
+
 // successor picks the replica to promote: the wanted one, or the first that
 // holds every acknowledged write and stays.
 func successor(conf *config.View, row *topology.Group, wanted topology.TargetID) (topology.TargetID, *result.Error) {
