--- a/internal/integration/operators_test.go
+++ b/internal/integration/operators_test.go
@@ -100,7 +100,7 @@
 				g.Expect(c.Preset).To(Equal("peak"))
 			}
 		}).WithTimeout(10 * time.Second).Should(Succeed())
-		why := ask[routing.Explanation](d, "explain", "--service", "quota-ledger", "--class", "landing-report")
+		why := ask[routing.Explanation](d, "explain", "--service", "quota-ledger", "--class", "landing-report", "--group", "g1")
 		Expect(string(why.Chosen)).To(Equal(d.primary()))
 		code, _, stderr := d.ctl("some other secret, wrong", "status", "vms")
 		Expect(code).To(Equal(ctl.ExitRefused))
@@ -129,6 +129,10 @@
 			}
 		}).WithTimeout(10 * time.Second).Should(Succeed())
 		Eventually(d.retriesOfReads).WithTimeout(15 * time.Second).Should(BeZero())
+		why := ask[routing.Explanation](d, "explain", "--service", "quota-ledger", "--class", "balance-overview", "--group", "g1")
+		Expect(why.Candidates).To(ContainElement(And(
+			HaveField("Target", topology.TargetID(leaving)), HaveField("Reason", routing.TargetLeaving),
+		)))
 		hung := d.databases[topology.TargetID(leaving)]
 		hung.freeze()
 		defer hung.thaw()
