--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -122,6 +122,7 @@
 			Region:          "ee-north",
 			CallerAddress:   freeAddress(),
 			PeerAddress:     freeAddress(),
+			AdminAddress:    freeAddress(),
 			PlatformURL:     d.url,
 			ConfigFile:      d.configFile(),
 			PlatformTimeout: settings.Duration(time.Second),
