--- a/internal/integration/callers_test.go
+++ b/internal/integration/callers_test.go
@@ -17,9 +17,9 @@
 // leavingState is the SQLSTATE of a session whose daemon leaves.
 const leavingState = "BT104"
 
-// load is callers that write and read back until they are stopped. Each has its
+// callers that write and read back until they are stopped. Each has its
 // own keys, so that a write that is lost or a read that is older shows.
-type load struct {
+type callers struct {
 	d     *deployment
 	stop  chan struct{}
 	wait  sync.WaitGroup
@@ -31,9 +31,9 @@
 	failures []string
 }
 
-func (d *deployment) startLoad(callers int) *load {
-	l := &load{d: d, stop: make(chan struct{})}
-	for i := range callers {
+func (d *deployment) startCallers(n int) *callers {
+	l := &callers{d: d, stop: make(chan struct{})}
+	for i := range n {
 		l.wait.Add(1)
 		go func() {
 			defer GinkgoRecover()
@@ -44,14 +44,14 @@
 	return l
 }
 
-func (l *load) failed(format string, args ...any) {
+func (l *callers) failed(format string, args ...any) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.failures = append(l.failures, time.Now().Format("15:04:05.000 ")+fmt.Sprintf(format, args...))
 }
 
 // end stops the callers and expects that no request failed.
-func (l *load) end() {
+func (l *callers) end() {
 	GinkgoHelper()
 	close(l.stop)
 	l.wait.Wait()
@@ -66,7 +66,7 @@
 
 // call writes and reads its own key in turn. A session that is told to go
 // connects anew, as one that was ended with "not run" does; then it repeats.
-func (l *load) call(i int) {
+func (l *callers) call(i int) {
 	var c *pgx.Conn
 	defer func() { closeConn(c) }()
 	for n, proxy := 0, i; ; {
@@ -107,7 +107,7 @@
 }
 
 // connect asks one proxy after the other, as a balancer does.
-func (l *load) connect(from int) (*pgx.Conn, int) {
+func (l *callers) connect(from int) (*pgx.Conn, int) {
 	for i := from; ; i++ {
 		proxy := i % len(l.d.callers)
 		c, err := l.d.connect(proxy, "landing-report", "session", "clerk")
@@ -120,7 +120,7 @@
 
 // request writes on even turns, half of them in a transaction, and reads what
 // was written on odd ones.
-func (l *load) request(c *pgx.Conn, i, n int) error {
+func (l *callers) request(c *pgx.Conn, i, n int) error {
 	key, value := fmt.Sprintf("caller-%d", i), fmt.Sprint(n/2)
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
--- a/internal/integration/leaving_test.go
+++ b/internal/integration/leaving_test.go
@@ -14,7 +14,7 @@
 	// poolers and promoters move while requests run on them.
 	It("restarts all daemons under load without a failed request", func() {
 		d := deploy(shape{groups: 1, proxies: 5})
-		l := d.startLoad(10)
+		l := d.startCallers(10)
 		for i, p := range d.proxies {
 			GinkgoWriter.Printf("%s stopped in %v\n", p.name, p.stop())
 			p.start()
--- a/internal/integration/operators_test.go
+++ b/internal/integration/operators_test.go
@@ -115,7 +115,7 @@
 	It("switch over and drain under load without a failed request", func() {
 		d := deploy(shape{groups: 1, proxies: 3})
 		d.mustCtl("apply", d.configFile(), "--expect-version", "0")
-		l := d.startLoad(6)
+		l := d.startCallers(6)
 		before := d.primary()
 		d.mustCtl("switchover", "quota-ledger/g1")
 		leaving := d.primary()
