The VM list spreads as rows; a daemon may start from its peers

Cause: every daemon polled the platform's list each 2 s: 1,950 reads/s at 3,900 daemons of the 2,000 that the platform bears, and 390 KB an answer. A relay without the platform asks peers for the document; an update that failed is retried (it waited for the next change of any row), and a peer that hangs holds it up for half a second only. Ruled out: a list request with 'since' (the platform's interface is not ours).

--- a/internal/daemon/configkeeper.go
+++ b/internal/daemon/configkeeper.go
@@ -18,6 +18,7 @@
 	"github.com/buckthornshore/buckthornshore/pkg/config/store"
 	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
 
@@ -78,17 +79,23 @@
 	return nil
 }
 
-// run puts what is accepted in force until ctx ends; a failure is retried with
-// the next change and each period.
+// configRetry is when an update that failed is tried again.
+const configRetry = 500 * time.Millisecond
+
+// run puts what is accepted in force until ctx ends. A failure is retried by
+// itself: the rows may not change again for days, and this daemon would keep the
+// old configuration for as long.
 func (k *configKeeper) run(ctx context.Context) {
-	for {
+	for ctx.Err() == nil {
+		var retry <-chan time.Time
 		if err := k.update(ctx); err != nil {
 			k.log.Warn("event=config_update_failed", "error", err)
+			retry = time.After(configRetry)
 		}
 		select {
 		case <-k.notify:
+		case <-retry:
 		case <-ctx.Done():
-			return
 		}
 	}
 }
@@ -173,18 +180,45 @@
 
 // Get implements platform.Objects.
 func (b blobSource) Get(ctx context.Context, name string) ([]byte, bool, error) {
-	if !b.keeper.view.IsRelay() {
-		for _, vm := range b.keeper.view.Relays() {
-			resp, err := b.keeper.peers.Get(vm).Blob(ctx, &peerpb.BlobRequest{Name: name})
-			if err == nil && resp.Found {
-				b.keeper.blobs.Keep(name, resp.Blob)
-				return resp.Blob, true, nil
-			}
+	if b.keeper.view.IsRelay() {
+		blob, found, err := b.keeper.blobs.Get(ctx, name)
+		if err == nil {
+			return blob, found, nil
+		}
+		if blob, ok := b.fromPeers(ctx, name); ok {
+			return blob, true, nil // The platform is out; a peer holds it.
 		}
+		return nil, false, err
+	}
+	if blob, ok := b.fromPeers(ctx, name); ok {
+		return blob, true, nil
 	}
 	return b.keeper.blobs.Get(ctx, name)
 }
 
+// blobTimeout of one peer: one that hangs must not hold the change up.
+const blobTimeout = 500 * time.Millisecond
+
+func (b blobSource) fromPeers(ctx context.Context, name string) ([]byte, bool) {
+	for _, vm := range b.keeper.view.Relays() {
+		if blob, ok := b.fromPeer(ctx, vm, name); ok {
+			b.keeper.blobs.Keep(name, blob)
+			return blob, true
+		}
+	}
+	return nil, false
+}
+
+func (b blobSource) fromPeer(ctx context.Context, vm topology.VM, name string) ([]byte, bool) {
+	ctx, cancel := context.WithTimeout(ctx, blobTimeout)
+	defer cancel()
+	resp, err := b.keeper.peers.Get(vm).Blob(ctx, &peerpb.BlobRequest{Name: name})
+	if err != nil || !resp.Found {
+		return nil, false
+	}
+	return resp.Blob, true
+}
+
 // Put implements platform.Objects.
 func (blobSource) Put(context.Context, string, []byte) error { return errReadOnly }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,7 @@
 			newDriver,
 			newFollower,
 			newProber,
-			newLister,
+			newRegistrar,
 			newRoles,
 			newLeaver,
 			newOperators,
@@ -109,8 +109,12 @@
 	return relay.NewServer(rows, p)
 }
 
-func newFollower(rows *relay.Store, p platform.Service, v *view.View, table *peers.Table, log *slog.Logger) *relay.Follower {
-	return &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
+func newFollower(s Settings, rows *relay.Store, p platform.Service, v *view.View, table *peers.Table, log *slog.Logger) *relay.Follower {
+	f := &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
+	for _, address := range s.Peers {
+		f.Seeds = append(f.Seeds, table.Seed(address))
+	}
+	return f
 }
 
 // Defaults of the pooler until the configuration says otherwise.
@@ -192,7 +196,8 @@
 }
 
 // wire joins the parts that know each other both ways.
-func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
+func wire(sink *rowSink, rows *relay.Store, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
+	sink.store = rows
 	sink.driver = driver
 	sink.keeper = keeper
 	sink.entry = e
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -32,7 +32,7 @@
 	Follower  *relay.Follower
 	Driver    *failover.Driver
 	Prober    *liveness.Prober
-	Lister    *lister
+	Registrar *registrar
 	Leaver    *leaver
 	Pooler    *pooler.Pooler
 }
@@ -49,7 +49,8 @@
 			go s.Follower.Run(ctx)
 			go s.Driver.Run(ctx)
 			go s.Prober.Run(ctx)
-			go every(ctx, listPeriod, s.Lister.tick)
+			go every(ctx, registerPeriod, s.Registrar.tick)
+			go every(ctx, prunePeriod, s.Registrar.prune)
 			go every(ctx, leaverPeriod, s.Leaver.tick)
 			go every(ctx, queuePeriod, func(context.Context) { s.Pooler.Tick() })
 			go every(ctx, time.Second, func(context.Context) { s.Pooler.Sweep(time.Now()) })
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"time"
 
@@ -26,6 +27,9 @@
 	PeerAddress string `json:"peer_address"`
 	// AdminAddress serves metrics, health and operators, ip:port; optional.
 	AdminAddress string `json:"admin_address"`
+	// Peers are peer addresses of a few other VMs, ip:port, asked when the
+	// platform is out and no VM is known yet; optional.
+	Peers []string `json:"peers"`
 	// PlatformURL of the platform's service.
 	PlatformURL string `json:"platform_url"`
 	// ConfigFile is used until the platform has a configuration; optional.
@@ -80,6 +84,9 @@
 	if s.AdminAddress != "" {
 		addresses["admin_address"] = s.AdminAddress
 	}
+	for i, address := range s.Peers {
+		addresses[fmt.Sprintf("peers[%d]", i)] = address
+	}
 	for name, address := range addresses {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return result.New(result.ConfigInvalid, "%s: %v; ip:port is wanted", name, err)
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/entry"
@@ -14,12 +15,8 @@
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
 
-const (
-	// listPeriod of the platform's VM list, a hint only.
-	listPeriod = 2 * time.Second
-	// announceTimeout of a row sent ahead to the relays.
-	announceTimeout = time.Second
-)
+// announceTimeout of a row sent ahead to the relays.
+const announceTimeout = time.Second
 
 // publisher makes a row that this VM committed known to it and to the relays,
 // which hand it on at once instead of after their next poll.
@@ -43,6 +40,7 @@
 // which it serves.
 type rowSink struct {
 	view   *view.View
+	store  *relay.Store
 	driver *failover.Driver
 	keeper *configKeeper
 	entry  *entry.Server
@@ -54,6 +52,9 @@
 	if err != nil {
 		s.log.Error("event=bad_row", "error", err)
 	}
+	if slices.ContainsFunc(rows, func(r platform.Row) bool { return view.IsVM(r.Key) }) {
+		s.takeVMs()
+	}
 	if s.driver != nil && len(groups) > 0 {
 		s.driver.ObserveRows(groups, began)
 	}
@@ -65,38 +66,15 @@
 	}
 }
 
-// lister reads the platform's VM list.
-type lister struct {
-	view     *view.View
-	platform platform.Service
-	log      *slog.Logger
-}
-
-func newLister(v *view.View, p platform.Service, log *slog.Logger) *lister {
-	return &lister{view: v, platform: p, log: log}
-}
-
-func (l *lister) tick(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listPeriod)
-	defer cancel()
-	if !l.register(ctx) {
+// takeVMs hands the VMs' rows on as the list. A store that has not been read
+// whole yet holds a part of them, and the others would count as gone.
+func (s *rowSink) takeVMs() {
+	if s.store == nil || s.store.Revision() == 0 {
 		return
 	}
-	vms, err := l.platform.List(ctx)
+	vms, err := view.VMsOf(s.store.Rows(view.VMPrefix))
 	if err != nil {
-		l.log.Debug("event=platform_unreachable", "error", err)
-		return
-	}
-	l.view.SetList(vms)
-}
-
-// register makes this VM known to the platform's list.
-func (l *lister) register(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, listPeriod)
-	defer cancel()
-	if err := l.platform.Register(ctx, l.view.Self()); err != nil {
-		l.log.Debug("event=platform_unreachable", "error", err)
-		return false
+		s.log.Error("event=bad_row", "error", err)
 	}
-	return true
+	s.view.SetList(vms)
 }
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -32,7 +32,7 @@
 	Settings  Settings
 	Entry     *entry.Server
 	View      *view.View
-	Lister    *lister
+	Registrar *registrar
 	Pooler    *pooler.Pooler
 	Clock     mono.Clock
 	Log       *slog.Logger
@@ -74,7 +74,7 @@
 		for _, action := range plan.Tick(p.Clock.Now(), p.load(announced)) {
 			switch action {
 			case membership.Announce:
-				announced = p.Lister.register(ctx)
+				announced = p.Registrar.register(ctx)
 			case membership.RefuseNewSessions, membership.AskIdleToReconnect:
 				p.Entry.Leave(begun.Add(drain / graceParts))
 			case membership.HandOverPoolers, membership.HandOverPromoters:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -65,6 +65,10 @@
 	return c
 }
 
+// Seed returns a client of an address whose VM is not known yet. It is not the
+// client that Get gives out: a failure here is evidence against no VM.
+func (t *Table) Seed(address string) *Client { return t.make(topology.VM{PeerAddress: address}) }
+
 func (t *Table) make(vm topology.VM) *Client {
 	transport := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -42,7 +42,9 @@
 	Table     platform.Table
 	Directory Directory
 	Peers     *peers.Table
-	Log       *slog.Logger
+	// Seeds are asked while no other VM is known and the platform is out.
+	Seeds []peerpb.Relay
+	Log   *slog.Logger
 
 	next int // the source that a watch tries next
 }
@@ -65,8 +67,23 @@
 // pollOrWatch asks another relay when the platform does not answer: this data
 // centre alone may have lost it.
 func (f *Follower) pollOrWatch(ctx context.Context) {
-	if !f.poll(ctx) {
-		f.watch(ctx, 0)
+	if !f.poll(ctx) && !f.watch(ctx, 0) {
+		f.askSeeds(ctx)
+	}
+}
+
+// askSeeds takes what the seeds hold, all of them: of each row the newest is
+// kept, so a daemon that starts in an outage has the highest version of the
+// configuration that any of them holds.
+func (f *Follower) askSeeds(ctx context.Context) {
+	if len(f.Directory.Relays()) > 0 {
+		return
+	}
+	for _, seed := range f.Seeds {
+		if !f.watchAt(ctx, seed, 0) {
+			continue
+		}
+		f.Log.Warn("event=started_from_peers", "revision", f.Store.Revision(), "platform_age", f.Store.PlatformAge(time.Now()))
 	}
 }
 
@@ -91,16 +108,23 @@
 		return false
 	}
 	vm := relays[f.next%len(relays)]
+	if !f.watchAt(ctx, f.Peers.Get(vm), wait) {
+		f.next++
+		return false
+	}
+	return true
+}
+
+func (f *Follower) watchAt(ctx context.Context, source peerpb.Relay, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	resp, err := f.Peers.Get(vm).Watch(ctx, &peerpb.WatchRequest{
+	resp, err := source.Watch(ctx, &peerpb.WatchRequest{
 		Vm:          string(f.Self.ID),
 		Incarnation: uint64(f.Self.Incarnation),
 		Revision:    f.Store.Revision(),
 		WaitMs:      uint32(wait.Milliseconds()),
 	})
 	if err != nil {
-		f.next++
 		return false
 	}
 	f.Store.Reached(time.Now().Add(-time.Duration(resp.PlatformAgeMs) * time.Millisecond))
--- a/internal/relay/store.go
+++ b/internal/relay/store.go
@@ -11,7 +11,7 @@
 )
 
 // Prefixes of the rows that daemons need; others are the operators' history.
-var prefixes = []string{"group/", "config/"}
+var prefixes = []string{"group/", "config/", "vm/"}
 
 // Store holds the rows that a daemon knows. Safe for concurrent use.
 type Store struct {
--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -177,6 +177,14 @@
 	return slices.Contains(v.live.Relays(v.self.DataCentre), v.self.ID)
 }
 
+// FirstRelay reports whether this VM is the first relay of its data centre.
+func (v *View) FirstRelay() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	relays := v.live.Relays(v.self.DataCentre)
+	return len(relays) > 0 && relays[0] == v.self.ID
+}
+
 // Relays implements relay.Directory: those of this data centre first.
 func (v *View) Relays() []topology.VM {
 	v.mu.RLock()
