Silent connections in flight: the answer is known to be lost within a second

Cause: an exchange on a connection that something between the ends had lost track of lasted to its deadline, three minutes for landing reports, and held its slot. The pooler now asks the target on a new connection after 0.5 s: one that runs nothing for the old connection (new status column "active"), twice, will never answer. A target that does not answer is left to the failure detector, a slow statement to its deadline. The entry asks the pooler's VM in the same way whether it knows the hop.

The orphaned transaction kept its locks at the database: outcome ran into 40P01 for 30 s in the first run of the test. The pooler ends it by a new control statement, BTS TERMINATE pid secret (PostgreSQL has pg_terminate_backend).

Ruled out: TCP_USER_TIMEOUT alone, which a relay that takes the bytes and loses them defeats; cancelling to see whether the connection lives, which would end slow but sound statements.

--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -275,6 +275,8 @@
 		e.Ran = result.NotRun
 		return nil, e
 	}
+	ctx, unwatch := s.watchHop(ctx, d.pooler, msg)
+	defer unwatch()
 	resp, err := s.server.o.Peers.Get(d.pooler).Execute(ctx, msg)
 	if err != nil {
 		return nil, peers.HopResult(d.pooler, err)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -32,6 +32,9 @@
 	peerpb.Relay
 	peerpb.Failover
 	peerpb.Admin
+	// Fresh opens a connection for each call: it tells a silent connection from
+	// a VM that does not answer.
+	Fresh     peerpb.Pooler
 	transport *http.Transport
 }
 
@@ -66,7 +69,32 @@
 }
 
 func (t *Table) make(vm topology.VM) *Client {
-	transport := &http.Transport{
+	transport := t.transport()
+	fresh := t.transport()
+	fresh.DisableKeepAlives = true
+	client := t.client(vm, transport)
+	base := "http://" + vm.PeerAddress
+	return &Client{
+		Pooler:    peerpb.NewPoolerProtobufClient(base, client),
+		Relay:     peerpb.NewRelayProtobufClient(base, client),
+		Failover:  peerpb.NewFailoverProtobufClient(base, client),
+		Admin:     peerpb.NewAdminProtobufClient(base, client),
+		Fresh:     peerpb.NewPoolerProtobufClient(base, t.client(vm, fresh)),
+		transport: transport,
+	}
+}
+
+func (t *Table) client(vm topology.VM, transport *http.Transport) *http.Client {
+	return &http.Client{Transport: &observingTransport{
+		next:     transport,
+		vm:       vm.ID,
+		observer: t.observer,
+		clock:    t.clock,
+	}}
+}
+
+func (t *Table) transport() *http.Transport {
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -76,20 +104,6 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	client := &http.Client{Transport: &observingTransport{
-		next:     transport,
-		vm:       vm.ID,
-		observer: t.observer,
-		clock:    t.clock,
-	}}
-	base := "http://" + vm.PeerAddress
-	return &Client{
-		Pooler:    peerpb.NewPoolerProtobufClient(base, client),
-		Relay:     peerpb.NewRelayProtobufClient(base, client),
-		Failover:  peerpb.NewFailoverProtobufClient(base, client),
-		Admin:     peerpb.NewAdminProtobufClient(base, client),
-		transport: transport,
-	}
 }
 
 // Forget drops the clients of addresses that keep does not name.
--- a/internal/pooler/control.go
+++ b/internal/pooler/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +27,9 @@
 	// re-joined; "" when none was.
 	Surplus  string
 	Replicas map[topology.TargetID]position.Position
+	// Active are the connections that run a statement, by process id; nil when
+	// the target does not tell.
+	Active map[uint32]bool
 }
 
 // Roles of a target.
@@ -73,6 +77,19 @@
 	return c.run(ctx, sql)
 }
 
+// terminate ends another connection of the target, by its process id and secret.
+func (c *Control) terminate(ctx context.Context, other *conn) error {
+	sql := "BTS TERMINATE " + strconv.FormatUint(uint64(other.pid), 10) + " '" + hex.EncodeToString(other.secret) + "'"
+	_, err := c.run(ctx, sql)
+	if errors.Is(err, errNoStatus) {
+		return nil
+	}
+	return err
+}
+
+// errNoStatus is the answer to a control statement that returns no row.
+var errNoStatus = errors.New("target sent no status")
+
 // Probe opens a new connection and asks for a status: a silent old connection
 // does not make a target dead.
 func Probe(ctx context.Context, d Dialer, address string) (TargetStatus, time.Duration, error) {
@@ -170,7 +187,7 @@
 		return nil
 	})
 	if err == nil && !found {
-		err = errors.New("target sent no status")
+		err = errNoStatus
 	}
 	return s, err
 }
@@ -203,6 +220,8 @@
 		s.Surplus = value
 	case "replicas":
 		s.Replicas, err = parseReplicas(value)
+	case "active":
+		s.Active, err = parseActive(value)
 	}
 	return err
 }
@@ -222,3 +241,15 @@
 	}
 	return replicas, nil
 }
+
+func parseActive(value string) (map[uint32]bool, error) {
+	active := map[uint32]bool{}
+	for _, word := range strings.FieldsFunc(value, func(r rune) bool { return r == ',' }) {
+		pid, err := strconv.ParseUint(word, 10, 32)
+		if err != nil {
+			return nil, err
+		}
+		active[uint32(pid)] = true
+	}
+	return active, nil
+}
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -130,14 +130,14 @@
 		p.evidence.Doubted(tp.target.ID)
 		return err
 	}
-	if err := c.bind(ctx, want); err != nil {
+	if err := bindInTime(ctx, c, want); err != nil {
 		tp.discard(c)
 		return result.New(result.TargetUnreachable, "%s: %v", tp.target.ID, err).After(verifyAfter)
 	}
 	begun := time.Now()
 	a, failure := p.runCancellable(ctx, tp, c, req, p.runUnit)
 	if failure != nil {
-		tp.discard(c)
+		p.discardLost(tp, c, failure)
 		p.doubtAfter(tp, failure)
 		return failure
 	}
@@ -151,6 +151,14 @@
 	return p.conclude(tp, req, at, a, resp)
 }
 
+// bindInTime bounds the settings' round trip: a connection that went silent would
+// hold the request, and its slot, up to the deadline.
+func bindInTime(ctx context.Context, c *conn, want connSettings) error {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	return c.bind(ctx, want)
+}
+
 // doubtAfter has the target probed after a failure of its connection.
 func (p *Pooler) doubtAfter(tp *targetPool, failure *result.Error) {
 	if failure.Code == result.TargetSilent || failure.Code == result.TargetUnreachable {
@@ -173,7 +181,7 @@
 	a, failure := p.runCancellable(ctx, tp, h.conn, req, p.runPlain)
 	if failure != nil {
 		tp.drop(req.key)
-		tp.discard(h.conn)
+		p.discardLost(tp, h.conn, failure)
 		p.doubtAfter(tp, failure)
 		return failure
 	}
@@ -190,7 +198,7 @@
 	if failure != nil {
 		return failure
 	}
-	if err := c.bind(ctx, want); err != nil {
+	if err := bindInTime(ctx, c, want); err != nil {
 		return result.New(result.TransactionAborted, "%s: %v", req.Target, err).After(verifyAfter)
 	}
 	return nil
--- a/internal/pooler/flight.go
+++ b/internal/pooler/flight.go
@@ -34,9 +34,12 @@
 	cancelled bool
 	conn      *conn  // runs the request now; nil when none does
 	address   string // of conn's target
+	target    topology.TargetID
 	group     topology.GroupID
-	term      uint64 // 0: conn is not bound to one
-	unsure    bool   // a cancel request may still arrive on conn
+	term      uint64    // 0: conn is not bound to one
+	unsure    bool      // a cancel request may still arrive on conn
+	since     time.Time // when conn was attached, or last found running
+	checking  bool
 }
 
 // flights holds the requests under way. The zero value is ready. Safe for
@@ -113,7 +116,9 @@
 		return false
 	}
 	f.conn, f.address = c, address
+	f.target = topology.TargetID(req.Target)
 	f.group, f.term = req.group, req.Term
+	f.since = time.Now()
 	return true
 }
 
@@ -199,6 +204,8 @@
 	if f == nil {
 		return &peerpb.CancelResponse{}, nil
 	}
-	f.cancel(ctx, p.o.Dialer)
+	if !req.Ask {
+		f.cancel(ctx, p.o.Dialer)
+	}
 	return &peerpb.CancelResponse{Found: true}, nil
 }
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -168,6 +168,7 @@
 // replaced primary will not answer.
 func (p *Pooler) Tick() {
 	p.flights.cut(p.o.Directory)
+	p.findSilent(time.Now())
 	for _, tp := range p.all() {
 		tp.gate.tick()
 	}
--- a/internal/standin/database/conn.go
+++ b/internal/standin/database/conn.go
@@ -203,6 +203,13 @@
 	c.cancelOne = cancel
 }
 
+// running reports whether the connection runs a statement.
+func (c *conn) running() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cancelOne != nil
+}
+
 func (c *conn) cancelStatement() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/database/control.go
+++ b/internal/standin/database/control.go
@@ -16,6 +16,16 @@
 	{"surplus", oidText},
 	{"connections", oidText},
 	{"replicas", oidText},
+	{"active", oidText},
+}
+
+// activeList writes the process ids with commas between them.
+func (st *Status) activeList() string {
+	words := make([]string, 0, len(st.Active))
+	for _, pid := range st.Active {
+		words = append(words, strconv.FormatUint(uint64(pid), 10))
+	}
+	return strings.Join(words, ",")
 }
 
 func (s *session) requireControl() error {
@@ -36,7 +46,7 @@
 	}
 	values := []string{
 		st.ID, string(st.Role), strconv.FormatUint(st.Term, 10), st.Position.String(),
-		st.Primary, surplus, strconv.Itoa(st.Connections), st.replicaList(),
+		st.Primary, surplus, strconv.Itoa(st.Connections), st.replicaList(), st.activeList(),
 	}
 	row := make([]*string, len(values))
 	for i := range values {
@@ -57,6 +67,8 @@
 	switch {
 	case command == "SET" && len(args) == 2:
 		return tagOnly("BTS"), s.db.setSetting(strings.ToLower(args[0]), strings.Trim(args[1], "'"))
+	case command == "TERMINATE" && len(args) == 2:
+		return tagOnly("BTS"), s.terminate(args[0], args[1])
 	case command == "FENCE" && len(args) == 1, command == "PROMOTE" && len(args) == 1, command == "FOLLOW" && len(args) == 3:
 		if err := s.changeRole(command, args); err != nil {
 			return nil, err
@@ -66,6 +78,16 @@
 	return nil, sqlError(CodeSyntax, "unknown control statement %q", text)
 }
 
+// terminate ends a connection; one that has gone already is no error.
+func (s *session) terminate(pid, secret string) error {
+	n, err := strconv.ParseUint(pid, 10, 32)
+	if err != nil {
+		return sqlError(CodeBadParameter, "not a process id: %q", pid)
+	}
+	s.db.terminate(uint32(n), strings.Trim(secret, "'"))
+	return nil
+}
+
 func controlCommand(text string) string {
 	words := strings.Fields(text)
 	if len(words) < 2 {
--- a/internal/standin/database/database.go
+++ b/internal/standin/database/database.go
@@ -1,6 +1,7 @@
 package database
 
 import (
+	"encoding/hex"
 	"net"
 	"os"
 	"sync"
@@ -196,6 +197,17 @@
 	return nil
 }
 
+// activeLocked lists the connections that run a statement; the caller holds connMu.
+func (d *Database) activeLocked() []uint32 {
+	var pids []uint32
+	for pid, c := range d.conns {
+		if c.running() {
+			pids = append(pids, pid)
+		}
+	}
+	return pids
+}
+
 // cancel stops the running statement of the connection with this pid.
 func (d *Database) cancel(pid uint32, secret []byte) {
 	d.connMu.Lock()
@@ -206,6 +218,16 @@
 	}
 }
 
+// terminate ends the connection with this pid; the secret, in hexadecimal, tells
+// it from one of another start.
+func (d *Database) terminate(pid uint32, secret string) {
+	d.connMu.Lock()
+	defer d.connMu.Unlock()
+	if c := d.conns[pid]; c != nil && hex.EncodeToString(c.secret) == secret {
+		c.abort(errClosed)
+	}
+}
+
 // signalLocked wakes all who wait for a change.
 func (d *Database) signalLocked() {
 	close(d.changed)
--- a/internal/standin/database/role.go
+++ b/internal/standin/database/role.go
@@ -17,6 +17,7 @@
 	Primary     string             // id
 	Surplus     *position.Position // first position lost by the last divergence
 	Connections int
+	Active      []uint32                     // connections that run a statement, by process id
 	Replicas    map[string]position.Position // acknowledged, by id
 }
 
@@ -24,12 +25,14 @@
 func (d *Database) Status() Status {
 	d.connMu.Lock()
 	ordinary := d.ordinary
+	active := d.activeLocked()
 	d.connMu.Unlock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	st := Status{
 		ID: d.cfg.ID, Role: d.role, Term: d.term, Position: d.positionLocked(),
 		Primary: d.primary.ID, Surplus: d.surplus, Connections: ordinary,
+		Active:   active,
 		Replicas: map[string]position.Position{},
 	}
 	for id, p := range d.acked {
