A data centre cut off from the others: no war over the list

Cause: holder and promoters, both with the platform but not with each other, replaced each other's lists in turn (39 rows in 20 s), and nobody served classes that wait for a replica. At a start one VM that knew nobody listed itself for all replicas, and its death left a list that nobody could speak for. Ruled out: the proof by positions (the replicas were complete). A holder that lost every synced promoter at once waits 5 s before it replaces them; a VM taken off the list waits longer each time before it lists itself; the first row waits for a VM in each place.

--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -27,11 +27,12 @@
 	pooler   *pooler.Pooler
 	driver   *failover.Driver
 	publish  publisher
+	started  time.Time
 	log      *slog.Logger
 }
 
 func newRoles(v *view.View, p platform.Service, pl *pooler.Pooler, d *failover.Driver, pub publisher, log *slog.Logger) *roles {
-	return &roles{view: v, platform: p, pooler: pl, driver: d, publish: pub, log: log}
+	return &roles{view: v, platform: p, pooler: pl, driver: d, publish: pub, started: time.Now(), log: log}
 }
 
 // tick looks at every target that this VM pools.
@@ -68,7 +69,7 @@
 			row.Promoters = append(row.Promoters, c)
 		}
 	}
-	if len(row.Promoters) < len(staying)-1 {
+	if len(row.Promoters) < len(staying)-1 || !r.placed(conf, part.Candidates) {
 		return // The list is never empty, so the group waits for its VMs.
 	}
 	value, err := json.Marshal(row)
@@ -87,6 +88,26 @@
 	r.log.Info("event=group_created", "group", part.Group, "primary", first, "committed", out.Committed, "error", err)
 }
 
+// patience is how long a group without a row waits for VMs in all places.
+const patience = 10 * time.Second
+
+// placed reports whether each target has a pooler in its own data centre. At a
+// start VMs hear of each other one by one; one that knew nobody yet would list
+// itself for every replica, and the group could fail over only while it lives.
+func (r *roles) placed(conf *config.View, poolers []topology.Promoter) bool {
+	if time.Since(r.started) > patience {
+		return true
+	}
+	for _, p := range poolers {
+		vm, ok := r.view.VM(p.VM)
+		t, known := conf.Target(p.Replica)
+		if !ok || !known || vm.DataCentre != t.DataCentre {
+			return false
+		}
+	}
+	return true
+}
+
 // assign gives a target the role that the row has for it. A replica that this VM
 // is promoting is left alone: it is fenced on purpose.
 func (r *roles) assign(ctx context.Context, conf *config.View, row *topology.Group, id topology.TargetID) {
--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -53,6 +53,9 @@
 // wantedList is the list without those that fell silent and those not wanted any
 // more, with the candidates that are missing, and with what is synced by now.
 func (h *Holder) wantedList(g *held, now mono.Time) []topology.Promoter {
+	if g.lostAll(h.opts, now) {
+		return slices.Clone(g.now.row.Promoters)
+	}
 	list, urgent := h.remaining(g, now)
 	// Failure: at a start the VMs hear of each other one by one, and each time the
 	// list changes: seven rows and two unsettled lists within 300 ms. A change that
@@ -70,6 +73,30 @@
 	return list
 }
 
+// lostAll reports whether every synced promoter fell silent not long ago. One
+// that answers and refuses is not silent.
+//
+// Failure: the primary's data centre is cut off from the others but not from the
+// platform. VMs at hand would take the promoters' places, for replicas that they
+// can't reach: no class that waits for a replica is served here any more, and
+// those that hold the writes may not promote either. They get their time to
+// promote first.
+func (g *held) lostAll(opts Options, now mono.Time) bool {
+	synced := Synced(g.now.row.Promoters)
+	if len(synced) == 0 {
+		return false
+	}
+	least := caretakerAfter + 1
+	for _, replica := range synced {
+		v, ok := g.replicas[replica]
+		if !ok {
+			return false
+		}
+		least = min(least, now.Sub(v.at))
+	}
+	return least > opts.Heartbeat+lateAnswer && least <= caretakerAfter
+}
+
 // remaining are the entries that are not silent, and whether any other is.
 func (h *Holder) remaining(g *held, now mono.Time) ([]topology.Promoter, bool) {
 	var list []topology.Promoter
--- a/pkg/authority/holder_systems.go
+++ b/pkg/authority/holder_systems.go
@@ -29,6 +29,9 @@
 	caretakerAfter = 5 * time.Second
 	// drainLimit ends a switchover that brought no promotion.
 	drainLimit = 5 * time.Second
+	// lateAnswer is how much later than a heartbeat's interval an answer may come
+	// before its promoter counts as fallen silent together with the others.
+	lateAnswer = 100 * time.Millisecond
 	// settledView is how long the candidates must stay the same before a list
 	// change that can wait is proposed.
 	settledView = 500 * time.Millisecond
--- a/pkg/authority/join.go
+++ b/pkg/authority/join.go
@@ -15,7 +15,27 @@
 
 // delayJoin starts the wait anew: a suspicion, or a list that others promote by.
 func (p *Promoter) delayJoin(s *standing, now mono.Time) {
-	s.joinAt = now.Add(joinAfter + p.jitter(p.opts.Stagger))
+	wait := joinAfter << min(s.dropped, maxJoinShift)
+	s.joinAt = now.Add(wait + p.jitter(p.opts.Stagger))
+}
+
+// maxJoinShift bounds the wait of a VM that was taken off the list again and
+// again. Failure: a holder that can't reach this VM takes it off, and each entry
+// here ends the holder's right; the two would go on in turn for as long as the
+// path between them is cut.
+const maxJoinShift = 5
+
+// countDropped notes how often this start of the VM was taken off a term's list.
+func (p *Promoter) countDropped(s *standing, row *topology.Group) {
+	if s.row == nil || s.row.Term != row.Term {
+		s.dropped = 0
+		return
+	}
+	_, before := p.member(s.row.Promoters)
+	_, after := p.member(row.Promoters)
+	if before && !after {
+		s.dropped++
+	}
 }
 
 // mayJoin reports whether this VM should enter the list by itself: the primary
--- a/pkg/authority/promoter.go
+++ b/pkg/authority/promoter.go
@@ -47,6 +47,8 @@
 	promoted   []mono.Time
 	status     ReplicaStatus
 	joining    *proposal
+	// dropped counts how often this VM was taken off the list in this term.
+	dropped int
 	// joinAt is when this VM may list itself.
 	joinAt    mono.Time
 	notBefore mono.Time
@@ -99,6 +101,7 @@
 	if s.row != nil && row.Version <= s.row.Version {
 		return
 	}
+	p.countDropped(s, row)
 	p.opts.checkSuccessor(s.row, row)
 	if s.row != nil && row.Term > s.row.Term {
 		s.promoted = append(s.promoted, now)
