--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -1,8 +1,8 @@
 package entry
 
 import (
-	"context"
 	"crypto/rand"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -18,6 +18,9 @@
 
 // transaction is the open transaction of a session: where it runs.
 type transaction struct {
+	// number is the hop id of the request that opened it.
+	number uint64
+	status byte // as the target last reported it
 	group  topology.GroupID
 	target topology.TargetID
 	pooler topology.VM
@@ -34,7 +37,8 @@
 	number   uint64
 	secret   []byte
 	options  options
-	prepared map[string]*pgproto3.Parse
+	initial  options // of the start-up, for RESET
+	prepared preparedTable
 	unit     unit
 	tx       *transaction
 	session  *session.Session
@@ -43,20 +47,19 @@
 
 	mu     sync.Mutex
 	idle   bool
-	grace  time.Time          // set: the daemon leaves, and idle sessions end then
-	cancel context.CancelFunc // of the request under way
+	grace  time.Time // set: the daemon leaves, and idle sessions end then
+	flight flight
 }
 
 func newCaller(s *Server, nc net.Conn) *caller {
 	secret := make([]byte, secretLength)
 	_, _ = rand.Read(secret) // Never fails on Linux.
 	return &caller{
-		server:   s,
-		net:      nc,
-		backend:  pgproto3.NewBackend(nc, nc),
-		number:   s.number.Add(1),
-		secret:   secret,
-		prepared: map[string]*pgproto3.Parse{},
+		server:  s,
+		net:     nc,
+		backend: pgproto3.NewBackend(nc, nc),
+		number:  s.number.Add(1),
+		secret:  secret,
 	}
 }
 
@@ -71,11 +74,7 @@
 		if _, ok := msg.(*pgproto3.Terminate); ok {
 			return nil
 		}
-		whole, failure := s.unit.add(s, msg)
-		if failure != nil {
-			return s.fatal(failure)
-		}
-		if !whole {
+		if !s.unit.add(s, msg) {
 			continue
 		}
 		s.drain.countUnit(&s.unit)
@@ -87,15 +86,18 @@
 
 func (s *caller) endOnReadError(err error) error {
 	var tooLarge *pgproto3.ExceededMaxBodyLenErr
+	var timeout net.Error
 	switch {
 	case errors.Is(err, errLeaving):
 		return s.endLeaving()
 	case errors.As(err, &tooLarge):
 		return s.fatal(result.New(result.MessageTooLarge, "%v", err))
-	case errors.Is(err, net.ErrClosed):
+	case errors.Is(err, net.ErrClosed), errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return nil
+	case errors.As(err, &timeout):
+		return err
 	}
-	return err
+	return s.fatal(result.New(result.BadProtocol, "%v", err))
 }
 
 // fatal tells the caller the result and ends the connection.
@@ -132,6 +134,18 @@
 	return nil
 }
 
+// resetOption gives an option the value of the start-up again.
+func (s *caller) resetOption(name string) *result.Error {
+	field := s.initial.field(name)
+	if field == nil {
+		return result.New(result.BadOption, "no option %q", optionPrefix+name)
+	}
+	if name == "token" && *field == "" {
+		return nil // Floors stay: a session never forgets what it wrote.
+	}
+	return s.setOption(name, *field)
+}
+
 // openSession starts the session that the options name.
 func (s *caller) openSession() *result.Error {
 	opened, err := session.Open(s.options.session, s.options.token, s.server.o.Keys)
@@ -141,18 +155,3 @@
 	s.session = opened
 	return nil
 }
-
-// cancelRequest ends the request under way, if any.
-func (s *caller) cancelRequest() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.cancel != nil {
-		s.cancel()
-	}
-}
-
-func (s *caller) setCancel(c context.CancelFunc) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.cancel = c
-}
