Relays: as many as a data centre needs, and each VM watches its own

All VMs watched the first relay of their data centre; two relays of 163 VMs would bear some 11 KB/s each. One relay for 20 VMs, and a VM starts at a place of its own in the list.

--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/pkg/membership"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -189,7 +191,7 @@
 func (v *View) Relays() []topology.VM {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	vms := v.relaysIn(v.self.DataCentre)
+	vms := v.rotate(v.relaysIn(v.self.DataCentre))
 	if v.conf == nil {
 		return vms
 	}
@@ -201,6 +203,16 @@
 	return vms
 }
 
+// rotate begins the list at a place of this VM's own: all VMs would else watch
+// the first relay.
+func (v *View) rotate(vms []topology.VM) []topology.VM {
+	if len(vms) == 0 {
+		return vms
+	}
+	at := int(xxhash.Sum64String(string(v.self.ID)) % uint64(len(vms)))
+	return slices.Concat(vms[at:], vms[:at])
+}
+
 func (v *View) relaysIn(dc topology.DataCentre) []topology.VM {
 	var vms []topology.VM
 	for _, id := range v.live.Relays(dc) {
--- a/pkg/membership/view.go
+++ b/pkg/membership/view.go
@@ -9,9 +9,14 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// RelaysPerDataCentre is how many VMs of a data centre poll the platform for
-// the others: two, so that one may die without a gap.
-const RelaysPerDataCentre = 2
+const (
+	// RelaysPerDataCentre is the least number of VMs of a data centre that poll the
+	// platform for the others: two, so that one may die without a gap.
+	RelaysPerDataCentre = 2
+	// VMsPerRelay is how many VMs of a data centre one relay answers: a watch
+	// costs some 200 bytes a second, and all control has 5 KB a second.
+	VMsPerRelay = 20
+)
 
 // relayKey keeps the choice of relays apart from that of poolers.
 const relayKey = "relay/"
@@ -101,13 +106,14 @@
 }
 
 // Relays returns the VMs of a data centre that poll the platform for it, fewer
-// than RelaysPerDataCentre when it has fewer live ones.
+// than RelaysPerDataCentre when it has fewer live ones, and more in a large one.
 func (v *View) Relays(dc topology.DataCentre) []topology.VMID {
 	c, ok := v.centres[dc]
 	if !ok {
 		return nil
 	}
-	return ranks(c.vms, xxhash.Sum64String(relayKey+string(dc)), RelaysPerDataCentre)
+	n := max(RelaysPerDataCentre, (len(c.vms)+VMsPerRelay-1)/VMsPerRelay)
+	return ranks(c.vms, xxhash.Sum64String(relayKey+string(dc)), n)
 }
 
 // Promoters returns the promoters that the group's row should have: for each
