--- a/internal/integration/leaving_test.go
+++ b/internal/integration/leaving_test.go
@@ -1,13 +1,18 @@
 package integration_test
 
 import (
+	"context"
+	"encoding/json"
+	"os"
 	"slices"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/buckthornshore/buckthornshore/internal/status"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -57,3 +62,37 @@
 		l.end()
 	})
 })
+
+var _ = Describe("A planned stop", func() {
+	// The callers are idle when the daemon is asked to stop. Each is told; one sends
+	// its next request and has it answered, and only then its connection ends. The
+	// other stays idle and is ended with "not run" when the grace time is over.
+	It("serves an idle session once more, and ends one that stays idle", func() {
+		d := deploy(shape{groups: 1, proxies: 3})
+		d.doc.Limits.DrainTime = config.Duration(8 * time.Second)
+		raw, err := json.Marshal(d.doc)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(os.WriteFile(d.configFile(), raw, 0o600)).To(Succeed())
+		d.mustCtl("apply", d.configFile(), "--expect-version", "0")
+		Eventually(func() uint64 { return ask[status.Config](d, "status", "config").Config }).
+			WithTimeout(10 * time.Second).Should(Equal(uint64(1)))
+		next := d.mustConnect(0, "landing-report")
+		idle := d.mustConnect(0, "landing-report")
+		Expect(put(next, "boat-10", "1")).To(Succeed())
+		d.proxies[0].signal(syscall.SIGTERM)
+		Eventually(func() error {
+			c, err := d.connect(0, "landing-report")
+			closeConn(c)
+			return err
+		}).WithTimeout(5 * time.Second).Should(MatchError(ContainSubstring(leavingState)))
+		Expect(put(next, "boat-10", "2")).To(Succeed())
+		Expect(next.PgConn().ParameterStatus("buckthornshore.leaving")).To(Equal("on"))
+		Expect(put(next, "boat-10", "3")).NotTo(Succeed())
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		Expect(idle.PgConn().WaitForNotification(ctx)).To(MatchError(ContainSubstring(leavingState)))
+		_, _ = d.proxies[0].cmd.Process.Wait()
+		other := d.mustConnect(1, "quota-balance")
+		Expect(get(other, "boat-10")).To(Equal("2"))
+	})
+})
