--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -20,7 +20,7 @@
 	Status     *statusCommand     `arg:"subcommand:status" help:"what one daemon knows: groups, targets, vms, sessions or config"`
 	Explain    *explainCommand    `arg:"subcommand:explain" help:"tell where one daemon would send a request, and why"`
 	Switchover *switchoverCommand `arg:"subcommand:switchover" help:"make a replica the primary; waits until it is"`
-	Drain      *drainCommand      `arg:"subcommand:drain" help:"mark a target as leaving, in a new configuration version"`
+	Drain      *drainCommand      `arg:"subcommand:drain" help:"mark a target as leaving, in a new configuration version, or stop a daemon"`
 	Completion *completionCommand `arg:"subcommand:completion" help:"write a completion script for bash"`
 
 	Settings string `arg:"--settings" default:"bts-ctl.json" help:"settings file; not needed offline"`
@@ -83,7 +83,8 @@
 }
 
 type drainCommand struct {
-	Target string `arg:"positional,required" help:"target"`
+	Target string `arg:"positional" help:"target"`
+	VM     string `arg:"--vm" help:"daemon that is to stop, in place of a target"`
 }
 
 type completionCommand struct {
@@ -130,6 +131,9 @@
 	if a.Config != nil {
 		return a.Config.Status != nil
 	}
-	operators := a.Status != nil || a.Explain != nil || a.Switchover != nil || a.Drain != nil || a.Completion != nil
+	if a.Drain != nil {
+		return (a.Drain.Target == "") != (a.Drain.VM == "")
+	}
+	operators := a.Status != nil || a.Explain != nil || a.Switchover != nil || a.Completion != nil
 	return operators || a.Check != nil || a.Diff != nil || a.Apply != nil || a.History != nil || a.Rollback != nil
 }
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -76,6 +76,18 @@
 		Expect(stdout).To(Equal("~ members[kalakvoot].weight: 10 -> 11\n"))
 	})
 
+	It("writes a completion script that names every command", func() {
+		code, stdout, _ := run("completion", "bash")
+		Expect(code).To(Equal(ctl.ExitOK))
+		_, help, _ := run("--help")
+		_, commands, _ := strings.Cut(help, "Commands:")
+		for line := range strings.Lines(strings.TrimSpace(commands)) {
+			Expect(stdout).To(ContainSubstring(strings.Fields(line)[0]))
+		}
+		code, _, _ = run("completion", "fish")
+		Expect(code).To(Equal(ctl.ExitRefused))
+	})
+
 	DescribeTable("explains a wrong command line", func(argv ...string) {
 		code, _, stderr := run(argv...)
 		Expect(code).To(Equal(ctl.ExitUsage))
@@ -85,6 +97,9 @@
 		Entry("an unknown one", "destroy"),
 		Entry("no file", "check"),
 		Entry("half a command", "preset"),
+		Entry("half of another", "config"),
+		Entry("nothing to drain", "drain"),
+		Entry("two things to drain", "drain", "target", "--vm", "vm"),
 		Entry("no version", "apply", "f"),
 	)
 })
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -115,8 +115,33 @@
 	return "", result.New(result.NotFound, "group %s", group)
 }
 
+// drainVM begins a planned stop of a daemon.
+func (o *online) drainVM(ctx context.Context, id string) error {
+	d, err := o.daemon()
+	if err != nil {
+		return err
+	}
+	var vms []status.VM
+	if err := ask(ctx, d, status.KindVMs, &vms); err != nil {
+		return err
+	}
+	for _, vm := range vms {
+		if string(vm.VM) != id {
+			continue
+		}
+		if _, err := o.daemonAt(vm.PeerAddress).Leave(ctx, &peerpb.LeaveRequest{}); err != nil {
+			return callResult(err)
+		}
+		return o.out.line(vm, "daemon %s leaves", id)
+	}
+	return result.New(result.NotFound, "VM %s", id)
+}
+
 // drain marks a target as leaving in a new version of the configuration.
 func (o *online) drain(ctx context.Context, c *drainCommand) error {
+	if c.VM != "" {
+		return o.drainVM(ctx, c.VM)
+	}
 	now, err := o.store.Read(ctx)
 	if err != nil {
 		return err
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"go.uber.org/fx"
+
 	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/opauth"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
@@ -26,11 +28,12 @@
 	pooler *pooler.Pooler
 	keeper *configKeeper
 	leaver *leaver
+	stop   fx.Shutdowner
 	log    *slog.Logger
 }
 
-func newOperators(v *view.View, e *entry.Server, p *pooler.Pooler, k *configKeeper, l *leaver, log *slog.Logger) *operators {
-	return &operators{view: v, entry: e, pooler: p, keeper: k, leaver: l, log: log}
+func newOperators(v *view.View, e *entry.Server, p *pooler.Pooler, k *configKeeper, l *leaver, stop fx.Shutdowner, log *slog.Logger) *operators {
+	return &operators{view: v, entry: e, pooler: p, keeper: k, leaver: l, stop: stop, log: log}
 }
 
 // handler serves what is signed with the operators' secret.
@@ -180,3 +183,9 @@
 	term, failure := o.leaver.Switchover(ctx, topology.GroupID(req.Group), topology.TargetID(req.Target))
 	return &peerpb.SwitchoverResponse{Failure: peers.Failure(failure), Term: term}, nil
 }
+
+// Leave implements peerpb.Admin: the same planned stop that SIGTERM begins.
+func (o *operators) Leave(context.Context, *peerpb.LeaveRequest) (*peerpb.LeaveResponse, error) {
+	o.log.Info("event=leave_asked")
+	return &peerpb.LeaveResponse{}, o.stop.Shutdown()
+}
--- a/internal/integration/operators_test.go
+++ b/internal/integration/operators_test.go
@@ -107,6 +107,10 @@
 		Expect(stderr).To(HavePrefix("BTS-1306 "))
 		code, _, _ = d.ctl(operatorSecret, "switchover", "quota-ledger/g1", "--to", "nobody")
 		Expect(code).To(Equal(ctl.ExitRefused))
+		d.mustCtl("drain", "--vm", "vm-3")
+		stopped := make(chan error)
+		go func() { stopped <- d.proxies[2].cmd.Wait() }()
+		Eventually(stopped).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
 	})
 
 	// The callers see no request fail while an operator switches the primary over
--- a/pkg/config/problems_test.go
+++ b/pkg/config/problems_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"reflect"
@@ -104,6 +105,18 @@
 		Expect(doc.Classes[1].Repeatable).To(BeFalse(), "a write must say so")
 	})
 
+	It("refuses a group that leaves as a whole, and takes one that keeps a target", func() {
+		leaving := func(raw []byte, id string) []byte {
+			return bytes.Replace(raw, []byte(`"id": "`+id+`"`), []byte(`"leaving": true, "id": "`+id+`"`), 1)
+		}
+		doc, problems := config.Parse("f", leaving(with(1, valid[0]), "t1"))
+		Expect(problems).To(BeEmpty())
+		Expect(doc.Groups[0].Targets[0].Leaving).To(BeTrue())
+		_, problems = config.Parse("f", leaving(leaving(with(1, valid[0]), "t1"), "t2"))
+		Expect(problems).To(HaveLen(1))
+		Expect(problems[0].String()).To(ContainSubstring("every target of the group is leaving"))
+	})
+
 	It("tells all problems at once, in the order of the file", func() {
 		_, problems := config.Parse("f", []byte(`{"limits": {"drain_time": 3},
 			"extra": 1, "members": [{"name": "a b", "weight": 0}], "services": []}`))
@@ -129,6 +142,17 @@
 		Expect(problems[1].String()).To(HavePrefix(`f:8:81: error: classes[1].ack_waits_for_replica: a group of service "s" has 1 target`))
 	})
 
+	// An operator drains one of two targets. Writes that wait for a replica would
+	// fail from then on, as none is left to wait for.
+	It("refuses to wait for a replica that leaves", func() {
+		text := strings.Join(valid, "\n")
+		text = strings.Replace(text, `{"id": "t2"`, `{"leaving": true, "id": "t2"`, 1)
+		text = strings.Replace(text, `"kind": "write"`, `"kind": "write", "ack_waits_for_replica": true`, 1)
+		_, problems := config.Parse("f", []byte(text))
+		Expect(problems).To(HaveLen(1))
+		Expect(problems[0].Path).To(Equal("classes[1].ack_waits_for_replica"))
+	})
+
 	It("takes a document with warnings only", func() {
 		doc, problems := config.Parse("f", with(6, strings.Replace(valid[5], `"b"`, `"a"`, 1)))
 		Expect(doc).NotTo(BeNil())
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -222,18 +222,24 @@
 	}
 	size, known := smallest[c.Service]
 	if c.AckWaitsForReplica && known && size < minTargetsToWait {
-		what := fmt.Sprintf("a group of service %q has %d target, so no replica to wait for", c.Service, size)
+		what := fmt.Sprintf("a group of service %q has %d target that stays, so no replica to wait for", c.Service, size)
 		v.add(joinPath(path, "ack_waits_for_replica"), what, "two targets or more in each group, or false")
 	}
 }
 
-// smallestGroups returns the size of each service's smallest group.
+// smallestGroups returns the size of each service's smallest group without the
+// targets that leave.
 func (v *validator) smallestGroups() map[string]int {
 	sizes := map[string]int{}
 	for _, g := range v.doc.Groups {
-		size, ok := sizes[g.Service]
-		if !ok || len(g.Targets) < size {
-			sizes[g.Service] = len(g.Targets)
+		staying := 0
+		for _, t := range g.Targets {
+			if !t.Leaving {
+				staying++
+			}
+		}
+		if size, ok := sizes[g.Service]; !ok || staying < size {
+			sizes[g.Service] = staying
 		}
 	}
 	return sizes
