--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,9 +24,6 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// drainTime bounds a planned stop.
-const drainTime = 30 * time.Second
-
 // New builds the daemon's application from its settings.
 func New(s Settings) *fx.App {
 	return fx.New(
@@ -50,13 +47,15 @@
 			newProber,
 			newLister,
 			newRoles,
+			newLeaver,
+			newOperators,
 			newEntry,
 			metrics.Provide,
 			metrics.NewEntry,
 			metrics.NewPooler,
 		),
 		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
-		fx.StopTimeout(drainTime+time.Second),
+		fx.StopTimeout(longestStop),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
@@ -114,13 +113,14 @@
 	return &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
 }
 
-func newPooler(d pooler.Dialer, v *view.View, prober *liveness.Prober, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
+func newPooler(s Settings, d pooler.Dialer, v *view.View, prober *liveness.Prober, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
 		Dialer:    d,
 		Directory: v,
 		Entries:   entryWatch{v, prober},
 		Clock:     clock,
 		Log:       log,
+		FirstCome: s.Baseline != "",
 		Metrics:   m,
 	})
 }
@@ -180,19 +180,21 @@
 		return nil, err
 	}
 	return entry.New(entry.Options{
-		View:    p.View,
-		Peers:   p.Peers,
-		Clock:   p.Clock,
-		Keys:    keys,
-		Metrics: p.Metrics,
-		Log:     p.Log,
+		View:     p.View,
+		Peers:    p.Peers,
+		Clock:    p.Clock,
+		Keys:     keys,
+		Baseline: p.Settings.Baseline,
+		Metrics:  p.Metrics,
+		Log:      p.Log,
 	}), nil
 }
 
 // wire joins the parts that know each other both ways.
-func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles) {
+func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
 	sink.driver = driver
 	sink.keeper = keeper
+	sink.entry = e
 	p.Guard(driver, driver)
 	driver.OnAssigned(r.tick)
 }
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
@@ -44,6 +45,7 @@
 	view   *view.View
 	driver *failover.Driver
 	keeper *configKeeper
+	entry  *entry.Server
 	log    *slog.Logger
 }
 
@@ -55,6 +57,9 @@
 	if s.driver != nil && len(groups) > 0 {
 		s.driver.ObserveRows(groups, began)
 	}
+	if s.entry != nil {
+		s.entry.GroupsChanged(groups)
+	}
 	if s.keeper != nil {
 		s.keeper.changed()
 	}
@@ -74,8 +79,7 @@
 func (l *lister) tick(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listPeriod)
 	defer cancel()
-	if err := l.platform.Register(ctx, l.view.Self()); err != nil {
-		l.log.Debug("event=platform_unreachable", "error", err)
+	if !l.register(ctx) {
 		return
 	}
 	vms, err := l.platform.List(ctx)
@@ -85,3 +89,14 @@
 	}
 	l.view.SetList(vms)
 }
+
+// register makes this VM known to the platform's list.
+func (l *lister) register(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, listPeriod)
+	defer cancel()
+	if err := l.platform.Register(ctx, l.view.Self()); err != nil {
+		l.log.Debug("event=platform_unreachable", "error", err)
+		return false
+	}
+	return true
+}
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -20,12 +20,12 @@
 // flight is the request that a session has under way.
 type flight struct {
 	stop      context.CancelFunc // ends its waits; nil: no request is under way
-	hop       *hop               // nil between attempts
+	hop       *pendingHop        // nil between attempts
 	cancelled bool
 }
 
-// hop is an attempt as its pooler knows it.
-type hop struct {
+// pendingHop is an attempt as its pooler knows it.
+type pendingHop struct {
 	pooler topology.VM
 	cancel *peerpb.CancelRequest
 }
@@ -47,7 +47,7 @@
 func (s *caller) beginHop(pooler topology.VM, msg *peerpb.ExecuteRequest) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.flight.hop = &hop{pooler: pooler, cancel: &peerpb.CancelRequest{
+	s.flight.hop = &pendingHop{pooler: pooler, cancel: &peerpb.CancelRequest{
 		Entry:            msg.Entry,
 		EntryIncarnation: msg.EntryIncarnation,
 		Target:           msg.Target,
@@ -78,7 +78,7 @@
 
 // markCancelled returns the attempt under way. Without one the request waits at
 // this entry, and its waits end.
-func (s *caller) markCancelled() *hop {
+func (s *caller) markCancelled() *pendingHop {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.flight.stop == nil {
@@ -91,7 +91,7 @@
 	return s.flight.hop
 }
 
-func (s *caller) currentHop() *hop {
+func (s *caller) currentHop() *pendingHop {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.flight.hop
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -57,6 +57,7 @@
 			return nil, decision.Err
 		}
 		s.server.o.Metrics.Retry(s.options.member, req.class.Name)
+		s.server.o.Log.Debug("event=retry", "class", req.class.Name, "attempt", attempt, "failure", failure)
 		if !waitForNext(ctx, req, failure, min(decision.After, longestPauseOf(req, attempt))) {
 			return nil, final(failure, req)
 		}
@@ -156,6 +157,13 @@
 	if row == nil {
 		return nil, result.New(result.NoPrimary, "%s", req.group).After(comeBack)
 	}
+	if b := s.server.o.Baseline; b != "" {
+		d, failure := s.server.router.chooseBaseline(b, row, req.class.Kind == config.Write)
+		if failure != nil {
+			return nil, failure
+		}
+		return s.attempt(ctx, req, d, false)
+	}
 	need, failure := s.need(ctx, req, row)
 	if failure != nil {
 		return nil, failure
@@ -268,6 +276,9 @@
 
 // hop carries the request to the pooler's VM and its answer back.
 func (s *caller) hop(ctx context.Context, req *request, d destination, inTransaction bool) (*peerpb.ExecuteResponse, *result.Error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer s.server.hops.add(req.group, d.term, cancel)()
 	msg := s.message(ctx, req, d, inTransaction)
 	defer s.endHop()
 	if !s.beginHop(d.pooler, msg) {
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -159,7 +159,11 @@
 		QueueLength: e.queue,
 		InFlight:    e.inFlight,
 	}
-	if e.failed && now.Sub(e.failedAt) < suspectFor {
+	switch {
+	case t.Leaving && !c.Primary:
+		c.State = routing.Leaving
+	case t.Leaving, e.failed && now.Sub(e.failedAt) < suspectFor:
+		// A leaving primary still takes writes until its successor is promoted.
 		c.State = routing.Suspect
 		if e.avoid && !c.Primary {
 			// A suspect replica still comes before a healthy primary, so a read
@@ -223,7 +227,7 @@
 		} else {
 			g.fresh.MarkBehind(target, position.Position{}, now)
 		}
-	case result.TargetUnreachable, result.TargetSilent, result.PoolerUnreachable, result.OutcomeUnknown:
+	case result.TargetUnreachable, result.TargetSilent, result.PoolerUnreachable, result.OutcomeUnknown, result.Leaving:
 		young := e.failed && now.Sub(e.failedAt) < 2*suspectFor
 		e.avoid = young || failure.Code == result.TargetUnreachable
 		e.failed = true
