--- a/internal/integration/load_test.go
+++ b/internal/integration/load_test.go
@@ -10,31 +10,31 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	loadtool "github.com/buckthornshore/buckthornshore/internal/load"
+	"github.com/buckthornshore/buckthornshore/internal/load"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 )
 
 // profile is the shipped one with the addresses of the deployment.
-func (d *deployment) profile(duration time.Duration) loadtool.Profile {
-	p, err := loadtool.ReadProfile("../../examples/load-kalakvoot.json")
+func (d *deployment) profile(duration time.Duration) load.Profile {
+	p, err := load.ReadProfile("../../examples/load-kalakvoot.json")
 	Expect(err).NotTo(HaveOccurred())
 	p.Proxies, p.AdminAddresses, p.PlatformURL = d.callers, d.admins, d.url
 	p.Duration, p.WarmUp = settings.Duration(duration), 0
 	return p
 }
 
-func (d *deployment) load(p loadtool.Profile) *loadtool.RunReport {
+func (d *deployment) load(p load.Profile) *load.RunReport {
 	conf, err := config.Effective(d.doc, config.OrdinaryPreset)
 	Expect(err).NotTo(HaveOccurred())
-	processes := loadtool.Processes{}
+	processes := load.Processes{}
 	for id, database := range d.databases {
 		processes[string(id)] = database.cmd.Process.Pid
 	}
-	report, err := loadtool.Run(context.Background(), loadtool.Options{
+	report, err := load.Run(context.Background(), load.Options{
 		Config:    conf,
-		Profiles:  []loadtool.Profile{p},
+		Profiles:  []load.Profile{p},
 		Processes: processes,
 		Live:      GinkgoWriter,
 		Log:       slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
@@ -62,7 +62,7 @@
 	It("keeps the callers' history whole while a primary is killed", func() {
 		d := deploy(shape{groups: 1, proxies: 3})
 		p := d.profile(6 * time.Second)
-		p.Faults = []loadtool.Fault{{At: settings.Duration(2 * time.Second), Action: loadtool.Kill, Target: "primary:quota-ledger/g1"}}
+		p.Faults = []load.Fault{{At: settings.Duration(2 * time.Second), Action: load.Kill, Target: "primary:quota-ledger/g1"}}
 		report := d.load(p)
 		Expect(report.Faults).To(HaveLen(1))
 		Expect(report.Faults[0].Error).To(BeEmpty())
--- a/internal/pooler/conn.go
+++ b/internal/pooler/conn.go
@@ -33,15 +33,9 @@
 // connSettings are what a connection is bound to at its target.
 type connSettings struct {
 	term     uint64 // 0: not bound to a term
-	waitFor  string // replicas that a commit waits for, comma separated
 	readOnly bool
 }
 
-// replicaWait bounds a commit's wait for its replicas. A replica that dies is
-// taken off the list well within it; after it the caller learns that the write
-// is committed but not replicated.
-const replicaWait = 3 * time.Second
-
 // conn is one connection to a target. It is used by one request at a time.
 type conn struct {
 	net      net.Conn
@@ -244,10 +238,6 @@
 	if c.settings.term != want.term {
 		sql.WriteString("SET buckthornshore.term = '" + termValue(want.term) + "'; ")
 	}
-	if c.settings.waitFor != want.waitFor {
-		sql.WriteString("SET buckthornshore.wait_for = '" + want.waitFor + "'; ")
-		sql.WriteString("SET buckthornshore.wait_timeout_ms = '" + strconv.FormatInt(replicaWait.Milliseconds(), 10) + "'; ")
-	}
 	if c.settings.readOnly != want.readOnly {
 		sql.WriteString("SET default_transaction_read_only = '" + onOff(want.readOnly) + "'; ")
 	}
--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"strings"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +21,6 @@
 // SQL states of a target that the pooler understands.
 const (
 	sqlTermRefused     = "BT202"
-	sqlNotReplicated   = "BT208"
 	sqlUniqueViolation = "23505"
 	sqlCancelled       = pgwire.StateCancelled
 )
@@ -35,6 +34,8 @@
 	// flight can be cancelled.
 	flight *flight
 	right  authority.Right // of a request to a primary
+	// leaveSlot gives the slot back; a wait for replicas needs none.
+	leaveSlot func()
 }
 
 func (p *Pooler) execute(ctx context.Context, f *flight, in *peerpb.ExecuteRequest, resp *peerpb.ExecuteResponse) *result.Error {
@@ -57,20 +58,25 @@
 		return err
 	}
 	defer tp.work.end()
+	// Before the queue: a replica that is behind must not hold a slot idle.
+	if err := p.waitForFloor(ctx, tp, req); err != nil {
+		return err
+	}
 	begun := time.Now()
 	slot, err := tp.gate.enter(ctx, p.admissionRequest(req))
 	if err != nil {
 		return err
 	}
-	defer slot.leave()
 	resp.QueueLength = uint32(tp.gate.length())
 	resp.QueueUs = uint32(time.Since(begun).Microseconds())
 	p.o.Metrics.Queued(in.Member, in.Class, time.Since(begun))
 	begun = time.Now()
-	defer func() {
+	req.leaveSlot = sync.OnceFunc(func() {
+		slot.leave()
 		resp.RunUs = uint32(time.Since(begun).Microseconds())
 		p.o.Metrics.Ran(in.Member, in.Class, time.Since(begun))
-	}()
+	})
+	defer req.leaveSlot()
 	if err := p.takeRight(req); err != nil {
 		return err
 	}
@@ -115,19 +121,8 @@
 	return failure
 }
 
-// confirmRight is asked for before the answer goes out.
-func (p *Pooler) confirmRight(req *request) *result.Error {
-	if req.Term == 0 {
-		return nil
-	}
-	return p.rights.Confirm(req.right, req.class.Write && req.class.WaitsForReplica)
-}
-
 // start runs a unit outside a transaction; it may open one.
 func (p *Pooler) start(ctx context.Context, tp *targetPool, req *request, resp *peerpb.ExecuteResponse) *result.Error {
-	if err := p.waitForFloor(ctx, tp, req); err != nil {
-		return err
-	}
 	want, err := p.settingsFor(req)
 	if err != nil {
 		return err
@@ -155,7 +150,7 @@
 	} else {
 		tp.release(c)
 	}
-	return p.conclude(tp, req, at, a, resp)
+	return p.conclude(ctx, tp, req, at, a, resp)
 }
 
 // bindInTime bounds the settings' round trip: a connection that went silent would
@@ -195,7 +190,7 @@
 	p.evidence.Answered(tp.target.ID, time.Since(begun))
 	at := h.conn.position
 	tp.settle(req.key, h, a.status)
-	return p.conclude(tp, req, at, a, resp)
+	return p.conclude(ctx, tp, req, at, a, resp)
 }
 
 // rebind has the transaction's commit wait for the replicas that count by now:
@@ -213,9 +208,10 @@
 
 // conclude finishes the request. When it fails with its transaction open the
 // caller is told that the transaction is gone, so it must be.
-func (p *Pooler) conclude(tp *targetPool, req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
+func (p *Pooler) conclude(ctx context.Context, tp *targetPool, req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
+	req.leaveSlot()
 	tp.floors.completed(req.Session, a.committed)
-	failure := p.finish(req, at, a, resp)
+	failure := p.finish(ctx, tp, req, at, a, resp)
 	if failure != nil {
 		tp.abandon(req.key)
 	}
@@ -258,11 +254,6 @@
 	if len(req.right.WaitFor) == 0 {
 		return want, result.New(result.NoReplicaForClass, "%s in %s", req.Class, req.group).After(time.Second)
 	}
-	names := make([]string, 0, len(req.right.WaitFor))
-	for _, r := range req.right.WaitFor {
-		names = append(names, string(r))
-	}
-	want.waitFor = strings.Join(names, ",")
 	return want, nil
 }
 
@@ -298,19 +289,13 @@
 }
 
 // finish checks the right once more and fills the answer.
-func (p *Pooler) finish(req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
+func (p *Pooler) finish(ctx context.Context, tp *targetPool, req *request, at position.Position, a answer, resp *peerpb.ExecuteResponse) *result.Error {
 	if a.sqlState == sqlTermRefused {
 		return termRefused(req, a)
 	}
-	// The holder may have been paused between the target's completion and this
-	// line and its group been given a new primary meanwhile. An acknowledgement
-	// then would promise a write that the new primary may lack.
-	if failure := p.confirmRight(req); failure != nil {
+	if failure := p.confirm(ctx, tp, req, a); failure != nil {
 		return failure
 	}
-	if a.sqlState == sqlNotReplicated {
-		return result.New(result.NotReplicated, "%s", req.Target).After(time.Second)
-	}
 	if !p.holds(req.group, at, peers.Position(req.Floor)) {
 		return result.New(result.ReplicaBehind, "%s holds %s", req.Target, at).After(verifyAfter)
 	}
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -85,10 +85,10 @@
 	Directory Directory
 	Clock     mono.Clock
 	Log       *slog.Logger
-	// Entries may be nil: then only the idle time-out ends abandoned transactions.
-	Entries Entries
 	// FirstCome serves requests in the order of their arrival: a baseline.
 	FirstCome bool
+	// Entries may be nil: then only the idle time-out ends abandoned transactions.
+	Entries Entries
 	// Metrics may be nil.
 	Metrics *metrics.Pooler
 }
@@ -110,6 +110,7 @@
 	gate    *gate
 	floors  *sessionFloors
 	control *Control
+	watch   *replicaWatch
 	work    work
 }
 
@@ -140,6 +141,7 @@
 		pool:    newPool(t.Target, p.o.Dialer, t.Connections),
 		gate:    newGate(p.o.Directory.Admission(id), p.o.Clock),
 		floors:  newSessionFloors(p.o.Clock),
+		watch:   newReplicaWatch(),
 		control: NewControl(p.o.Dialer, t.Address),
 	}
 	p.pools[id] = tp
--- a/internal/standin/database/execute.go
+++ b/internal/standin/database/execute.go
@@ -155,9 +155,6 @@
 		s.db.rollback(t)
 		return err
 	}
-	if entry != nil {
-		s.conn.committed = entry.Position()
-	}
 	return s.awaitReplicas(ctx, entry)
 }
 
@@ -182,6 +179,7 @@
 	}
 	e := Entry{Term: d.term, Index: uint64(len(d.entries)) + 1, Writes: t.list()}
 	d.appendLocked(e)
+	s.conn.committed = e.Position()
 	d.endTxnLocked(t)
 	return &e, nil
 }
