--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -39,7 +39,7 @@
 		return "", failure
 	}
 	begun := time.Now()
-	resp, failure := s.route(req)
+	resp, failure := s.routeWithinLimits(req)
 	s.measure(req, begun, failure)
 	if failure != nil {
 		return "", failure
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -279,6 +279,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer s.server.hops.add(req.group, d.term, cancel)()
+	if failure := s.server.loads.takeHop(d.pooler.ID); failure != nil {
+		return nil, failure
+	}
+	defer s.server.loads.hops.give(d.pooler.ID)
 	msg := s.message(ctx, req, d, inTransaction)
 	defer s.endHop()
 	if !s.beginHop(d.pooler, msg) {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -44,7 +44,7 @@
 		s.measure(nil, begun, failure)
 		return s.fail(failure)
 	}
-	resp, failure := s.route(req)
+	resp, failure := s.routeWithinLimits(req)
 	s.measure(req, begun, failure)
 	if failure != nil {
 		return s.fail(failure)
@@ -52,6 +52,25 @@
 	return s.answer(req, resp)
 }
 
+func (s *caller) routeWithinLimits(req *request) (*peerpb.ExecuteResponse, *result.Error) {
+	give, failure := s.takeRequest()
+	if failure != nil {
+		return nil, failure
+	}
+	defer give()
+	return s.route(req)
+}
+
+// write sends an answer; a caller that reads none of it for long is cut off.
+func (s *caller) write(answer []byte) error {
+	_ = s.net.SetWriteDeadline(time.Now().Add(answerTimeout))
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	_, err := s.net.Write(answer)
+	return err
+}
+
 // runLocals carries out the unit's statements of ours; they come first in it.
 func (s *caller) runLocals() *result.Error {
 	for i := range s.unit.steps {
@@ -74,11 +93,7 @@
 	if err != nil {
 		return err
 	}
-	if err := s.backend.Flush(); err != nil {
-		return err
-	}
-	_, err = s.net.Write(encode(out, &pgproto3.ReadyForQuery{TxStatus: s.status()}))
-	return err
+	return s.write(encode(out, &pgproto3.ReadyForQuery{TxStatus: s.status()}))
 }
 
 // refuseUnit answers a unit that is wrong in itself. With a transaction open the
@@ -170,11 +185,7 @@
 		s.session.Acknowledged(req.group, peers.Position(resp.Position))
 		s.sendToken()
 	}
-	if err := s.backend.Flush(); err != nil {
-		return err
-	}
-	_, err = s.net.Write(messages)
-	return err
+	return s.write(messages)
 }
 
 // spliceAnswer merges the target's answer with the entry's own. A statement whose
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -35,6 +35,7 @@
 type Server struct {
 	o      Options
 	router *router
+	loads  loads
 	hops   hops
 	hopID  atomic.Uint64
 	number atomic.Uint64
@@ -110,6 +111,10 @@
 	case len(s.sessions) >= conf.Limits().SessionsPerDaemon:
 		return result.New(result.TooManySessions, "%d", len(s.sessions)).After(comeBack)
 	}
+	if failure := s.loads.takeSession(conf, sess.options.member); failure != nil {
+		return failure
+	}
+	sess.admitted = sess.options.member
 	s.sessions[sess.number] = sess
 	return nil
 }
@@ -119,6 +124,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.sessions, sess.number)
+	s.loads.sessions.give(sess.admitted)
 }
 
 // Sessions returns the number of open sessions.
--- a/internal/entry/session.go
+++ b/internal/entry/session.go
@@ -38,6 +38,7 @@
 	secret   []byte
 	options  options
 	initial  options // of the start-up, for RESET
+	admitted string  // the member that the session counts for
 	prepared preparedTable
 	unit     unit
 	tx       *transaction
@@ -117,6 +118,7 @@
 // setOption changes an option for the requests that follow. A token raises the
 // floors of the session; another session id is another session.
 func (s *caller) setOption(name, value string) *result.Error {
+	before := s.options
 	if failure := s.options.set(name, value); failure != nil {
 		return failure
 	}
@@ -124,6 +126,14 @@
 		return nil // Still in the start-up, which opens the session when all is known.
 	}
 	switch name {
+	case "service", "member":
+		if name == "service" {
+			s.options.member = "" // The service's own.
+		}
+		if failure := s.checkOptions(); failure != nil {
+			s.options = before
+			return failure
+		}
 	case "token":
 		if err := s.session.Present(value, s.server.o.Keys); err != nil {
 			return result.From(err)
