Capacity: bts-measure and byte counters of the daemon's connections

Ruled out: counting at HTTP's layer, which misses headers. Conclusion: tool in place, figures follow.

--- /dev/null
+++ b/cmd/bts-measure/main.go
@@ -0,0 +1,118 @@
+// Command bts-measure measures what a daemon costs; docs/CAPACITY.md quotes its
+// tables. It starts the programs of its own directory on loopback and ends them.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/buckthornshore/buckthornshore/internal/capacity"
+	"github.com/buckthornshore/buckthornshore/internal/logging"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+)
+
+type databasesArgs struct {
+	Document string `arg:"positional,required" help:"configuration document; each of its targets is run"`
+}
+
+type runArgs struct {
+	Parts   []string `arg:"positional" help:"groups, daemons, planned, sessions, statements; all without any"`
+	Repeats int      `arg:"--repeats" default:"3" help:"of each measurement"`
+	Quick   bool     `arg:"--quick" help:"small sizes, to try the tool out"`
+}
+
+type args struct {
+	Run       *runArgs       `arg:"subcommand:run" help:"measure and print tables"`
+	Databases *databasesArgs `arg:"subcommand:databases" help:"host stand-in databases in this process"`
+}
+
+// part is one measurement with its table.
+type part struct {
+	name   string
+	report func(io.Writer, capacity.Programs, capacity.Plan) error
+}
+
+var parts = []part{
+	{"groups", capacity.ReportGroups},
+	{"daemons", capacity.ReportDaemons},
+	{"planned", capacity.ReportPlanned},
+	{"sessions", capacity.ReportSessions},
+	{"statements", capacity.ReportStatements},
+}
+
+func main() {
+	var a args
+	parser := arg.MustParse(&a)
+	var err error
+	switch {
+	case a.Run != nil:
+		err = run(a.Run)
+	case a.Databases != nil:
+		err = databases(a.Databases.Document)
+	default:
+		parser.Fail("a subcommand is needed")
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func databases(file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	doc, problems := config.Parse(file, raw)
+	if err := config.Err(problems); err != nil {
+		return err
+	}
+	if err := capacity.HostDatabases(doc, logging.New(os.Stderr, "databases", "warn")); err != nil {
+		return err
+	}
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	<-stop
+	return nil
+}
+
+func run(a *runArgs) error {
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	work, err := os.MkdirTemp("", "bts-measure")
+	if err != nil {
+		return err
+	}
+	plan := capacity.DefaultPlan()
+	if a.Quick {
+		plan = capacity.QuickPlan()
+	}
+	plan.Repeats = a.Repeats
+	programs := capacity.Programs{Dir: filepath.Dir(program), Work: work}
+	for _, p := range parts {
+		if !wanted(a.Parts, p.name) {
+			continue
+		}
+		if err := p.report(os.Stdout, programs, plan); err != nil {
+			return fmt.Errorf("%s, logs in %s: %w", p.name, work, err)
+		}
+	}
+	return os.RemoveAll(work)
+}
+
+func wanted(names []string, name string) bool {
+	for _, n := range names {
+		if n == name {
+			return true
+		}
+	}
+	return len(names) == 0
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 			metrics.Provide,
 			metrics.NewEntry,
 			metrics.NewPooler,
+			metrics.NewTraffic,
 		),
 		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
 		fx.StopTimeout(drainTime+time.Second),
@@ -81,20 +82,25 @@
 
 type dialers struct {
 	fx.Out
-	Pooler pooler.Dialer
-	Peers  peers.Dialer
+	Pooler   pooler.Dialer
+	Peers    peers.Dialer
+	Platform platformDialer
 }
 
-func newDialers(s Settings) dialers {
+func newDialers(s Settings, t *metrics.Traffic) dialers {
 	d := newDialer(s.AddressMap)
-	return dialers{Pooler: d, Peers: d}
+	return dialers{
+		Pooler:   &countedDialer{d, t, metrics.ServiceTargets},
+		Peers:    &countedDialer{d, t, metrics.ServicePeers},
+		Platform: &countedDialer{d, t, metrics.ServicePlatform},
+	}
 }
 
 func newPeers(d peers.Dialer, v *view.View, clock mono.Clock) *peers.Table {
 	return peers.NewTable(d, v, clock)
 }
 
-func newPlatform(s Settings, d peers.Dialer) platform.Service {
+func newPlatform(s Settings, d platformDialer) platform.Service {
 	client := &http.Client{
 		Transport: &http.Transport{DialContext: d.DialContext},
 		Timeout:   s.PlatformTimeout.Std(),
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,6 +12,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/liveness"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
@@ -84,6 +85,7 @@
 	Pooler    *pooler.Pooler
 	Relay     *relay.Server
 	Driver    *failover.Driver
+	Traffic   *metrics.Traffic
 	Log       *slog.Logger
 }
 
@@ -108,7 +110,8 @@
 				return err
 			}
 			s.Log.Info("event=peers_served", "address", s.Settings.PeerAddress)
-			go func() { _ = server.Serve(l) }()
+			counted := s.Traffic.Listener(metrics.ServicePeers, l)
+			go func() { _ = server.Serve(counted) }()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
