--- a/internal/capacity/planned.go
+++ b/internal/capacity/planned.go
@@ -27,7 +27,7 @@
 	defer d.end()
 	other := &http.Server{Addr: d.shape.targetAddress(0), Handler: http.NotFoundHandler(), ReadHeaderTimeout: callTimeout}
 	go func() { _ = other.ListenAndServe() }()
-	defer other.Close()
+	defer func() { _ = other.Close() }()
 	if err := d.plan(); err != nil {
 		return Rest{}, err
 	}
--- a/internal/capacity/process.go
+++ b/internal/capacity/process.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return nil, err
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	cmd := exec.Command(program, args...)
 	cmd.Stdout = log
 	cmd.Stderr = log
--- a/internal/capacity/sessions.go
+++ b/internal/capacity/sessions.go
@@ -48,6 +48,8 @@
 	return pgx.ConnectConfig(ctx, conf)
 }
 
+func closeSession(c *pgx.Conn) { _ = c.Close(context.Background()) } // The daemon goes anyway.
+
 func put(c *pgx.Conn) error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
@@ -69,7 +71,7 @@
 		if err != nil {
 			return false
 		}
-		defer c.Close(context.Background())
+		defer closeSession(c)
 		return put(c) == nil
 	})
 }
@@ -210,7 +212,7 @@
 	if err != nil {
 		return 0, 0, err
 	}
-	defer c.Close(context.Background())
+	defer closeSession(c)
 	var took []float64
 	for end := time.Now().Add(round); time.Now().Before(end); {
 		begun := time.Now()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -24,9 +24,6 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// drainTime bounds a planned stop.
-const drainTime = 30 * time.Second
-
 // New builds the daemon's application from its settings.
 func New(s Settings) *fx.App {
 	return fx.New(
@@ -50,6 +47,8 @@
 			newProber,
 			newLister,
 			newRoles,
+			newLeaver,
+			newOperators,
 			newEntry,
 			metrics.Provide,
 			metrics.NewEntry,
@@ -57,7 +56,7 @@
 			metrics.NewTraffic,
 		),
 		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
-		fx.StopTimeout(drainTime+time.Second),
+		fx.StopTimeout(longestStop),
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 	)
 }
@@ -126,12 +125,13 @@
 	maxResult       = 8 << 20
 )
 
-func newPooler(d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
+func newPooler(s Settings, d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
 		Dialer:          d,
 		Directory:       v,
 		Clock:           clock,
 		Log:             log,
+		FirstCome:       s.Baseline != "",
 		TransactionIdle: transactionIdle,
 		MaxResult:       maxResult,
 		Metrics:         m,
@@ -187,12 +187,13 @@
 		return nil, err
 	}
 	return entry.New(entry.Options{
-		View:    p.View,
-		Peers:   p.Peers,
-		Clock:   p.Clock,
-		Keys:    keys,
-		Metrics: p.Metrics,
-		Log:     p.Log,
+		View:     p.View,
+		Peers:    p.Peers,
+		Clock:    p.Clock,
+		Keys:     keys,
+		Baseline: p.Settings.Baseline,
+		Metrics:  p.Metrics,
+		Log:      p.Log,
 	}), nil
 }
 
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -67,6 +67,8 @@
 	Directory Directory
 	Clock     mono.Clock
 	Log       *slog.Logger
+	// FirstCome serves requests in the order of their arrival: a baseline.
+	FirstCome bool
 	// TransactionIdle is how long a transaction may sit idle.
 	TransactionIdle time.Duration
 	// MaxResult bounds one answer in bytes.
@@ -92,6 +94,7 @@
 	gate    *gate
 	floors  *sessionFloors
 	control *Control
+	work    work
 }
 
 // New makes a pooler; pools open on first use.
@@ -177,31 +180,6 @@
 	return tp.openTransactions()
 }
 
-// Drain waits until no transaction is open or ctx ends.
-func (p *Pooler) Drain(ctx context.Context) {
-	ticker := time.NewTicker(drainPoll)
-	defer ticker.Stop()
-	for p.anyTransaction() {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// drainPoll is how often Drain looks.
-const drainPoll = 20 * time.Millisecond
-
-func (p *Pooler) anyTransaction() bool {
-	for _, tp := range p.all() {
-		if tp.openTransactions() > 0 {
-			return true
-		}
-	}
-	return false
-}
-
 // Close ends all idle connections.
 func (p *Pooler) Close() {
 	for _, tp := range p.all() {
