--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -22,7 +23,7 @@
 
 const (
 	// readyTimeout bounds the start of a deployment.
-	readyTimeout = 60 * time.Second
+	readyTimeout = 40 * time.Second
 	pollPause    = 200 * time.Millisecond
 	// platformTimeout of the daemons' calls.
 	platformTimeout = 2 * time.Second
@@ -63,9 +64,9 @@
 	if err != nil {
 		return nil, err
 	}
-	err = await("the platform", func() bool {
+	err = await("the platform", func() error {
 		_, _, err := d.table.Scan(context.Background(), "", 0)
-		return err == nil
+		return err
 	})
 	if err != nil {
 		d.end()
@@ -102,7 +103,7 @@
 		}
 	}
 	for i := range d.shape.Daemons {
-		if err := await(fmt.Sprintf("daemon %d", i), func() bool { return ready(d.shape.adminAddress(i)) }); err != nil {
+		if err := await(fmt.Sprintf("daemon %d", i), func() error { return ready(d.shape.adminAddress(i)) }); err != nil {
 			return err
 		}
 	}
@@ -149,21 +150,21 @@
 }
 
 // settled reports whether every group has its row and both replicas synced.
-func (d *deployment) settled() bool {
+func (d *deployment) settled() error {
 	rows, _, err := d.table.Scan(context.Background(), "group/", 0)
 	if err != nil || len(rows) < d.shape.Groups {
-		return false
+		return errors.Newf("%d rows, %v", len(rows), err)
 	}
 	for _, r := range rows {
 		var g topology.Group
-		if json.Unmarshal(r.Value, &g) != nil {
-			return false
+		if err := json.Unmarshal(r.Value, &g); err != nil {
+			return err
 		}
 		if len(g.Unsettled) > 0 || len(g.Promoters) < replicasAndPrimary-1 {
-			return false
+			return errors.Newf("%s: %d promoters, %d unsettled lists", r.Key, len(g.Promoters), len(g.Unsettled))
 		}
 	}
-	return true
+	return nil
 }
 
 func (d *deployment) end() {
@@ -174,23 +175,28 @@
 	}
 }
 
-// await polls until f holds.
-func await(what string, f func() bool) error {
+// await polls until f has no error.
+func await(what string, f func() error) (err error) {
 	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(pollPause) {
-		if f() {
+		if err = f(); err == nil {
 			return nil
 		}
 	}
-	return errors.Newf("%s: not ready after %v", what, readyTimeout)
+	return errors.Wrapf(err, "%s: not ready after %v", what, readyTimeout)
 }
 
-func ready(admin string) bool {
+// ready asks a daemon; its answer tells what it still lacks.
+func ready(admin string) error {
 	resp, err := http.Get("http://" + admin + metrics.PathReady)
 	if err != nil {
-		return false
+		return err
 	}
 	defer resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	if resp.StatusCode == http.StatusOK {
+		return nil
+	}
+	why, err := io.ReadAll(resp.Body)
+	return errors.Newf("%s %v", why, err)
 }
 
 // snapshot reads a daemon's metrics.
--- a/internal/capacity/document.go
+++ b/internal/capacity/document.go
@@ -35,7 +35,9 @@
 const firstPort = 21000
 
 // closedAddress is one that nothing listens at, on loopback as all others.
-const closedAddress = "127.0.0.1:1"
+func closedAddress(target int) string {
+	return fmt.Sprintf("127.1.%d.%d:1", target/250, target%250+1)
+}
 
 // Shape is the size of a small deployment.
 type Shape struct{ Daemons, Groups int }
@@ -63,7 +65,7 @@
 func PlannedDocument() *config.Document {
 	doc := frame(PlannedDataCentres)
 	for i := range PlannedGroups {
-		doc.Groups = append(doc.Groups, group(i, PlannedDataCentres-1, func(int) string { return closedAddress }))
+		doc.Groups = append(doc.Groups, group(i, PlannedDataCentres-1, closedAddress))
 	}
 	return doc
 }
@@ -109,7 +111,7 @@
 
 func class(name string, kind config.Kind, staleness config.Duration) config.Class {
 	return config.Class{
-		Service: serviceName, Name: name, Kind: kind, Staleness: staleness, Priority: config.Normal, Repeatable: kind == config.Read,
+		Service: serviceName, Name: name, Kind: kind, Staleness: staleness, Priority: config.Normal, Repeatable: true,
 		Deadline: config.Duration(10 * time.Second), QueueLimit: 400, MaxAttempts: 3,
 	}
 }
--- a/internal/capacity/fit_test.go
+++ b/internal/capacity/fit_test.go
@@ -54,7 +54,10 @@
 	})
 
 	It("holds the planned size in all data centres but the last", func() {
-		doc := capacity.PlannedDocument()
+		raw, err := config.Canonical(capacity.PlannedDocument())
+		Expect(err).NotTo(HaveOccurred())
+		doc, problems := config.Parse("generated", raw)
+		Expect(config.Err(problems)).To(Succeed())
 		targets := 0
 		for _, g := range doc.Groups {
 			targets += len(g.Targets)
--- a/internal/capacity/planned.go
+++ b/internal/capacity/planned.go
@@ -34,7 +34,7 @@
 	if err := d.startDaemon(0, dataCentre(PlannedDataCentres-1)); err != nil {
 		return Rest{}, err
 	}
-	err = await("the daemon", func() bool { return ready(d.shape.adminAddress(0)) })
+	err = await("the daemon", func() error { return ready(d.shape.adminAddress(0)) })
 	if err != nil {
 		return Rest{}, err
 	}
--- a/internal/capacity/sessions.go
+++ b/internal/capacity/sessions.go
@@ -66,13 +66,13 @@
 
 // firstWrite waits until the deployment takes a write.
 func (d *deployment) firstWrite() error {
-	return await("a write", func() bool {
+	return await("a write", func() error {
 		c, err := connect(d.shape.callerAddress(0), writeClass)
 		if err != nil {
-			return false
+			return err
 		}
 		defer closeSession(c)
-		return put(c) == nil
+		return put(c)
 	})
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -57,7 +57,7 @@
 		),
 		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
 		fx.StopTimeout(longestStop),
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.WithLogger(newStartLog),
 	)
 }
 
@@ -65,6 +65,13 @@
 	return logging.New(os.Stderr, "bts-proxy", s.LogLevel).With("vm", s.VM)
 }
 
+// newStartLog shows why a daemon did not start; it would end without a word.
+func newStartLog(log *slog.Logger) fxevent.Logger {
+	l := &fxevent.SlogLogger{Logger: log}
+	l.UseLogLevel(slog.LevelDebug)
+	return l
+}
+
 func newClock() mono.Clock { return mono.System{} }
 
 // newVM takes the start-up time as the incarnation: it rises with every start,
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/failover"
@@ -28,10 +29,23 @@
 	driver   *failover.Driver
 	publish  publisher
 	log      *slog.Logger
+
+	mu      sync.Mutex
+	settled map[topology.TargetID]settledRole
+}
+
+// settledRole is a row that a target was found to obey, and when.
+type settledRole struct {
+	row *topology.Group
+	at  time.Time
 }
 
+// checkAgain is how often a target that obeys its row is asked whether it still
+// does: one that restarts may have lost its role.
+const checkAgain = time.Second
+
 func newRoles(v *view.View, p platform.Service, pl *pooler.Pooler, d *failover.Driver, pub publisher, log *slog.Logger) *roles {
-	return &roles{view: v, platform: p, pooler: pl, driver: d, publish: pub, log: log}
+	return &roles{view: v, platform: p, pooler: pl, driver: d, publish: pub, log: log, settled: map[topology.TargetID]settledRole{}}
 }
 
 // tick looks at every target that this VM pools.
@@ -47,11 +61,28 @@
 			continue
 		}
 		for _, id := range part.Targets {
-			go r.assign(ctx, conf, row, id)
+			if r.due(row, id) {
+				go r.assign(ctx, conf, row, id)
+			}
 		}
 	}
 }
 
+// due reports whether a target has to be asked for its role: with every new row,
+// and from time to time.
+func (r *roles) due(row *topology.Group, id topology.TargetID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.settled[id]
+	return s.row != row || time.Since(s.at) >= checkAgain
+}
+
+func (r *roles) settle(row *topology.Group, id topology.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled[id] = settledRole{row: row, at: time.Now()}
+}
+
 // create writes the first row of a group whose first target this VM pools. The
 // condition that there is none makes a second writer lose.
 func (r *roles) create(ctx context.Context, conf *config.View, part failover.Part) {
@@ -110,6 +141,7 @@
 		primary, _ := conf.Target(row.Primary)
 		_, err = control.Follow(ctx, row.Term, row.Primary, primary.Address)
 	default:
+		r.settle(row, id)
 		return
 	}
 	r.log.Info("event=target_assigned", "target", id, "role_before", status.Role, "primary", row.Primary, "term", row.Term, "error", err)
--- a/internal/failover/actions.go
+++ b/internal/failover/actions.go
@@ -258,18 +258,6 @@
 	d.o.Log.Info("event=follow", "group", a.Group, "target", a.Target, "primary", row.Primary, "error", err)
 }
 
-func (d *Driver) probe(ctx context.Context, a authority.Probe) {
-	t, ok := d.o.Directory.Target(a.Target)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
-	defer cancel()
-	sent := d.o.Clock.Now()
-	_, _, err := pooler.Probe(ctx, d.o.Dialer, t.Address)
-	d.locked(func(now mono.Time) { d.detector.ObserveProbe(a.Target, probeOutcome(err), sent, now) })
-}
-
 // probeOutcome tells a refused connection from one that nobody answered.
 func probeOutcome(err error) authority.ProbeOutcome {
 	var timeout net.Error
--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -90,6 +90,7 @@
 	held     map[topology.GroupID]topology.TargetID
 	seen     map[topology.GroupID]uint64            // term last logged
 	health   map[topology.TargetID]authority.Health // last logged
+	watching map[topology.TargetID]*kept            // what the detector has
 	woken    chan struct{}
 	assigned func(context.Context)
 }
@@ -107,6 +108,7 @@
 		held:     map[topology.GroupID]topology.TargetID{},
 		seen:     map[topology.GroupID]uint64{},
 		health:   map[topology.TargetID]authority.Health{},
+		watching: map[topology.TargetID]*kept{},
 		woken:    make(chan struct{}, 1),
 		assigned: func(context.Context) {},
 	}
@@ -195,6 +197,7 @@
 			d.dropPart(id)
 		}
 	}
+	d.forgetOthers()
 }
 
 func (d *Driver) assignPart(part Part, now mono.Time) {
@@ -206,7 +209,7 @@
 	read := authority.RowRead{Row: row}
 	d.holder.ObserveRow(read, now)
 	d.promoter.ObserveRow(read, now)
-	d.detector.Watch(row.Primary, now)
+	d.watch(row.Primary, now)
 	holds := false
 	for _, t := range part.Targets {
 		if t == row.Primary {
@@ -294,7 +297,7 @@
 func (d *Driver) observeRow(read authority.RowRead, now mono.Time) {
 	d.holder.ObserveRow(read, now)
 	d.promoter.ObserveRow(read, now)
-	d.detector.Watch(read.Row.Primary, now)
+	d.watch(read.Row.Primary, now)
 }
 
 // Right implements pooler.Rights.
--- a/internal/failover/server.go
+++ b/internal/failover/server.go
@@ -66,7 +66,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	_, _, err := pooler.Probe(ctx, s.d.o.Dialer, t.Address)
+	c, err := pooler.Probe(ctx, s.d.o.Dialer, t.Address)
+	if err == nil {
+		c.Close()
+	}
 	return &peerpb.WitnessResponse{Known: true, Reachable: err == nil}, nil
 }
 
--- a/internal/pooler/control.go
+++ b/internal/pooler/control.go
@@ -74,15 +74,29 @@
 }
 
 // Probe opens a new connection and asks for a status: a silent old connection
-// does not make a target dead.
-func Probe(ctx context.Context, d Dialer, address string) (TargetStatus, time.Duration, error) {
-	begun := time.Now()
+// does not make a target dead. The caller closes the connection of an answer.
+func Probe(ctx context.Context, d Dialer, address string) (*Control, error) {
 	c := NewControl(d, address)
-	defer c.Close()
-	s, err := c.Status(ctx)
-	return s, time.Since(begun), err
+	if _, err := c.Status(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Ping asks for a status on the open connection only; it opens none.
+func (c *Control) Ping(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return errNotOpen
+	}
+	_, err := c.try(ctx, "SHOW buckthornshore.status")
+	return err
 }
 
+var errNotOpen = errors.New("the control connection is not open")
+
 // Close ends the connection.
 func (c *Control) Close() {
 	c.mu.Lock()
--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/pkg/membership"
@@ -12,11 +13,24 @@
 func (v *View) SetList(vms []topology.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.listed = true
 	if v.members.MergeList(vms, v.clock.Now()) {
 		v.refresh()
 	}
 }
 
+// listGrace is how long a daemon that starts waits for the platform's list before
+// it takes itself for what it has met: with the platform out, it has to serve.
+const listGrace = 5 * time.Second
+
+// knowsOthers reports whether the choice of poolers means anything yet. Failure:
+// a daemon that starts knows itself alone, so every target of the plan falls to
+// it, and it opens thousands of connections that the rightful poolers have open
+// already. The list is there within milliseconds; the caller holds the lock.
+func (v *View) knowsOthers() bool {
+	return v.listed || v.clock.Now().Sub(v.started) >= listGrace
+}
+
 // Observe takes in what this VM saw of another.
 func (v *View) Observe(ev membership.Evidence) {
 	v.mu.Lock()
@@ -102,6 +116,9 @@
 func (v *View) Parts() []failover.Part {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.knowsOthers() {
+		return nil
+	}
 	if !v.partsKnown {
 		v.parts = v.workOutParts()
 		v.partsKnown = true
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -34,12 +34,16 @@
 
 	parts      []failover.Part
 	partsKnown bool
+
+	started mono.Time
+	listed  bool // the platform's VM list has come
 }
 
 // New makes a view that knows only its own VM.
 func New(self topology.VM, clock mono.Clock) *View {
 	v := &View{
 		clock:   clock,
+		started: clock.Now(),
 		self:    self,
 		groups:  map[topology.GroupID]*topology.Group{},
 		members: membership.NewTable(self, clock.Now()),
