--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,7 +45,7 @@
 			newDriver,
 			newFollower,
 			newProber,
-			newLister,
+			newRegistrar,
 			newRoles,
 			newLeaver,
 			newOperators,
@@ -122,29 +122,32 @@
 	return relay.NewServer(rows, p)
 }
 
-func newFollower(rows *relay.Store, p platform.Service, v *view.View, table *peers.Table, log *slog.Logger) *relay.Follower {
-	return &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
+func newFollower(s Settings, rows *relay.Store, p platform.Service, v *view.View, table *peers.Table, log *slog.Logger) *relay.Follower {
+	f := &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
+	for _, address := range s.Peers {
+		f.Seeds = append(f.Seeds, table.Seed(address))
+	}
+	return f
 }
 
-// Defaults of the pooler until the configuration says otherwise.
-const (
-	transactionIdle = 10 * time.Second
-	maxResult       = 8 << 20
-)
-
-func newPooler(s Settings, d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
+func newPooler(s Settings, d pooler.Dialer, v *view.View, prober *liveness.Prober, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
-		Dialer:          d,
-		Directory:       v,
-		Clock:           clock,
-		Log:             log,
-		FirstCome:       s.Baseline != "",
-		TransactionIdle: transactionIdle,
-		MaxResult:       maxResult,
-		Metrics:         m,
+		Dialer:    d,
+		Directory: v,
+		Entries:   entryWatch{v, prober},
+		Clock:     clock,
+		Log:       log,
+		FirstCome: s.Baseline != "",
+		Metrics:   m,
 	})
 }
 
+// entryWatch tells the pooler which entries have gone.
+type entryWatch struct {
+	*view.View
+	*liveness.Prober
+}
+
 func newProber(v *view.View, p *peers.Table) *liveness.Prober { return liveness.New(v, p) }
 
 type driverParts struct {
@@ -205,7 +208,8 @@
 }
 
 // wire joins the parts that know each other both ways.
-func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
+func wire(sink *rowSink, rows *relay.Store, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
+	sink.store = rows
 	sink.driver = driver
 	sink.keeper = keeper
 	sink.entry = e
--- a/internal/entry/hops.go
+++ b/internal/entry/hops.go
@@ -7,8 +7,8 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// hop is a request to a primary that has not been answered yet.
-type hop struct {
+// primaryHop is a request to a primary that has not been answered yet.
+type primaryHop struct {
 	term   uint64
 	cancel context.CancelFunc
 }
@@ -16,7 +16,7 @@
 // hops holds the requests under way to primaries, by group. Safe for concurrent use.
 type hops struct {
 	mu   sync.Mutex
-	open map[topology.GroupID]map[*hop]struct{}
+	open map[topology.GroupID]map[*primaryHop]struct{}
 }
 
 // add registers a request of a term; the caller removes it by the returned
@@ -25,14 +25,14 @@
 	if term == 0 {
 		return func() {}
 	}
-	entry := &hop{term: term, cancel: cancel}
+	entry := &primaryHop{term: term, cancel: cancel}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.open == nil {
-		h.open = map[topology.GroupID]map[*hop]struct{}{}
+		h.open = map[topology.GroupID]map[*primaryHop]struct{}{}
 	}
 	if h.open[group] == nil {
-		h.open[group] = map[*hop]struct{}{}
+		h.open[group] = map[*primaryHop]struct{}{}
 	}
 	h.open[group][entry] = struct{}{}
 	return func() {
--- a/internal/failover/probe.go
+++ b/internal/failover/probe.go
@@ -88,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
 	defer cancel()
 	sent := d.o.Clock.Now()
-	c, err := pooler.Probe(ctx, d.o.Dialer, t.Address)
+	c, err := pooler.OpenProbe(ctx, d.o.Dialer, t.Address)
 	if err == nil {
 		d.keep(a.Target, c)
 	}
--- a/internal/failover/server.go
+++ b/internal/failover/server.go
@@ -66,10 +66,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
-	c, err := pooler.Probe(ctx, s.d.o.Dialer, t.Address)
-	if err == nil {
-		c.Close()
-	}
+	_, _, err := pooler.Probe(ctx, s.d.o.Dialer, t.Address)
 	return &peerpb.WitnessResponse{Known: true, Reachable: err == nil}, nil
 }
 
--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -34,6 +34,7 @@
 	callers   []string // caller addresses, as proxies
 	admins    []string // admin addresses, as proxies
 	standIn   platformpb.StandIn
+	shape     shape
 }
 
 // shape of a deployment under test.
@@ -45,11 +46,14 @@
 	links bool
 	// databaseArgs are added to every database's flags.
 	databaseArgs []string
+	// edit changes the configuration, and settings those of the i-th proxy.
+	edit     func(*config.Document)
+	settings func(i int, s *daemon.Settings)
 }
 
 // deploy starts everything and waits until a write goes through.
 func deploy(s shape) *deployment {
-	d := &deployment{dir: GinkgoT().TempDir(), databases: map[topology.TargetID]*process{}}
+	d := &deployment{dir: GinkgoT().TempDir(), databases: map[topology.TargetID]*process{}, shape: s}
 	DeferCleanup(d.end)
 	d.readExample(s.groups)
 	d.startPlatform()
@@ -74,6 +78,9 @@
 			doc.Groups[i].Targets[j].Address = freeAddress()
 		}
 	}
+	if d.shape.edit != nil {
+		d.shape.edit(doc)
+	}
 	d.doc = doc
 	raw, err = json.Marshal(doc)
 	Expect(err).NotTo(HaveOccurred())
@@ -128,7 +135,6 @@
 			PlatformTimeout: settings.Duration(time.Second),
 			CheckInvariants: true,
 			LogLevel:        "debug",
-			AdminAddress:    freeAddress(),
 			OperatorSecret:  operatorSecret,
 		})
 	}
@@ -140,6 +146,9 @@
 // startProxy starts the i-th planned proxy.
 func (d *deployment) startProxy(i int) {
 	s := d.plans[i]
+	if d.shape.settings != nil {
+		d.shape.settings(i, &s)
+	}
 	raw, err := json.Marshal(s)
 	Expect(err).NotTo(HaveOccurred())
 	file := filepath.Join(d.dir, string(s.VM)+".json")
--- a/internal/integration/operators_test.go
+++ b/internal/integration/operators_test.go
@@ -17,6 +17,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/internal/status"
 	"github.com/buckthornshore/buckthornshore/pkg/routing"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
 const operatorSecret = "the operators' secret of the tests"
@@ -71,6 +72,19 @@
 	return sum
 }
 
+// retriesOfReads reads at every proxy and counts the attempts that failed.
+func (d *deployment) retriesOfReads() int64 {
+	GinkgoHelper()
+	before := d.counter(metrics.Retries)
+	for i := range d.proxies {
+		reader := d.mustConnect(i, "balance-overview")
+		for range 40 {
+			Expect(get(reader, "ready")).To(Equal("yes"))
+		}
+	}
+	return d.counter(metrics.Retries) - before
+}
+
 var _ = Describe("Operators", func() {
 	It("ask daemons, and are refused without the secret", func() {
 		d := deploy(shape{groups: 1, proxies: 3})
@@ -86,7 +100,7 @@
 				g.Expect(c.Preset).To(Equal("peak"))
 			}
 		}).WithTimeout(10 * time.Second).Should(Succeed())
-		why := ask[routing.Explanation](d, "explain", "--service", "quota-ledger", "--class", "landing-report")
+		why := ask[routing.Explanation](d, "explain", "--service", "quota-ledger", "--class", "landing-report", "--group", "g1")
 		Expect(string(why.Chosen)).To(Equal(d.primary()))
 		code, _, stderr := d.ctl("some other secret, wrong", "status", "vms")
 		Expect(code).To(Equal(ctl.ExitRefused))
@@ -101,7 +115,7 @@
 	It("switch over and drain under load without a failed request", func() {
 		d := deploy(shape{groups: 1, proxies: 3})
 		d.mustCtl("apply", d.configFile(), "--expect-version", "0")
-		l := d.startLoad(6)
+		l := d.startCallers(6)
 		before := d.primary()
 		d.mustCtl("switchover", "quota-ledger/g1")
 		leaving := d.primary()
@@ -114,19 +128,14 @@
 				g.Expect(c.Config).To(Equal(uint64(2)))
 			}
 		}).WithTimeout(10 * time.Second).Should(Succeed())
-		for id, p := range d.databases {
-			if string(id) == leaving {
-				p.freeze()
-				defer p.thaw()
-			}
-		}
-		retries := d.counter(metrics.Retries)
-		for i := range d.proxies {
-			reader := d.mustConnect(i, "balance-overview")
-			for range 40 {
-				Expect(get(reader, "ready")).To(Equal("yes"))
-			}
-		}
-		Expect(d.counter(metrics.Retries)).To(Equal(retries))
+		Eventually(d.retriesOfReads).WithTimeout(15 * time.Second).Should(BeZero())
+		why := ask[routing.Explanation](d, "explain", "--service", "quota-ledger", "--class", "balance-overview", "--group", "g1")
+		Expect(why.Candidates).To(ContainElement(And(
+			HaveField("Target", topology.TargetID(leaving)), HaveField("Reason", routing.TargetLeaving),
+		)))
+		hung := d.databases[topology.TargetID(leaving)]
+		hung.freeze()
+		defer hung.thaw()
+		Expect(d.retriesOfReads()).To(BeZero())
 	})
 })
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -48,10 +48,28 @@
 type Directory interface {
 	Target(id topology.TargetID) (TargetLimits, bool)
 	Class(service, class string) (ClassLimits, bool)
-	// Group returns the newest known row of a group, or nil.
-	Group(id topology.GroupID) *topology.Group
 	// Admission returns the limits of a target's queue as the preset has them.
 	Admission(id topology.TargetID) admission.Limits
+	// Group returns the newest known row of a group; nil when there is none.
+	Group(id topology.GroupID) *topology.Group
+	// Bounds returns what the configuration allows one request or transaction.
+	Bounds() Bounds
+}
+
+// Bounds of one request or transaction.
+type Bounds struct {
+	// TransactionIdle is how long a transaction may sit idle.
+	TransactionIdle time.Duration
+	// ResultBytes is the largest answer.
+	ResultBytes int
+}
+
+// Entries tells which entries have gone, and asks one that is silent.
+type Entries interface {
+	// Gone reports whether the VM is dead, or has been started anew since.
+	Gone(id topology.VMID, incarnation topology.Incarnation) bool
+	// Ask sends the VM a sign of life to answer; what comes of it shows in Gone.
+	Ask(ctx context.Context, id topology.VMID)
 }
 
 // TargetLimits is a target with its limits.
@@ -69,10 +87,8 @@
 	Log       *slog.Logger
 	// FirstCome serves requests in the order of their arrival: a baseline.
 	FirstCome bool
-	// TransactionIdle is how long a transaction may sit idle.
-	TransactionIdle time.Duration
-	// MaxResult bounds one answer in bytes.
-	MaxResult int
+	// Entries may be nil: then only the idle time-out ends abandoned transactions.
+	Entries Entries
 	// Metrics may be nil.
 	Metrics *metrics.Pooler
 }
@@ -94,6 +110,7 @@
 	gate    *gate
 	floors  *sessionFloors
 	control *Control
+	watch   *replicaWatch
 	work    work
 }
 
@@ -124,6 +141,7 @@
 		pool:    newPool(t.Target, p.o.Dialer, t.Connections),
 		gate:    newGate(p.o.Directory.Admission(id), p.o.Clock),
 		floors:  newSessionFloors(p.o.Clock),
+		watch:   newReplicaWatch(),
 		control: NewControl(p.o.Dialer, t.Address),
 	}
 	p.pools[id] = tp
@@ -143,7 +161,8 @@
 // daemon calls it each second.
 func (p *Pooler) Sweep(now time.Time) {
 	for _, tp := range p.all() {
-		tp.sweep(now, p.o.TransactionIdle)
+		p.sweepEntries(tp, now)
+		tp.sweep(now, p.o.Directory.Bounds().TransactionIdle)
 		tp.floors.tick()
 		tp.gate.setLimits(p.o.Directory.Admission(tp.target.ID))
 		p.o.Metrics.Connections(string(tp.target.ID), tp.inUse())
@@ -154,6 +173,7 @@
 // replaced primary will not answer.
 func (p *Pooler) Tick() {
 	p.flights.cut(p.o.Directory)
+	p.findSilent(time.Now())
 	for _, tp := range p.all() {
 		tp.gate.tick()
 	}
@@ -196,7 +216,9 @@
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(req.DeadlineMs)*time.Millisecond)
 	defer cancel()
 	resp := &peerpb.ExecuteResponse{HopId: req.HopId}
-	if err := p.execute(ctx, req, resp); err != nil {
+	ctx, f := p.flights.begin(ctx, flightKey{req.Entry, req.EntryIncarnation, req.HopId})
+	defer p.flights.end(f)
+	if err := f.explain(p.execute(ctx, f, req, resp)); err != nil {
 		resp.Failure = peers.Failure(err)
 		resp.Messages = nil
 	}
@@ -233,11 +255,6 @@
 	return resp, nil
 }
 
-// Cancel implements peerpb.Pooler.
-func (p *Pooler) Cancel(ctx context.Context, req *peerpb.CancelRequest) (*peerpb.CancelResponse, error) {
-	return &peerpb.CancelResponse{}, nil
-}
-
 // Release implements peerpb.Pooler.
 func (p *Pooler) Release(_ context.Context, req *peerpb.ReleaseRequest) (*peerpb.ReleaseResponse, error) {
 	tp, failure := p.pool(topology.TargetID(req.Target))
--- a/internal/standin/database/wait.go
+++ b/internal/standin/database/wait.go
@@ -4,10 +4,14 @@
 	"context"
 	"strings"
 	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// awaitReplicas waits until the replicas that the session names hold the
-// entry. Every failure is BT208: the entry is committed here in any case.
+// awaitReplicas waits until the replicas that the session names hold the entry.
+// The entry is committed here in any case. When the wait times out the statement
+// completes with a warning BT208, as PostgreSQL itself does; when the database
+// leaves the term or the caller cancels, it is an error BT208.
 func (s *session) awaitReplicas(ctx context.Context, e *Entry) error {
 	if e == nil || len(s.waitFor) == 0 {
 		return nil
@@ -29,13 +33,23 @@
 		select {
 		case <-changed:
 		case <-timeout:
-			return notReplicated(*e, missing, "timed out")
+			s.warnNotReplicated(*e, missing)
+			return nil
 		case <-ctx.Done():
 			return notReplicated(*e, missing, "canceled")
 		}
 	}
 }
 
+func (s *session) warnNotReplicated(e Entry, missing []string) {
+	s.conn.send(&pgproto3.NoticeResponse{
+		Severity:            "WARNING",
+		SeverityUnlocalized: "WARNING",
+		Code:                string(CodeNotReplicated),
+		Message:             notReplicated(e, missing, "timed out").Error(),
+	})
+}
+
 func notReplicated(e Entry, missing []string, why string) error {
 	return sqlError(CodeNotReplicated, "committed at %s but not acknowledged by %s: %s",
 		e.Position(), strings.Join(missing, ","), why)
