--- a/Makefile
+++ b/Makefile
@@ -13,11 +13,11 @@
 	./scripts/example
 
 lint: ## formatter and linter
-	test -z "$$($(GOBIN)/gofumpt -l cmd pkg internal)"
+	test -z "$$($(GOBIN)/gofumpt -l cmd pkg internal examples)"
 	$(GOBIN)/golangci-lint run
 
 fmt:
-	$(GOBIN)/gofumpt -w cmd pkg internal
+	$(GOBIN)/gofumpt -w cmd pkg internal examples
 
 docs: ## writes docs/RESULT-CODES.md from pkg/result
 	UPDATE_DOCS=1 $(GO) test -count=1 ./pkg/result
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/failover"
@@ -65,13 +64,6 @@
 	return logging.New(os.Stderr, "bts-proxy", s.LogLevel).With("vm", s.VM)
 }
 
-// newStartLog shows why a daemon did not start; it would end without a word.
-func newStartLog(log *slog.Logger) fxevent.Logger {
-	l := &fxevent.SlogLogger{Logger: log}
-	l.UseLogLevel(slog.LevelDebug)
-	return l
-}
-
 func newClock() mono.Clock { return mono.System{} }
 
 // newVM takes the start-up time as the incarnation: it rises with every start,
