--- a/internal/capacity/planned.go
+++ b/internal/capacity/planned.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/view"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -18,7 +20,7 @@
 // MeasurePlanned runs one daemon that knows the whole planned size: 14,001
 // targets, their groups' rows and 3,900 VMs. It is the relay of a data centre
 // without targets, so it holds and promotes nothing, and the other VMs are
-// entries of the platform's list behind one address that knows no method.
+// rows with one address that knows no method.
 func MeasurePlanned(p Programs, window time.Duration) (Rest, error) {
 	d, err := newDeployment(p, Shape{Daemons: 1})
 	if err != nil {
@@ -48,13 +50,19 @@
 	if err := d.writeDocument(doc); err != nil {
 		return err
 	}
-	if err := d.registerOthers(); err != nil {
+	vms, err := d.vmRows()
+	if err != nil {
+		return err
+	}
+	groups, err := groupRows(doc)
+	if err != nil {
 		return err
 	}
-	return d.writeRows(doc)
+	return d.commit(append(vms, groups...))
 }
 
-func (d *deployment) registerOthers() error {
+// vmRows returns the rows of all VMs but the measured one.
+func (d *deployment) vmRows() (rows []platform.Write, err error) {
 	for i := 1; i < PlannedDaemons; i++ {
 		vm := topology.VM{
 			ID:          topology.VMID(fmt.Sprintf("other-%04d", i)),
@@ -63,28 +71,32 @@
 			PeerAddress: d.shape.targetAddress(0),
 			Incarnation: topology.Incarnation(time.Now().UnixNano()),
 		}
-		if err := d.table.Register(context.Background(), vm); err != nil {
-			return err
+		value, err := json.Marshal(vm)
+		if err != nil {
+			return nil, err
 		}
+		rows = append(rows, platform.Write{Key: view.VMKey(vm.ID), Value: value})
 	}
-	return nil
+	return rows, nil
 }
 
-func (d *deployment) writeRows(doc *config.Document) error {
-	var txn platform.Txn
-	for i, g := range doc.Groups {
+func groupRows(doc *config.Document) (rows []platform.Write, err error) {
+	for _, g := range doc.Groups {
 		value, err := json.Marshal(plannedRow(&g))
 		if err != nil {
-			return err
-		}
-		txn.Writes = append(txn.Writes, platform.Write{Key: "group/" + string(g.ID()), Value: value})
-		if len(txn.Writes) < rowsPerCommit && i < len(doc.Groups)-1 {
-			continue
+			return nil, err
 		}
-		if _, err := d.table.Commit(context.Background(), txn); err != nil {
+		rows = append(rows, platform.Write{Key: view.GroupPrefix + string(g.ID()), Value: value})
+	}
+	return rows, nil
+}
+
+// commit writes rows to the platform, some at a time.
+func (d *deployment) commit(rows []platform.Write) error {
+	for some := range slices.Chunk(rows, rowsPerCommit) {
+		if _, err := d.table.Commit(context.Background(), platform.Txn{Writes: some}); err != nil {
 			return err
 		}
-		txn = platform.Txn{}
 	}
 	return nil
 }
--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/pkg/membership"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -13,20 +15,20 @@
 func (v *View) SetList(vms []topology.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.listed = true
+	v.listed = v.listed || slices.ContainsFunc(vms, func(vm topology.VM) bool { return vm.ID != v.self.ID })
 	if v.members.MergeList(vms, v.clock.Now()) {
 		v.refresh()
 	}
 }
 
-// listGrace is how long a daemon that starts waits for the platform's list before
-// it takes itself for what it has met: with the platform out, it has to serve.
+// listGrace is how long a daemon that starts waits to hear of another VM before it
+// goes by what it has met: with the platform out, or alone, it has to serve.
 const listGrace = 5 * time.Second
 
 // knowsOthers reports whether the choice of poolers means anything yet. Failure:
 // a daemon that starts knows itself alone, so every target of the plan falls to
 // it, and it opens thousands of connections that the rightful poolers have open
-// already. The list is there within milliseconds; the caller holds the lock.
+// already. The rows are there within milliseconds; the caller holds the lock.
 func (v *View) knowsOthers() bool {
 	return v.listed || v.clock.Now().Sub(v.started) >= listGrace
 }
@@ -206,7 +208,7 @@
 func (v *View) Relays() []topology.VM {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	vms := v.relaysIn(v.self.DataCentre)
+	vms := v.rotate(v.relaysIn(v.self.DataCentre))
 	if v.conf == nil {
 		return vms
 	}
@@ -218,6 +220,16 @@
 	return vms
 }
 
+// rotate begins the list at a place of this VM's own: all VMs would else watch
+// the first relay.
+func (v *View) rotate(vms []topology.VM) []topology.VM {
+	if len(vms) == 0 {
+		return vms
+	}
+	at := int(xxhash.Sum64String(string(v.self.ID)) % uint64(len(vms)))
+	return slices.Concat(vms[at:], vms[:at])
+}
+
 func (v *View) relaysIn(dc topology.DataCentre) []topology.VM {
 	var vms []topology.VM
 	for _, id := range v.live.Relays(dc) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -36,7 +36,7 @@
 	partsKnown bool
 
 	started mono.Time
-	listed  bool // the platform's VM list has come
+	listed  bool // rows of other VMs have come
 }
 
 // New makes a view that knows only its own VM.
