--- a/internal/failover/targets.go
+++ b/internal/failover/targets.go
@@ -82,18 +82,6 @@
 	d.locked(func(mono.Time) { d.promoter.ObservePosition(a, s.Position) })
 }
 
-func (d *Driver) probe(ctx context.Context, a authority.Probe) {
-	t, ok := d.o.Directory.Target(a.Target)
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, a.Timeout)
-	defer cancel()
-	sent := d.o.Clock.Now()
-	_, _, err := pooler.Probe(ctx, d.o.Dialer, t.Address)
-	d.locked(func(now mono.Time) { d.detector.ObserveProbe(a.Target, probeOutcome(err), sent, now) })
-}
-
 // probeOutcome tells a refused connection from one that nobody answered.
 func probeOutcome(err error) authority.ProbeOutcome {
 	var timeout net.Error
