Entry: one place weighs targets; no package for one conversion

Cause: choose and explain listed candidates twice; pgwire wrapped strconv. Before and after: same behaviour; go test ./internal/entry passes. Conclusion: none.

--- a/internal/entry/explain.go
+++ b/internal/entry/explain.go
@@ -23,6 +23,7 @@
 	return s.router.explain(row, need)
 }
 
+// explain weighs the group's targets; the explanation is valid with a failure, too.
 func (r *router) explain(row *topology.Group, req routing.Request) (*routing.Explanation, *result.Error) {
 	targets := r.configured(row.ID)
 	r.mu.Lock()
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -116,18 +116,9 @@
 
 // choose picks the target of a request whose floor is known.
 func (r *router) choose(row *topology.Group, req routing.Request) (destination, *result.Error) {
-	targets := r.configured(row.ID)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
-	g := r.group(row)
-	candidates := make([]routing.Candidate, 0, len(targets))
-	for _, t := range targets {
-		candidates = append(candidates, r.candidate(g, row, t, now))
-	}
-	why, err := routing.Choose(now, req, g.fresh, candidates, r.random)
-	if err != nil {
-		return destination{}, result.From(err)
+	why, failure := r.explain(row, req)
+	if failure != nil {
+		return destination{}, failure
 	}
 	d := destination{target: why.Chosen, floor: why.Floor}
 	if why.Chosen == row.Primary {
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -139,7 +140,7 @@
 		Message:             e.Error(),
 	}
 	if e.RetryAfter > 0 {
-		resp.Hint = "retry_after_ms=" + itoa(e.RetryAfter.Milliseconds())
+		resp.Hint = "retry_after_ms=" + strconv.FormatInt(e.RetryAfter.Milliseconds(), 10)
 	}
 	return resp
 }
