Failover tests under faults; a listed VM takes part though it does not know it

Cause found by them: a VM died with the primary; only the holder knew and listed another VM in its place, which promised when asked but neither looked at the replica nor had it follow the new primary. No replica was synced, and classes that wait were refused (20 s and more, both entries). Now a VM takes part in each group whose list has it, and a replica behind the row's term is told by whoever stands for it.

The first row's list is replaced without waiting for the view to rest, as is one with fewer VMs than could be: in trials the only listed VM died with the primary within 500 ms of the group's creation and nobody could speak for its list.

--- a/internal/failover/assign.go
+++ b/internal/failover/assign.go
@@ -38,7 +38,10 @@
 	if row == nil {
 		return ""
 	}
-	self := d.o.Directory.Self()
+	return listedIn(row, d.o.Directory.Self())
+}
+
+func listedIn(row *topology.Group, self topology.VM) topology.TargetID {
 	for _, e := range row.Promoters {
 		if e.VM == self.ID && e.Incarnation == self.Incarnation && e.Replica != row.Primary {
 			return e.Replica
@@ -47,6 +50,20 @@
 	return ""
 }
 
+// lists reports whether the row has this VM in its list, and has it take part in
+// the group from the next look on; the caller holds the lock.
+//
+// Failure: another VM died, and only the holder knows yet. It lists this VM in its
+// place, which promises when asked, but looks neither at the replica nor has it
+// follow a new primary, so no replica is synced and classes that wait are refused.
+func (d *Driver) lists(row *topology.Group) bool {
+	if listedIn(row, d.o.Directory.Self()) == "" {
+		return false
+	}
+	d.parts[row.ID] = Part{Group: row.ID}
+	return true
+}
+
 // withListed adds the replica that the list has this VM for.
 //
 // Failure: another VM has come to pool the replica, and the primary dies before
--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -196,7 +196,7 @@
 		at = now.Add(-time.Since(began))
 	}
 	for _, row := range rows {
-		if _, ok := d.parts[row.ID]; !ok {
+		if _, ok := d.parts[row.ID]; !ok && !d.lists(row) {
 			continue
 		}
 		d.observeRow(authority.RowRead{Row: row, Began: at}, now)
--- a/internal/failover/status.go
+++ b/internal/failover/status.go
@@ -143,6 +143,24 @@
 			Position:  s.Position,
 		})
 	})
+	if err == nil && d.isBehind(row, t, s) {
+		d.followRow(ctx, row, t, s)
+	}
+}
+
+// isBehind reports whether a replica has yet to hear of the row's term. The VM
+// that pools it tells it, too; but it may have died, or not know of its part.
+func (d *Driver) isBehind(row *topology.Group, t topology.TargetID, s pooler.TargetStatus) bool {
+	return row != nil && row.Primary != t && s.Term < row.Term && !d.Attempting(row.ID)
+}
+
+// followRow has a replica follow the row's primary, and tells what it cuts off.
+func (d *Driver) followRow(ctx context.Context, row *topology.Group, t topology.TargetID, s pooler.TargetStatus) {
+	if surplus, lost := authority.SurplusOf(row, s.Position); lost {
+		d.o.Log.Warn("event=writes_lost", "group", row.ID, "target", t, "after", surplus.From, "to", surplus.To)
+	}
+	a := authority.FollowPrimary{Group: row.ID, Target: t}
+	d.lanes.run(t, step{kind: "follow", do: func() { d.follow(ctx, a) }})
 }
 
 // observePrimary takes the primary's status; the caller holds the lock. A target
--- a/internal/integration/link_test.go
+++ b/internal/integration/link_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/url"
 	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -24,6 +25,7 @@
 
 	mu    sync.Mutex
 	cut   bool
+	delay time.Duration
 	conns map[net.Conn]net.Conn
 }
 
@@ -78,12 +80,26 @@
 		if l.isCut() {
 			continue
 		}
+		time.Sleep(l.delayed())
 		if _, err := to.Write(buf[:n]); err != nil {
 			return
 		}
 	}
 }
 
+// delayed is how long what comes is held back, one way.
+func (l *link) delayed() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.delay
+}
+
+func (l *link) setDelay(delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = delay
+}
+
 func (l *link) isCut() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -156,6 +172,13 @@
 	}
 }
 
+// delayLinks holds back everything between data centres, one way.
+func (d *deployment) delayLinks(delay time.Duration) {
+	for _, l := range d.links {
+		l.setDelay(delay)
+	}
+}
+
 func isPlatform(dc topology.DataCentre) bool  { return dc == platformDC }
 func notPlatform(dc topology.DataCentre) bool { return dc != platformDC }
 func anywhere(topology.DataCentre) bool       { return true }
--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -58,7 +58,9 @@
 	// list changes: seven rows and two unsettled lists within 300 ms. A change that
 	// keeps the right going can't wait, nor one that classes wait for because no
 	// replica is synced; any other one waits until the view rests.
-	urgent = urgent || len(Synced(g.now.row.Promoters)) == 0
+	// The first row's writer may have known itself alone, so that list can't wait.
+	first := g.now.row.Version == firstVersion
+	urgent = urgent || first || len(Synced(g.now.row.Promoters)) == 0 || g.crowded()
 	if urgent || now.Sub(g.viewedSince) >= settledView {
 		list = slices.DeleteFunc(list, func(p topology.Promoter) bool { return !g.wants(p) })
 		list = g.addMissing(list, now)
@@ -70,6 +72,21 @@
 	return list
 }
 
+// crowded reports whether fewer VMs are listed than could be. Failure: at a start
+// a VM knows itself alone and lists itself for every replica; it dies with the
+// primary, and nobody is left who could speak for the list before MaxOutage.
+func (g *held) crowded() bool {
+	return countVMs(g.now.row.Promoters) < countVMs(g.candidates)
+}
+
+func countVMs(list []topology.Promoter) int {
+	vms := map[topology.VMID]bool{}
+	for _, p := range list {
+		vms[p.VM] = true
+	}
+	return len(vms)
+}
+
 // remaining are the entries that are not silent, and whether any other is.
 func (h *Holder) remaining(g *held, now mono.Time) ([]topology.Promoter, bool) {
 	var list []topology.Promoter
--- a/pkg/authority/row.go
+++ b/pkg/authority/row.go
@@ -105,6 +105,9 @@
 	return true
 }
 
+// firstVersion is the version of a group's first row.
+const firstVersion = 1
+
 // FirstRow returns the row of a group that has none yet: nobody is synced, so
 // nobody promotes until the holder has found a replica caught up. The caller
 // commits it on the condition that there is no row.
@@ -113,7 +116,7 @@
 	for i := range list {
 		list[i].Synced = false
 	}
-	return &topology.Group{ID: group, Version: 1, Term: term, Primary: primary, Promoters: list, ChangeID: changeID}
+	return &topology.Group{ID: group, Version: firstVersion, Term: term, Primary: primary, Promoters: list, ChangeID: changeID}
 }
 
 // ChangeList returns the row with another list, or nil when the list is empty or
