--- a/internal/failover/assign.go
+++ b/internal/failover/assign.go
@@ -30,6 +30,7 @@
 		}
 		d.dropPart(id)
 	}
+	d.forgetOthers()
 }
 
 // listed returns the replica that the group's list has this VM for, or "".
@@ -70,7 +71,7 @@
 	read := authority.RowRead{Row: row}
 	d.holder.ObserveRow(read, now)
 	d.promoter.ObserveRow(read, now)
-	d.detector.Watch(row.Primary, now)
+	d.watch(row.Primary, now)
 	if t := d.standsFor(part, row); t != "" {
 		d.promoter.Stand(part.Group, t)
 	}
