The VM list can't be set back by a slower reader

The list is set under a lock and put off instead of dropped. The restart of a proxy once found its port taken by an outgoing connection: listeners of tests use ports below the ephemeral range.

--- a/internal/daemon/registrar.go
+++ b/internal/daemon/registrar.go
@@ -32,15 +32,19 @@
 	rows     *relay.Store
 	platform platform.Service
 	publish  publisher
+	sink     *rowSink
 	log      *slog.Logger
 }
 
-func newRegistrar(v *view.View, rows *relay.Store, p platform.Service, pub publisher, log *slog.Logger) *registrar {
-	return &registrar{view: v, rows: rows, platform: p, publish: pub, log: log}
+func newRegistrar(v *view.View, rows *relay.Store, p platform.Service, pub publisher, sink *rowSink, log *slog.Logger) *registrar {
+	return &registrar{view: v, rows: rows, platform: p, publish: pub, sink: sink, log: log}
 }
 
 // tick writes this VM's row when it differs from what the VM is.
-func (r *registrar) tick(ctx context.Context) { r.register(ctx) }
+func (r *registrar) tick(ctx context.Context) {
+	r.register(ctx)
+	r.sink.retakeVMs()
+}
 
 // register reports whether the row is as it should be.
 func (r *registrar) register(ctx context.Context) bool {
--- a/internal/daemon/spread.go
+++ b/internal/daemon/spread.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/entry"
@@ -45,6 +46,9 @@
 	keeper *configKeeper
 	entry  *entry.Server
 	log    *slog.Logger
+
+	list    sync.Mutex
+	pending bool // rows of VMs came before the store was known whole
 }
 
 func (s *rowSink) take(rows []platform.Row, began time.Time) {
@@ -67,9 +71,14 @@
 }
 
 // takeVMs hands the VMs' rows on as the list. A store that has not been read
-// whole yet holds a part of them, and the others would count as gone.
+// whole yet holds a part of them, and the others would count as gone; then the
+// list is taken later. One call at a time: of two, the one that read the rows
+// first must not set its older list last.
 func (s *rowSink) takeVMs() {
-	if s.store == nil || !s.store.Known() {
+	s.list.Lock()
+	defer s.list.Unlock()
+	s.pending = s.store == nil || !s.store.Known()
+	if s.pending {
 		return
 	}
 	vms, err := view.VMsOf(s.store.Rows(view.VMPrefix))
@@ -78,3 +87,13 @@
 	}
 	s.view.SetList(vms)
 }
+
+// retakeVMs takes a list that was put off.
+func (s *rowSink) retakeVMs() {
+	s.list.Lock()
+	pending := s.pending
+	s.list.Unlock()
+	if pending {
+		s.takeVMs()
+	}
+}
--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -63,12 +65,24 @@
 	return time.Since(begun)
 }
 
+// Ports for listeners, below the range that Linux takes outgoing connections'
+// ports from: one of those could take the port of a program that starts again.
+const (
+	firstPort = 15000
+	lastPort  = 32000
+)
+
 // freeAddress returns a loopback address that was free a moment ago.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(port)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
+	}
 }
 
 func dumpLog(p *process) {
