A write outlasts an interruption up to its own deadline

Cause: each try of a write that found nobody to run it counted against the policy's 200 attempts; at one each 20 ms a single writer had spent them after 4 s, with a deadline of three minutes left, and was told "not run". Such tries are paced by awaitPrimary and cost no budget; now they do not count either. Ruled out: a greater number of attempts; it only moves the edge.

--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -51,7 +51,7 @@
 		if reached >= req.class.MaxAttempts {
 			return nil, final(failure, req)
 		}
-		outcome := retry.Outcome{Attempt: attempt, Err: failure, Member: s.options.member}
+		outcome := retry.Outcome{Attempt: attemptsThatCount(req, failure, attempt, reached), Err: failure, Member: s.options.member}
 		decision := s.server.router.next(policy, outcome, retryClass(req.class), deadline)
 		if decision.Err != nil {
 			return nil, decision.Err
@@ -92,6 +92,16 @@
 	return pause(ctx, d)
 }
 
+// attemptsThatCount leaves out a write's attempts that found nobody to run them:
+// awaitPrimary paces these, one each 20 ms, and the policy's 200 would be spent
+// after 4 s of a failover though the write's deadline is minutes away.
+func attemptsThatCount(req *request, failure *result.Error, attempt, reached int) int {
+	if req.class.Kind == config.Write && interrupts(failure) {
+		return reached + 1
+	}
+	return attempt
+}
+
 // reachedTarget tells attempts that count against the class's limit from those
 // that found nobody to run them.
 func reachedTarget(failure *result.Error) bool {
--- /dev/null
+++ b/internal/integration/patience_test.go
@@ -0,0 +1,34 @@
+package integration_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A write with a long deadline", func() {
+	// The caller waits, and its report is taken. The primary is dead and the
+	// platform out, so nobody may promote: for longer than the retry policy's
+	// number of attempts lasts, but not the report's three minutes.
+	It("outlasts an interruption", func() {
+		d := deploy(shape{groups: 1, proxies: 3})
+		d.settled()
+		before := d.row()
+		c := d.mustConnect(1, "landing-report")
+		d.platformDown(true)
+		d.databases[before.Primary].kill()
+		ended := make(chan error, 1)
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			_, err := c.Exec(ctx, putSQL, "patient", "1")
+			ended <- err
+		}()
+		Consistently(ended, 7*time.Second).ShouldNot(Receive())
+		d.platformDown(false)
+		Eventually(ended).WithTimeout(30 * time.Second).Should(Receive(BeNil()))
+		Expect(get(d.mustConnect(2, "quota-balance"), "patient")).To(Equal("1"))
+	})
+})
