The queue's length is told as the answer leaves

Cause: it was read when the request got its slot, so an entry weighed targets by figures as old as the statement. Seen failing with the old place (0 instead of 2 or more). Race detector: pooler, entry and peers pass.

Looked at for open transactions: they can take all of a target's connections; the refusal is ConnectionsInUse, not run, with a time to come back, and their own requests still pass (tested). Opens and EndTransaction of the admission queue stay unused: a unit's BEGIN is known from its answer only.

--- a/internal/pooler/execute.go
+++ b/internal/pooler/execute.go
@@ -62,12 +62,14 @@
 	if err := p.waitForFloor(ctx, tp, req); err != nil {
 		return err
 	}
+	// As the answer leaves: entries weigh targets by it, and what the queue was
+	// when the request left it says nothing of the time that it ran.
+	defer func() { resp.QueueLength = uint32(tp.gate.length()) }()
 	begun := time.Now()
 	slot, err := tp.gate.enter(ctx, p.admissionRequest(req))
 	if err != nil {
 		return err
 	}
-	resp.QueueLength = uint32(tp.gate.length())
 	resp.QueueUs = uint32(time.Since(begun).Microseconds())
 	p.o.Metrics.Queued(in.Member, in.Class, time.Since(begun))
 	begun = time.Now()
