--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/liveness"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
@@ -86,6 +87,7 @@
 	Pooler    *pooler.Pooler
 	Relay     *relay.Server
 	Driver    *failover.Driver
+	Traffic   *metrics.Traffic
 	Operators *operators
 	Log       *slog.Logger
 }
@@ -105,7 +107,11 @@
 	}
 	// Operators ask any daemon here, too: the peers' addresses are known to all.
 	mux.Handle(s.Operators.handler(s.Settings.OperatorSecret))
-	server := &http.Server{Handler: peers.Handler(mux, s.View, s.Clock), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler:           peers.Handler(mux, s.View, s.Clock),
+		ReadHeaderTimeout: headerTimeout,
+		Protocols:         peers.Protocols(),
+	}
 	s.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := net.Listen("tcp", s.Settings.PeerAddress)
@@ -113,7 +119,8 @@
 				return err
 			}
 			s.Log.Info("event=peers_served", "address", s.Settings.PeerAddress)
-			go func() { _ = server.Serve(l) }()
+			counted := s.Traffic.Listener(metrics.ServicePeers, l)
+			go func() { _ = server.Serve(counted) }()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
--- a/internal/pooler/control.go
+++ b/internal/pooler/control.go
@@ -100,6 +100,29 @@
 	return s, time.Since(begun), err
 }
 
+// OpenProbe is Probe, but leaves the connection of a target that answers open.
+func OpenProbe(ctx context.Context, d Dialer, address string) (*Control, error) {
+	c := NewControl(d, address)
+	if _, err := c.Status(ctx); err != nil {
+		c.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Ping asks for a status on the open connection only; it opens none.
+func (c *Control) Ping(ctx context.Context) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.conn == nil {
+		return errNotOpen
+	}
+	_, err := c.try(ctx, "SHOW buckthornshore.status")
+	return err
+}
+
+var errNotOpen = errors.New("the control connection is not open")
+
 // Close ends the connection.
 func (c *Control) Close() {
 	c.mu.Lock()
