--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -53,6 +53,9 @@
 
 	mu      sync.Mutex
 	clients map[string]*Client
+	// local is this VM's own pooler, at localAddress; nil: over the network too.
+	local        peerpb.Pooler
+	localAddress string
 }
 
 // NewTable makes an empty table.
@@ -83,7 +86,7 @@
 	client := t.client(vm, transport)
 	control := controlTransport(transport.DialContext)
 	base := "http://" + vm.PeerAddress
-	return &Client{
+	c := &Client{
 		Pooler:     peerpb.NewPoolerProtobufClient(base, client),
 		Relay:      peerpb.NewRelayProtobufClient(base, client),
 		Failover:   peerpb.NewFailoverProtobufClient(base, t.client(vm, control)),
@@ -91,6 +94,10 @@
 		Fresh:      peerpb.NewPoolerProtobufClient(base, t.client(vm, fresh)),
 		transports: [2]*http.Transport{transport, control},
 	}
+	if t.local != nil && vm.PeerAddress == t.localAddress {
+		c.Pooler, c.Fresh = t.local, t.local
+	}
+	return c
 }
 
 func (t *Table) client(vm topology.VM, transport *http.Transport) *http.Client {
