--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -23,9 +23,9 @@
 func DefaultPlan() Plan {
 	return Plan{
 		Repeats:         3,
-		Window:          8 * time.Second,
+		Window:          6 * time.Second,
 		GroupsPerDaemon: []int{1, 3, 10, 30},
-		Daemons:         []int{6, 12, 24, 36},
+		Daemons:         []int{6, 12, 24},
 		Sessions:        []int{0, 500, 1000, 2000},
 	}
 }
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -107,11 +107,7 @@
 	}
 	// Operators ask any daemon here, too: the peers' addresses are known to all.
 	mux.Handle(s.Operators.handler(s.Settings.OperatorSecret))
-	server := &http.Server{
-		Handler:           peers.Handler(mux, s.View, s.Clock),
-		ReadHeaderTimeout: headerTimeout,
-		Protocols:         peers.Protocols(),
-	}
+	server := &http.Server{Handler: peers.Handler(mux, s.View, s.Clock), ReadHeaderTimeout: headerTimeout}
 	s.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := net.Listen("tcp", s.Settings.PeerAddress)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -34,16 +34,12 @@
 	peerpb.Admin
 	// Fresh opens a connection for each call: it tells a silent connection from
 	// a VM that does not answer.
-	Fresh      peerpb.Pooler
-	transports [2]*http.Transport
+	Fresh     peerpb.Pooler
+	transport *http.Transport
 }
 
 // CloseIdle drops idle connections, after one of them has gone silent.
-func (c *Client) CloseIdle() {
-	for _, t := range c.transports {
-		t.CloseIdleConnections()
-	}
-}
+func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
 
 // Table makes and keeps the clients by address. Safe for concurrent use.
 type Table struct {
@@ -81,15 +77,14 @@
 	fresh := t.transport()
 	fresh.DisableKeepAlives = true
 	client := t.client(vm, transport)
-	control := controlTransport(transport.DialContext)
 	base := "http://" + vm.PeerAddress
 	return &Client{
-		Pooler:     peerpb.NewPoolerProtobufClient(base, client),
-		Relay:      peerpb.NewRelayProtobufClient(base, client),
-		Failover:   peerpb.NewFailoverProtobufClient(base, t.client(vm, control)),
-		Admin:      peerpb.NewAdminProtobufClient(base, client),
-		Fresh:      peerpb.NewPoolerProtobufClient(base, t.client(vm, fresh)),
-		transports: [2]*http.Transport{transport, control},
+		Pooler:    peerpb.NewPoolerProtobufClient(base, client),
+		Relay:     peerpb.NewRelayProtobufClient(base, client),
+		Failover:  peerpb.NewFailoverProtobufClient(base, client),
+		Admin:     peerpb.NewAdminProtobufClient(base, client),
+		Fresh:     peerpb.NewPoolerProtobufClient(base, t.client(vm, fresh)),
+		transport: transport,
 	}
 }
 
