--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,16 @@
 GO ?= go
 GOBIN := $(shell $(GO) env GOPATH)/bin
 
-.PHONY: build test lint fmt generate example docs
+.PHONY: build test soak lint fmt generate example docs
 build: ## builds every program into bin/
 	$(GO) build -o bin/ ./cmd/...
 
 test: ## all tests, with fixed seeds
 	./scripts/test
 
+soak: ## longer randomised runs: make soak SEED=n DURATION=60s
+	SEED=$(or $(SEED),1) DURATION=$(or $(DURATION),60s) ./scripts/soak
+
 example: ## both members' deployments on loopback, under load with a failed primary
 	./scripts/example
 
