--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"go.uber.org/fx"
-	"go.uber.org/fx/fxevent"
 
 	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/failover"
@@ -45,7 +44,7 @@
 			newDriver,
 			newFollower,
 			newProber,
-			newLister,
+			newRegistrar,
 			newRoles,
 			newLeaver,
 			newOperators,
@@ -53,10 +52,11 @@
 			metrics.Provide,
 			metrics.NewEntry,
 			metrics.NewPooler,
+			metrics.NewTraffic,
 		),
 		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
 		fx.StopTimeout(longestStop),
-		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.WithLogger(newStartLog),
 	)
 }
 
@@ -80,20 +80,25 @@
 
 type dialers struct {
 	fx.Out
-	Pooler pooler.Dialer
-	Peers  peers.Dialer
+	Pooler   pooler.Dialer
+	Peers    peers.Dialer
+	Platform platformDialer
 }
 
-func newDialers(s Settings) dialers {
+func newDialers(s Settings, t *metrics.Traffic) dialers {
 	d := newDialer(s.AddressMap)
-	return dialers{Pooler: d, Peers: d}
+	return dialers{
+		Pooler:   &countedDialer{d, t, metrics.ServiceTargets},
+		Peers:    &countedDialer{d, t, metrics.ServicePeers},
+		Platform: &countedDialer{d, t, metrics.ServicePlatform},
+	}
 }
 
 func newPeers(d peers.Dialer, v *view.View, clock mono.Clock) *peers.Table {
 	return peers.NewTable(d, v, clock)
 }
 
-func newPlatform(s Settings, d peers.Dialer) platform.Service {
+func newPlatform(s Settings, d platformDialer) platform.Service {
 	client := &http.Client{
 		Transport: &http.Transport{DialContext: d.DialContext},
 		Timeout:   s.PlatformTimeout.Std(),
@@ -109,28 +114,32 @@
 	return relay.NewServer(rows, p)
 }
 
-func newFollower(rows *relay.Store, p platform.Service, v *view.View, table *peers.Table, log *slog.Logger) *relay.Follower {
-	return &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
+func newFollower(s Settings, rows *relay.Store, p platform.Service, v *view.View, table *peers.Table, log *slog.Logger) *relay.Follower {
+	f := &relay.Follower{Self: v.Self(), Store: rows, Table: p, Directory: v, Peers: table, Log: log}
+	for _, address := range s.Peers {
+		f.Seeds = append(f.Seeds, table.Seed(address))
+	}
+	return f
 }
 
-// Defaults of the pooler until the configuration says otherwise.
-const (
-	transactionIdle = 10 * time.Second
-	maxResult       = 8 << 20
-)
-
-func newPooler(d pooler.Dialer, v *view.View, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
+func newPooler(s Settings, d pooler.Dialer, v *view.View, prober *liveness.Prober, clock mono.Clock, m *metrics.Pooler, log *slog.Logger) *pooler.Pooler {
 	return pooler.New(pooler.Options{
-		Dialer:          d,
-		Directory:       v,
-		Clock:           clock,
-		Log:             log,
-		TransactionIdle: transactionIdle,
-		MaxResult:       maxResult,
-		Metrics:         m,
+		Dialer:    d,
+		Directory: v,
+		Entries:   entryWatch{v, prober},
+		Clock:     clock,
+		Log:       log,
+		FirstCome: s.Baseline != "",
+		Metrics:   m,
 	})
 }
 
+// entryWatch tells the pooler which entries have gone.
+type entryWatch struct {
+	*view.View
+	*liveness.Prober
+}
+
 func newProber(v *view.View, p *peers.Table) *liveness.Prober { return liveness.New(v, p) }
 
 type driverParts struct {
@@ -180,17 +189,19 @@
 		return nil, err
 	}
 	return entry.New(entry.Options{
-		View:    p.View,
-		Peers:   p.Peers,
-		Clock:   p.Clock,
-		Keys:    keys,
-		Metrics: p.Metrics,
-		Log:     p.Log,
+		View:     p.View,
+		Peers:    p.Peers,
+		Clock:    p.Clock,
+		Keys:     keys,
+		Baseline: p.Settings.Baseline,
+		Metrics:  p.Metrics,
+		Log:      p.Log,
 	}), nil
 }
 
 // wire joins the parts that know each other both ways.
-func wire(sink *rowSink, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
+func wire(sink *rowSink, rows *relay.Store, driver *failover.Driver, keeper *configKeeper, p *pooler.Pooler, r *roles, e *entry.Server) {
+	sink.store = rows
 	sink.driver = driver
 	sink.keeper = keeper
 	sink.entry = e
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"log/slog"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/failover"
@@ -27,11 +28,34 @@
 	pooler   *pooler.Pooler
 	driver   *failover.Driver
 	publish  publisher
+	started  time.Time
 	log      *slog.Logger
+
+	mu      sync.Mutex
+	settled map[topology.TargetID]settledRole
+}
+
+// settledRole is a row that a target was found to obey, and when.
+type settledRole struct {
+	row *topology.Group
+	at  time.Time
 }
 
+// checkAgain is how often a target that obeys its row is asked whether it still
+// does: one that restarts may have lost its role.
+const checkAgain = time.Second
+
 func newRoles(v *view.View, p platform.Service, pl *pooler.Pooler, d *failover.Driver, pub publisher, log *slog.Logger) *roles {
-	return &roles{view: v, platform: p, pooler: pl, driver: d, publish: pub, log: log}
+	return &roles{
+		view:     v,
+		platform: p,
+		pooler:   pl,
+		driver:   d,
+		publish:  pub,
+		started:  time.Now(),
+		log:      log,
+		settled:  map[topology.TargetID]settledRole{},
+	}
 }
 
 // tick looks at every target that this VM pools.
@@ -47,11 +71,28 @@
 			continue
 		}
 		for _, id := range part.Targets {
-			go r.assign(ctx, conf, row, id)
+			if r.due(row, id) {
+				go r.assign(ctx, conf, row, id)
+			}
 		}
 	}
 }
 
+// due reports whether a target has to be asked for its role: with every new row,
+// and from time to time.
+func (r *roles) due(row *topology.Group, id topology.TargetID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.settled[id]
+	return s.row != row || time.Since(s.at) >= checkAgain
+}
+
+func (r *roles) settle(row *topology.Group, id topology.TargetID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.settled[id] = settledRole{row: row, at: time.Now()}
+}
+
 // create writes the first row of a group whose first target this VM pools. The
 // condition that there is none makes a second writer lose.
 func (r *roles) create(ctx context.Context, conf *config.View, part failover.Part) {
@@ -68,7 +109,7 @@
 			row.Promoters = append(row.Promoters, c)
 		}
 	}
-	if len(row.Promoters) < len(staying)-1 {
+	if len(row.Promoters) < len(staying)-1 || !r.placed(conf, part.Candidates) {
 		return // The list is never empty, so the group waits for its VMs.
 	}
 	value, err := json.Marshal(row)
@@ -87,6 +128,26 @@
 	r.log.Info("event=group_created", "group", part.Group, "primary", first, "committed", out.Committed, "error", err)
 }
 
+// patience is how long a group without a row waits for VMs in all places.
+const patience = 10 * time.Second
+
+// placed reports whether each target has a pooler in its own data centre. At a
+// start VMs hear of each other one by one; one that knew nobody yet would list
+// itself for every replica, and the group could fail over only while it lives.
+func (r *roles) placed(conf *config.View, poolers []topology.Promoter) bool {
+	if time.Since(r.started) > patience {
+		return true
+	}
+	for _, p := range poolers {
+		vm, ok := r.view.VM(p.VM)
+		t, known := conf.Target(p.Replica)
+		if !ok || !known || vm.DataCentre != t.DataCentre {
+			return false
+		}
+	}
+	return true
+}
+
 // assign gives a target the role that the row has for it. A replica that this VM
 // is promoting is left alone: it is fenced on purpose.
 func (r *roles) assign(ctx context.Context, conf *config.View, row *topology.Group, id topology.TargetID) {
@@ -110,6 +171,7 @@
 		primary, _ := conf.Target(row.Primary)
 		_, err = control.Follow(ctx, row.Term, row.Primary, primary.Address)
 	default:
+		r.settle(row, id)
 		return
 	}
 	r.log.Info("event=target_assigned", "target", id, "role_before", status.Role, "primary", row.Primary, "term", row.Term, "error", err)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/liveness"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
@@ -32,7 +33,7 @@
 	Follower  *relay.Follower
 	Driver    *failover.Driver
 	Prober    *liveness.Prober
-	Lister    *lister
+	Registrar *registrar
 	Leaver    *leaver
 	Pooler    *pooler.Pooler
 }
@@ -49,7 +50,8 @@
 			go s.Follower.Run(ctx)
 			go s.Driver.Run(ctx)
 			go s.Prober.Run(ctx)
-			go every(ctx, listPeriod, s.Lister.tick)
+			go every(ctx, registerPeriod, s.Registrar.tick)
+			go every(ctx, prunePeriod, s.Registrar.prune)
 			go every(ctx, leaverPeriod, s.Leaver.tick)
 			go every(ctx, queuePeriod, func(context.Context) { s.Pooler.Tick() })
 			go every(ctx, time.Second, func(context.Context) { s.Pooler.Sweep(time.Now()) })
@@ -85,6 +87,7 @@
 	Pooler    *pooler.Pooler
 	Relay     *relay.Server
 	Driver    *failover.Driver
+	Traffic   *metrics.Traffic
 	Operators *operators
 	Log       *slog.Logger
 }
@@ -104,7 +107,11 @@
 	}
 	// Operators ask any daemon here, too: the peers' addresses are known to all.
 	mux.Handle(s.Operators.handler(s.Settings.OperatorSecret))
-	server := &http.Server{Handler: peers.Handler(mux, s.View, s.Clock), ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler:           peers.Handler(mux, s.View, s.Clock),
+		ReadHeaderTimeout: headerTimeout,
+		Protocols:         peers.Protocols(),
+	}
 	s.Lifecycle.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			l, err := net.Listen("tcp", s.Settings.PeerAddress)
@@ -112,7 +119,8 @@
 				return err
 			}
 			s.Log.Info("event=peers_served", "address", s.Settings.PeerAddress)
-			go func() { _ = server.Serve(l) }()
+			counted := s.Traffic.Listener(metrics.ServicePeers, l)
+			go func() { _ = server.Serve(counted) }()
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -4,9 +4,11 @@
 import (
 	"crypto/rand"
 	"encoding/hex"
+	"fmt"
 	"net"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/opauth"
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -25,6 +27,9 @@
 	PeerAddress string `json:"peer_address"`
 	// AdminAddress serves metrics, health and operators, ip:port; optional.
 	AdminAddress string `json:"admin_address"`
+	// Peers are peer addresses of a few other VMs, ip:port, asked when the
+	// platform is out and no VM is known yet; optional.
+	Peers []string `json:"peers"`
 	// PlatformURL of the platform's service.
 	PlatformURL string `json:"platform_url"`
 	// ConfigFile is used until the platform has a configuration; optional.
@@ -41,6 +46,9 @@
 	// the same. TokenKey is the id that new tokens are signed with.
 	TokenKeys map[session.KeyID]string `json:"token_keys"`
 	TokenKey  session.KeyID            `json:"token_key"`
+	// Baseline replaces routing and admission by simpler ones to measure against:
+	// primary_only or random_replica, both first come first served. Empty in earnest.
+	Baseline entry.Baseline `json:"baseline"`
 	// CheckInvariants has a broken invariant end the process instead of being
 	// carried on with.
 	CheckInvariants bool `json:"check_invariants"`
@@ -59,6 +67,9 @@
 }
 
 func (s *Settings) check() error {
+	if s.Baseline != "" && s.Baseline != entry.PrimaryOnly && s.Baseline != entry.RandomReplica {
+		return result.New(result.ConfigInvalid, "baseline: %q is neither %s nor %s", s.Baseline, entry.PrimaryOnly, entry.RandomReplica)
+	}
 	for name, value := range map[string]string{
 		"vm": string(s.VM), "data_centre": string(s.DataCentre), "platform_url": s.PlatformURL,
 	} {
@@ -73,6 +84,9 @@
 	if s.AdminAddress != "" {
 		addresses["admin_address"] = s.AdminAddress
 	}
+	for i, address := range s.Peers {
+		addresses[fmt.Sprintf("peers[%d]", i)] = address
+	}
 	for name, address := range addresses {
 		if _, _, err := net.SplitHostPort(address); err != nil {
 			return result.New(result.ConfigInvalid, "%s: %v; ip:port is wanted", name, err)
--- a/internal/entry/router.go
+++ b/internal/entry/router.go
@@ -47,6 +47,9 @@
 	inFlight int
 	failedAt mono.Time
 	failed   bool
+	// avoid: reads leave it out while the failure is young. The target refuses
+	// connections, or has failed twice in a row.
+	avoid bool
 }
 
 // groupTable is one group as this entry knows it.
@@ -113,18 +116,9 @@
 
 // choose picks the target of a request whose floor is known.
 func (r *router) choose(row *topology.Group, req routing.Request) (destination, *result.Error) {
-	targets := r.configured(row.ID)
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := r.clock.Now()
-	g := r.group(row)
-	candidates := make([]routing.Candidate, 0, len(targets))
-	for _, t := range targets {
-		candidates = append(candidates, r.candidate(g, row, t, now))
-	}
-	why, err := routing.Choose(now, req, g.fresh, candidates, r.random)
-	if err != nil {
-		return destination{}, result.From(err)
+	why, failure := r.explain(row, req)
+	if failure != nil {
+		return destination{}, failure
 	}
 	d := destination{target: why.Chosen, floor: why.Floor}
 	if why.Chosen == row.Primary {
@@ -162,6 +156,11 @@
 	case t.Leaving, e.failed && now.Sub(e.failedAt) < suspectFor:
 		// A leaving primary still takes writes until its successor is promoted.
 		c.State = routing.Suspect
+		if e.avoid && !c.Primary {
+			// A suspect replica still comes before a healthy primary, so a read
+			// would meet a dead one until its attempts are spent.
+			c.State = routing.Dead
+		}
 	}
 	return c
 }
@@ -190,7 +189,7 @@
 	g := r.group(row)
 	e := g.estimate(d.target)
 	e.inFlight--
-	e.failed = false
+	e.failed, e.avoid = false, false
 	e.queue = a.queue
 	e.service = average(e.service, a.ran)
 	e.latency = average(e.latency, max(0, now.Sub(begun)-a.queued))
@@ -220,6 +219,8 @@
 			g.fresh.MarkBehind(target, position.Position{}, now)
 		}
 	case result.TargetUnreachable, result.TargetSilent, result.PoolerUnreachable, result.OutcomeUnknown, result.Leaving:
+		young := e.failed && now.Sub(e.failedAt) < 2*suspectFor
+		e.avoid = young || failure.Code == result.TargetUnreachable
 		e.failed = true
 		e.failedAt = now
 	}
--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -87,6 +87,7 @@
 	held     map[topology.GroupID]topology.TargetID
 	seen     map[topology.GroupID]uint64            // term last logged
 	health   map[topology.TargetID]authority.Health // last logged
+	watching map[topology.TargetID]*kept            // what the detector has
 	lanes    lanes
 	table    *calls
 	asking   map[topology.TargetID]asking
@@ -108,6 +109,7 @@
 		held:     map[topology.GroupID]topology.TargetID{},
 		seen:     map[topology.GroupID]uint64{},
 		health:   map[topology.TargetID]authority.Health{},
+		watching: map[topology.TargetID]*kept{},
 		lanes:    newLanes(),
 		table:    newCalls(o.Table),
 		asking:   map[topology.TargetID]asking{},
@@ -216,7 +218,7 @@
 func (d *Driver) observeRow(read authority.RowRead, now mono.Time) {
 	d.holder.ObserveRow(read, now)
 	d.promoter.ObserveRow(read, now)
-	d.detector.Watch(read.Row.Primary, now)
+	d.watch(read.Row.Primary, now)
 }
 
 // Right implements pooler.Rights.
--- a/internal/integration/failover_test.go
+++ b/internal/integration/failover_test.go
@@ -184,6 +184,65 @@
 		d.checkNothingLost(2, w)
 	})
 
+	// The caller sees no failed write. A replica that writes wait for is killed;
+	// the target gives up its wait, the holder takes the replica off the list, and
+	// the writes under way are acknowledged when the other one holds them.
+	It("goes on without a dead replica", func() {
+		d := deploy(shape{groups: 1, proxies: 7})
+		d.settled()
+		before := d.row()
+		w := d.startWriter(1, "landing-report", "boat-6")
+		Eventually(w.count).Should(BeNumerically(">", 20))
+		at := time.Now()
+		d.databases[before.Promoters[0].Replica].kill()
+		n := w.count()
+		Eventually(w.count).WithTimeout(15 * time.Second).Should(BeNumerically(">", n+50))
+		fmt.Printf("replica killed: gap %v failures %v\n", w.gap(at).Round(time.Millisecond), w.failures)
+		w.end()
+		Expect(w.failures).To(BeEmpty())
+		Expect(d.row().Term).To(Equal(before.Term))
+		d.checkNothingLost(2, w)
+	})
+
+	// The caller sees its writes go on. The primary's data centre is cut off from
+	// the platform alone, which no write needs: nobody is promoted.
+	It("needs no promotion when a data centre loses the platform", func() {
+		d := deploy(shape{groups: 1, proxies: 7, links: true})
+		d.settled()
+		before := d.row()
+		dc := d.place(before.Primary)
+		w := d.startWriter(d.proxyIn(dc, true), "landing-report", "boat-7")
+		Eventually(w.count).Should(BeNumerically(">", 20))
+		at := time.Now()
+		d.cutBetween(dc, isPlatform, true)
+		time.Sleep(4 * time.Second)
+		fmt.Printf("data centre without platform: gap %v failures %v\n", w.gap(at).Round(time.Millisecond), w.failures)
+		d.cutBetween(dc, isPlatform, false)
+		w.end()
+		Expect(w.failures).To(BeEmpty())
+		Expect(d.row().Term).To(Equal(before.Term))
+	})
+
+	// The caller sees its writes go on after a wait, and every acknowledged one
+	// again. The primary's data centre is cut off from the others but not from the
+	// platform: either its pooler replaces the promoters that it can't reach or
+	// one of those promotes; the platform's table lets one of the two happen.
+	It("goes on when a data centre is cut off from the others", func() {
+		d := deploy(shape{groups: 1, proxies: 7, links: true})
+		d.settled()
+		dc := d.place(d.row().Primary)
+		w := d.startWriter(d.proxyIn(dc, false), "landing-report", "boat-8")
+		Eventually(w.count).Should(BeNumerically(">", 20))
+		at := time.Now()
+		d.cutBetween(dc, notPlatform, true)
+		n := w.count()
+		Eventually(w.count).WithTimeout(20 * time.Second).Should(BeNumerically(">", n+50))
+		fmt.Printf("data centre cut off from the others: gap %v failures %v\n", w.gap(at).Round(time.Millisecond), w.failures)
+		d.cutBetween(dc, notPlatform, false)
+		w.end()
+		d.checkNothingLost(d.proxyIn(dc, false), w)
+	})
+
 	// The caller sees its writes go on within about a second. Only the pooler's VM
 	// dies; its database lives, so the next VM of the data centre takes over and
 	// nobody is promoted.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -32,11 +32,18 @@
 	peerpb.Relay
 	peerpb.Failover
 	peerpb.Admin
-	transport *http.Transport
+	// Fresh opens a connection for each call: it tells a silent connection from
+	// a VM that does not answer.
+	Fresh      peerpb.Pooler
+	transports [2]*http.Transport
 }
 
 // CloseIdle drops idle connections, after one of them has gone silent.
-func (c *Client) CloseIdle() { c.transport.CloseIdleConnections() }
+func (c *Client) CloseIdle() {
+	for _, t := range c.transports {
+		t.CloseIdleConnections()
+	}
+}
 
 // Table makes and keeps the clients by address. Safe for concurrent use.
 type Table struct {
@@ -65,8 +72,38 @@
 	return c
 }
 
+// Seed returns a client of an address whose VM is not known yet. It is not the
+// client that Get gives out: a failure here is evidence against no VM.
+func (t *Table) Seed(address string) *Client { return t.make(topology.VM{PeerAddress: address}) }
+
 func (t *Table) make(vm topology.VM) *Client {
-	transport := &http.Transport{
+	transport := t.transport()
+	fresh := t.transport()
+	fresh.DisableKeepAlives = true
+	client := t.client(vm, transport)
+	control := controlTransport(transport.DialContext)
+	base := "http://" + vm.PeerAddress
+	return &Client{
+		Pooler:     peerpb.NewPoolerProtobufClient(base, client),
+		Relay:      peerpb.NewRelayProtobufClient(base, client),
+		Failover:   peerpb.NewFailoverProtobufClient(base, t.client(vm, control)),
+		Admin:      peerpb.NewAdminProtobufClient(base, client),
+		Fresh:      peerpb.NewPoolerProtobufClient(base, t.client(vm, fresh)),
+		transports: [2]*http.Transport{transport, control},
+	}
+}
+
+func (t *Table) client(vm topology.VM, transport *http.Transport) *http.Client {
+	return &http.Client{Transport: &observingTransport{
+		next:     transport,
+		vm:       vm.ID,
+		observer: t.observer,
+		clock:    t.clock,
+	}}
+}
+
+func (t *Table) transport() *http.Transport {
+	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 			defer cancel()
@@ -76,20 +113,6 @@
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
 	}
-	client := &http.Client{Transport: &observingTransport{
-		next:     transport,
-		vm:       vm.ID,
-		observer: t.observer,
-		clock:    t.clock,
-	}}
-	base := "http://" + vm.PeerAddress
-	return &Client{
-		Pooler:    peerpb.NewPoolerProtobufClient(base, client),
-		Relay:     peerpb.NewRelayProtobufClient(base, client),
-		Failover:  peerpb.NewFailoverProtobufClient(base, client),
-		Admin:     peerpb.NewAdminProtobufClient(base, client),
-		transport: transport,
-	}
 }
 
 // Forget drops the clients of addresses that keep does not name.
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"encoding/binary"
 	"io"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -31,6 +32,17 @@
 	TypeReadyForQuery   = 'Z'
 	TypeError           = 'E'
 	TypeParseComplete   = '1'
+	TypeBindComplete    = '2'
+	TypeCloseComplete   = '3'
+	TypeNoData          = 'n'
+	TypeRowDescription  = 'T'
+	TypeDataRow         = 'D'
+	TypeCommandComplete = 'C'
+	TypeEmptyQuery      = 'I'
+	TypePortalSuspended = 's'
+	TypeCopyIn          = 'G'
+	TypeCopyOut         = 'H'
+	TypeCopyBoth        = 'W'
 	TypeNotice          = 'N'
 	TypeNotification    = 'A'
 )
@@ -106,17 +118,29 @@
 	SeverityFatal = "FATAL"
 )
 
+// StateCancelled is PostgreSQL's state of a statement that its caller cancelled.
+const StateCancelled = "57014"
+
+// stateOf returns the result code as a state, but for the one that clients wait
+// for after a cancel request.
+func stateOf(c result.Code) string {
+	if c == result.Cancelled {
+		return StateCancelled
+	}
+	return c.SQLState()
+}
+
 // ErrorResponse turns a result into what a PostgreSQL client understands: the
 // state is the result code, the hint tells when to come back.
 func ErrorResponse(e *result.Error, severity string) *pgproto3.ErrorResponse {
 	resp := &pgproto3.ErrorResponse{
 		Severity:            severity,
 		SeverityUnlocalized: severity,
-		Code:                e.Code.SQLState(),
+		Code:                stateOf(e.Code),
 		Message:             e.Error(),
 	}
 	if e.RetryAfter > 0 {
-		resp.Hint = "retry_after_ms=" + itoa(e.RetryAfter.Milliseconds())
+		resp.Hint = "retry_after_ms=" + strconv.FormatInt(e.RetryAfter.Milliseconds(), 10)
 	}
 	return resp
 }
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -14,14 +14,20 @@
 // Periods of spreading. A change is in force everywhere after a relay's next
 // poll and one answered watch.
 const (
-	// pollPeriod of a relay: 2 relays in each of 24 data centres make 96 reads/s.
-	pollPeriod = 500 * time.Millisecond
+	// pollPeriod of a relay: 2 relays in each of 24 data centres make 48 reads/s.
+	// A poll costs a relay some 700 bytes, so a shorter period would take most of
+	// the 1 KB/s that spreading may cost.
+	pollPeriod = time.Second
 	// pollTimeout of one read; in an outage it frees the loop for the peers.
 	pollTimeout = time.Second
 	// watchWait of the others.
 	watchWait = 3 * time.Second
 	// watchSlack is added to it before a watch counts as lost.
 	watchSlack = time.Second
+	// staleSource is the platform's age at a source from which the next source is
+	// asked instead. Failure: the other relay of this data centre answers well,
+	// but has lost the platform as this one has, and no change ever comes.
+	staleSource = 2 * time.Second
 	// retryPause after a source failed.
 	retryPause = 200 * time.Millisecond
 )
@@ -42,9 +48,12 @@
 	Table     platform.Table
 	Directory Directory
 	Peers     *peers.Table
-	Log       *slog.Logger
+	// Seeds are asked while no other VM is known and the platform is out.
+	Seeds []peerpb.Relay
+	Log   *slog.Logger
 
-	next int // the source that a watch tries next
+	next      int           // the source that a watch tries next
+	sourceAge time.Duration // of the platform at the source that answered last
 }
 
 // Run follows until ctx ends.
@@ -65,8 +74,23 @@
 // pollOrWatch asks another relay when the platform does not answer: this data
 // centre alone may have lost it.
 func (f *Follower) pollOrWatch(ctx context.Context) {
-	if !f.poll(ctx) {
-		f.watch(ctx, 0)
+	if !f.poll(ctx) && !f.watch(ctx, 0) {
+		f.askSeeds(ctx)
+	}
+}
+
+// askSeeds takes what the seeds hold, all of them: of each row the newest is
+// kept, so a daemon that starts in an outage has the highest version of the
+// configuration that any of them holds.
+func (f *Follower) askSeeds(ctx context.Context) {
+	if len(f.Directory.Relays()) > 0 {
+		return
+	}
+	for _, seed := range f.Seeds {
+		if !f.watchAt(ctx, seed, 0) {
+			continue
+		}
+		f.Log.Warn("event=started_from_peers", "revision", f.Store.Revision(), "platform_age", f.Store.PlatformAge(time.Now()))
 	}
 }
 
@@ -91,19 +115,27 @@
 		return false
 	}
 	vm := relays[f.next%len(relays)]
+	answered := f.watchAt(ctx, f.Peers.Get(vm), wait)
+	if !answered || f.sourceAge > staleSource {
+		f.next++
+	}
+	return answered
+}
+
+func (f *Follower) watchAt(ctx context.Context, source peerpb.Relay, wait time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
-	resp, err := f.Peers.Get(vm).Watch(ctx, &peerpb.WatchRequest{
+	resp, err := source.Watch(ctx, &peerpb.WatchRequest{
 		Vm:          string(f.Self.ID),
 		Incarnation: uint64(f.Self.Incarnation),
 		Revision:    f.Store.Revision(),
 		WaitMs:      uint32(wait.Milliseconds()),
 	})
 	if err != nil {
-		f.next++
 		return false
 	}
-	f.Store.Reached(time.Now().Add(-time.Duration(resp.PlatformAgeMs) * time.Millisecond))
+	f.sourceAge = time.Duration(resp.PlatformAgeMs) * time.Millisecond
+	f.Store.Reached(time.Now().Add(-f.sourceAge))
 	f.Store.Apply(RowsFrom(resp.Rows), resp.Revision, time.Time{})
 	return true
 }
--- a/internal/standin/database/suite_test.go
+++ b/internal/standin/database/suite_test.go
@@ -48,6 +48,18 @@
 	return pgx.ConnectConfig(ctx, cfg)
 }
 
+// connectWithNotices collects the codes of the warnings that come.
+func connectWithNotices(db *database.Database, codes *[]string) *pgx.Conn {
+	GinkgoHelper()
+	cfg, err := pgx.ParseConfig("postgres://u@" + db.Address() + "/d?sslmode=disable")
+	Expect(err).NotTo(HaveOccurred())
+	cfg.OnNotice = func(_ *pgconn.PgConn, n *pgconn.Notice) { *codes = append(*codes, n.Code) }
+	c, err := pgx.ConnectConfig(ctx, cfg)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(func() { _ = c.Close(ctx) })
+	return c
+}
+
 func connect(db *database.Database, params ...string) *pgx.Conn {
 	GinkgoHelper()
 	c, err := dial(db, params...)
--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -2,6 +2,9 @@
 
 import (
 	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/pkg/membership"
@@ -12,11 +15,24 @@
 func (v *View) SetList(vms []topology.VM) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.listed = v.listed || slices.ContainsFunc(vms, func(vm topology.VM) bool { return vm.ID != v.self.ID })
 	if v.members.MergeList(vms, v.clock.Now()) {
 		v.refresh()
 	}
 }
 
+// listGrace is how long a daemon that starts waits to hear of another VM before it
+// goes by what it has met: with the platform out, or alone, it has to serve.
+const listGrace = 5 * time.Second
+
+// knowsOthers reports whether the choice of poolers means anything yet. Failure:
+// a daemon that starts knows itself alone, so every target of the plan falls to
+// it, and it opens thousands of connections that the rightful poolers have open
+// already. The rows are there within milliseconds; the caller holds the lock.
+func (v *View) knowsOthers() bool {
+	return v.listed || v.clock.Now().Sub(v.started) >= listGrace
+}
+
 // Observe takes in what this VM saw of another.
 func (v *View) Observe(ev membership.Evidence) {
 	v.mu.Lock()
@@ -102,6 +118,9 @@
 func (v *View) Parts() []failover.Part {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if !v.knowsOthers() {
+		return nil
+	}
 	if !v.partsKnown {
 		v.parts = v.workOutParts()
 		v.partsKnown = true
@@ -177,11 +196,19 @@
 	return slices.Contains(v.live.Relays(v.self.DataCentre), v.self.ID)
 }
 
+// FirstRelay reports whether this VM is the first relay of its data centre.
+func (v *View) FirstRelay() bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	relays := v.live.Relays(v.self.DataCentre)
+	return len(relays) > 0 && relays[0] == v.self.ID
+}
+
 // Relays implements relay.Directory: those of this data centre first.
 func (v *View) Relays() []topology.VM {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
-	vms := v.relaysIn(v.self.DataCentre)
+	vms := v.rotate(v.relaysIn(v.self.DataCentre))
 	if v.conf == nil {
 		return vms
 	}
@@ -193,6 +220,16 @@
 	return vms
 }
 
+// rotate begins the list at a place of this VM's own: all VMs would else watch
+// the first relay.
+func (v *View) rotate(vms []topology.VM) []topology.VM {
+	if len(vms) == 0 {
+		return vms
+	}
+	at := int(xxhash.Sum64String(string(v.self.ID)) % uint64(len(vms)))
+	return slices.Concat(vms[at:], vms[:at])
+}
+
 func (v *View) relaysIn(dc topology.DataCentre) []topology.VM {
 	var vms []topology.VM
 	for _, id := range v.live.Relays(dc) {
