--- a/pkg/authority/holder_changes.go
+++ b/pkg/authority/holder_changes.go
@@ -75,6 +75,21 @@
 	return list
 }
 
+// crowded reports whether fewer VMs are listed than could be. Failure: at a start
+// a VM knows itself alone and lists itself for every replica; it dies with the
+// primary, and nobody is left who could speak for the list before MaxOutage.
+func (g *held) crowded() bool {
+	return countVMs(g.now.row.Promoters) < countVMs(g.candidates)
+}
+
+func countVMs(list []topology.Promoter) int {
+	vms := map[topology.VMID]bool{}
+	for _, p := range list {
+		vms[p.VM] = true
+	}
+	return len(vms)
+}
+
 // lostAll reports whether every synced promoter fell silent not long ago. One
 // that answers and refuses is not silent.
 //
@@ -99,21 +114,6 @@
 	return least > opts.Heartbeat+lateAnswer && least <= caretakerAfter
 }
 
-// crowded reports whether fewer VMs are listed than could be. Failure: at a start
-// a VM knows itself alone and lists itself for every replica; it dies with the
-// primary, and nobody is left who could speak for the list before MaxOutage.
-func (g *held) crowded() bool {
-	return countVMs(g.now.row.Promoters) < countVMs(g.candidates)
-}
-
-func countVMs(list []topology.Promoter) int {
-	vms := map[topology.VMID]bool{}
-	for _, p := range list {
-		vms[p.VM] = true
-	}
-	return len(vms)
-}
-
 // remaining are the entries that are not silent, and whether any other is.
 func (h *Holder) remaining(g *held, now mono.Time) ([]topology.Promoter, bool) {
 	var list []topology.Promoter
