--- a/internal/capacity/deployment.go
+++ b/internal/capacity/deployment.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -149,7 +150,8 @@
 	return nil
 }
 
-// settled reports whether every group has its row and both replicas synced.
+// settled tells which group has no row yet, or a replica that is not synced. Without
+// this a deployment whose databases could not start would be measured.
 func (d *deployment) settled() error {
 	rows, _, err := d.table.Scan(context.Background(), "group/", 0)
 	if err != nil || len(rows) < d.shape.Groups {
@@ -160,7 +162,8 @@
 		if err := json.Unmarshal(r.Value, &g); err != nil {
 			return err
 		}
-		if len(g.Unsettled) > 0 || len(g.Promoters) < replicasAndPrimary-1 {
+		unsynced := slices.ContainsFunc(g.Promoters, func(p topology.Promoter) bool { return !p.Synced })
+		if unsynced || len(g.Unsettled) > 0 || len(g.Promoters) < replicasAndPrimary-1 {
 			return errors.Newf("%s: %d promoters, %d unsettled lists", r.Key, len(g.Promoters), len(g.Unsettled))
 		}
 	}
