--- a/internal/daemon/registrar.go
+++ b/internal/daemon/registrar.go
@@ -32,15 +32,19 @@
 	rows     *relay.Store
 	platform platform.Service
 	publish  publisher
+	sink     *rowSink
 	log      *slog.Logger
 }
 
-func newRegistrar(v *view.View, rows *relay.Store, p platform.Service, pub publisher, log *slog.Logger) *registrar {
-	return &registrar{view: v, rows: rows, platform: p, publish: pub, log: log}
+func newRegistrar(v *view.View, rows *relay.Store, p platform.Service, pub publisher, sink *rowSink, log *slog.Logger) *registrar {
+	return &registrar{view: v, rows: rows, platform: p, publish: pub, sink: sink, log: log}
 }
 
 // tick writes this VM's row when it differs from what the VM is.
-func (r *registrar) tick(ctx context.Context) { r.register(ctx) }
+func (r *registrar) tick(ctx context.Context) {
+	r.register(ctx)
+	r.sink.retakeVMs()
+}
 
 // register reports whether the row is as it should be.
 func (r *registrar) register(ctx context.Context) bool {
@@ -87,10 +91,27 @@
 	if err != nil {
 		return err
 	}
+	r.readOthers(ctx)
 	r.publish(platform.Row{Key: key, Value: value, Revision: out.Revision})
 	return nil
 }
 
+// readOthers reads the VMs' rows after this VM's own was written. Failure: VMs
+// that start together each read before the others' rows were there, and until
+// the next poll each takes itself for the only one, pools all targets and stands
+// alone in the rows of new groups. Of two, the one that wrote later sees the
+// other here and announces itself to it.
+func (r *registrar) readOthers(ctx context.Context) {
+	began := time.Now()
+	rows, _, err := r.platform.Scan(ctx, view.VMPrefix, 0)
+	if err != nil {
+		r.log.Debug("event=platform_unreachable", "error", err)
+		return
+	}
+	r.rows.Reached(began)
+	r.rows.Apply(rows, 0, began)
+}
+
 // prune drops the rows of this data centre's VMs that the platform's list lacks
 // and that do not answer. The list lags, so neither suffices alone.
 func (r *registrar) prune(ctx context.Context) {
