--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,67 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/buckthornshore/buckthornshore/internal/view"
+	"github.com/buckthornshore/buckthornshore/pkg/config"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+func TestView(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "View")
+}
+
+const document = `{
+  "data_centres": [{"name": "a", "region": "r"}, {"name": "b", "region": "r"}],
+  "members": [{"name": "m", "max_sessions": 10, "max_requests": 10}],
+  "services": [{"member": "m", "name": "s"}],
+  "groups": [{"service": "s", "name": "g", "targets": [
+    {"id": "db-a", "data_centre": "a", "address": "127.0.0.1:5432", "slots": 1, "connections": 4},
+    {"id": "db-b", "data_centre": "b", "address": "127.0.0.1:5433", "slots": 1, "connections": 4},
+  ]}],
+  "classes": [{"service": "s", "name": "r", "kind": "read"}],
+  "presets": [{"name": "ordinary"}],
+}`
+
+// Operators see thousands of connections when a daemon starts: it knows itself
+// alone, so every target of the plan falls to it, though others pool them. It
+// waits for the rows of the others, and without them for a while only.
+var _ = Describe("A daemon that starts", func() {
+	self := topology.VM{ID: "vm-a", DataCentre: "a", Region: "r", Incarnation: 1}
+	other := topology.VM{ID: "vm-b", DataCentre: "b", Region: "r", Incarnation: 1}
+
+	start := func() (*view.View, *mono.Manual) {
+		clock := &mono.Manual{}
+		doc, problems := config.Parse("document", []byte(document))
+		Expect(config.Err(problems)).To(Succeed())
+		conf, err := config.Effective(doc, config.OrdinaryPreset)
+		Expect(err).NotTo(HaveOccurred())
+		v := view.New(self, clock)
+		v.SetConfig(conf)
+		return v, clock
+	}
+
+	It("takes no part before it has heard of the others, and then its own only", func() {
+		v, _ := start()
+		Expect(v.Parts()).To(BeEmpty())
+		v.SetList([]topology.VM{self})
+		Expect(v.Parts()).To(BeEmpty())
+		v.SetList([]topology.VM{self, other})
+		Expect(v.Parts()).To(HaveLen(1))
+		Expect(v.Parts()[0].Targets).To(Equal([]topology.TargetID{"db-a"}))
+	})
+
+	It("serves what it can when nobody is heard of", func() {
+		v, clock := start()
+		clock.T = clock.T.Add(5 * time.Second)
+		Expect(v.Parts()).To(HaveLen(1))
+		Expect(v.Parts()[0].Targets).To(ConsistOf(topology.TargetID("db-a"), topology.TargetID("db-b")))
+	})
+})
