--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -128,6 +128,8 @@
 			PlatformTimeout: settings.Duration(time.Second),
 			CheckInvariants: true,
 			LogLevel:        "debug",
+			AdminAddress:    freeAddress(),
+			OperatorSecret:  operatorSecret,
 		})
 	}
 	if links {
