--- a/internal/integration/deployment_test.go
+++ b/internal/integration/deployment_test.go
@@ -128,7 +128,6 @@
 			PlatformTimeout: settings.Duration(time.Second),
 			CheckInvariants: true,
 			LogLevel:        "debug",
-			AdminAddress:    freeAddress(),
 			OperatorSecret:  operatorSecret,
 		})
 	}
--- a/internal/integration/load_test.go
+++ b/internal/integration/load_test.go
@@ -10,31 +10,31 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
-	"github.com/buckthornshore/buckthornshore/internal/load"
+	loadtool "github.com/buckthornshore/buckthornshore/internal/load"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 )
 
 // profile is the shipped one with the addresses of the deployment.
-func (d *deployment) profile(duration time.Duration) load.Profile {
-	p, err := load.ReadProfile("../../examples/load-kalakvoot.json")
+func (d *deployment) profile(duration time.Duration) loadtool.Profile {
+	p, err := loadtool.ReadProfile("../../examples/load-kalakvoot.json")
 	Expect(err).NotTo(HaveOccurred())
 	p.Proxies, p.AdminAddresses, p.PlatformURL = d.callers, d.admins, d.url
 	p.Duration, p.WarmUp = settings.Duration(duration), 0
 	return p
 }
 
-func (d *deployment) load(p load.Profile) *load.RunReport {
+func (d *deployment) load(p loadtool.Profile) *loadtool.RunReport {
 	conf, err := config.Effective(d.doc, config.OrdinaryPreset)
 	Expect(err).NotTo(HaveOccurred())
-	processes := load.Processes{}
+	processes := loadtool.Processes{}
 	for id, database := range d.databases {
 		processes[string(id)] = database.cmd.Process.Pid
 	}
-	report, err := load.Run(context.Background(), load.Options{
+	report, err := loadtool.Run(context.Background(), loadtool.Options{
 		Config:    conf,
-		Profiles:  []load.Profile{p},
+		Profiles:  []loadtool.Profile{p},
 		Processes: processes,
 		Live:      GinkgoWriter,
 		Log:       slog.New(slog.NewTextHandler(GinkgoWriter, nil)),
@@ -62,7 +62,7 @@
 	It("keeps the callers' history whole while a primary is killed", func() {
 		d := deploy(shape{groups: 1, proxies: 3})
 		p := d.profile(6 * time.Second)
-		p.Faults = []load.Fault{{At: settings.Duration(2 * time.Second), Action: load.Kill, Target: "primary:quota-ledger/g1"}}
+		p.Faults = []loadtool.Fault{{At: settings.Duration(2 * time.Second), Action: loadtool.Kill, Target: "primary:quota-ledger/g1"}}
 		report := d.load(p)
 		Expect(report.Faults).To(HaveLen(1))
 		Expect(report.Faults[0].Error).To(BeEmpty())
