failover: one place looks up a peer

Cause: four actions repeated the look-up of a VM and its client. Before and after: same behaviour; go test ./internal/failover passes. Conclusion: none.

--- a/internal/failover/actions.go
+++ b/internal/failover/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -51,6 +52,15 @@
 	f(d.o.Clock.Now())
 }
 
+// peer returns the client of another VM; false while its address is not known.
+func (d *Driver) peer(id topology.VMID) (*peers.Client, bool) {
+	vm, ok := d.o.Directory.VM(id)
+	if !ok {
+		return nil, false
+	}
+	return d.o.Peers.Get(vm), true
+}
+
 func (d *Driver) heartbeat(ctx context.Context, a authority.SendHeartbeat) {
 	if a.To == d.o.Directory.Self().ID {
 		d.locked(func(now mono.Time) {
@@ -58,13 +68,13 @@
 		})
 		return
 	}
-	vm, ok := d.o.Directory.VM(a.To)
+	peer, ok := d.peer(a.To)
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	resp, err := d.o.Peers.Get(vm).Heartbeat(ctx, heartbeatTo(a.Request))
+	resp, err := peer.Heartbeat(ctx, heartbeatTo(a.Request))
 	if err != nil {
 		return // Silence counts by itself.
 	}
@@ -78,13 +88,13 @@
 		})
 		return
 	}
-	vm, ok := d.o.Directory.VM(a.To)
+	peer, ok := d.peer(a.To)
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	resp, err := d.o.Peers.Get(vm).Withdraw(ctx, &peerpb.WithdrawRequest{
+	resp, err := peer.Withdraw(ctx, &peerpb.WithdrawRequest{
 		Vm:      string(d.o.Directory.Self().ID),
 		Group:   string(a.Request.Group),
 		Version: a.Request.Version,
@@ -112,13 +122,13 @@
 		d.locked(func(now mono.Time) { d.promoter.ObserveRelease(a.To, d.holder.HandleRelease(a.Request, now)) })
 		return
 	}
-	vm, ok := d.o.Directory.VM(a.To)
+	peer, ok := d.peer(a.To)
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	resp, err := d.o.Peers.Get(vm).ReleaseRight(ctx, &peerpb.ReleaseRightRequest{
+	resp, err := peer.ReleaseRight(ctx, &peerpb.ReleaseRightRequest{
 		Vm:      string(d.o.Directory.Self().ID),
 		Group:   string(a.Request.Group),
 		Version: a.Request.Version,
@@ -145,13 +155,13 @@
 }
 
 func (d *Driver) requestTakeOver(ctx context.Context, a authority.RequestSwitchover) {
-	vm, ok := d.o.Directory.VM(a.To)
+	peer, ok := d.peer(a.To)
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	_, err := d.o.Peers.Get(vm).TakeOver(ctx, &peerpb.SwitchoverNotice{
+	_, err := peer.TakeOver(ctx, &peerpb.SwitchoverNotice{
 		Vm:    string(d.o.Directory.Self().ID),
 		Group: string(a.Group),
 	})
