failover: a VM is listed when it was heard lately

Cause: behind a cut the new holder listed the cut-off data centre's VMs, still live by its view, for the old primary; they never promised, each was replaced by the next, and the rights of earlier versions lapsed meanwhile. Ruled out: the promotion (1.4 s after the cut in the log); HTTP/2 of the heartbeats (taken out before, gaps of 3.0 to 4.8 s stayed).

--- a/internal/failover/assign.go
+++ b/internal/failover/assign.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -10,7 +11,7 @@
 )
 
 // assign works out which groups this VM holds and stands in.
-func (d *Driver) assign(context.Context) {
+func (d *Driver) assign(ctx context.Context) {
 	parts := d.o.Directory.Parts()
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -18,14 +19,14 @@
 	present := map[topology.GroupID]bool{}
 	for _, part := range parts {
 		present[part.Group] = true
-		d.assignPart(d.withListed(part), now)
+		d.assignPart(ctx, d.withListed(part), now)
 	}
 	for id := range d.parts {
 		if present[id] {
 			continue
 		}
 		if part := d.withListed(Part{Group: id}); len(part.Targets) > 0 {
-			d.assignPart(part, now)
+			d.assignPart(ctx, part, now)
 			continue
 		}
 		d.dropPart(id)
@@ -79,7 +80,7 @@
 	return part
 }
 
-func (d *Driver) assignPart(part Part, now mono.Time) {
+func (d *Driver) assignPart(ctx context.Context, part Part, now mono.Time) {
 	d.parts[part.Group] = part
 	row := d.o.Directory.Group(part.Group)
 	if row == nil {
@@ -95,7 +96,7 @@
 	if slices.Contains(part.Targets, row.Primary) {
 		d.held[part.Group] = row.Primary
 		d.holder.Serve(part.Group, row.Primary)
-		d.holder.Candidates(part.Group, candidatesFor(row, part.Candidates))
+		d.holder.Candidates(part.Group, d.candidatesFor(ctx, row, part.Candidates))
 	} else {
 		d.dropHeld(part.Group)
 	}
@@ -116,12 +117,46 @@
 	return ""
 }
 
-// candidatesFor leaves out the primary itself.
-func candidatesFor(row *topology.Group, all []topology.Promoter) []topology.Promoter {
-	var list []topology.Promoter
+// heardLately is how old the sign of life of a VM may be that is to be listed.
+const heardLately = time.Second
+
+// candidatesFor returns the poolers of the replicas. One that is not listed yet
+// must have been heard lately; until then the listed one stays.
+//
+// Failure: a data centre was just cut off and its VMs still count as live. Listed,
+// they don't promise, and are replaced by each other in turn while the promises
+// of the versions before lapse: writes waited 2 s more.
+func (d *Driver) candidatesFor(ctx context.Context, row *topology.Group, all []topology.Promoter) []topology.Promoter {
+	list := []topology.Promoter{}
 	for _, p := range all {
-		if p.Replica != row.Primary {
+		if p.Replica == row.Primary {
+			continue
+		}
+		if d.known(row, p) {
 			list = append(list, p)
+			continue
+		}
+		d.o.Doubt.Ask(ctx, p.VM)
+		list = append(list, entriesFor(row, p.Replica)...)
+	}
+	return list
+}
+
+func (d *Driver) known(row *topology.Group, p topology.Promoter) bool {
+	if p.VM == d.o.Directory.Self().ID || d.o.Directory.HeardWithin(p.VM, heardLately) {
+		return true
+	}
+	return slices.ContainsFunc(row.Promoters, func(e topology.Promoter) bool {
+		return e.VM == p.VM && e.Incarnation == p.Incarnation
+	})
+}
+
+// entriesFor returns the list's entries for a replica.
+func entriesFor(row *topology.Group, replica topology.TargetID) []topology.Promoter {
+	var list []topology.Promoter
+	for _, e := range row.Promoters {
+		if e.Replica == replica {
+			list = append(list, e)
 		}
 	}
 	return list
--- a/internal/failover/driver.go
+++ b/internal/failover/driver.go
@@ -43,6 +43,8 @@
 	// Witness picks a VM of another data centre than this one's and target's.
 	Witness(topology.TargetID) (topology.VM, bool)
 	Group(topology.GroupID) *topology.Group
+	// HeardWithin reports whether a VM gave a sign of life in the last d.
+	HeardWithin(vm topology.VMID, d time.Duration) bool
 }
 
 // Part is a group with what this VM does for it.
--- a/internal/view/members.go
+++ b/internal/view/members.go
@@ -75,6 +75,14 @@
 	return p.VM == v.self.ID && p.Incarnation == v.self.Incarnation
 }
 
+// HeardWithin reports whether a VM gave a sign of life in the last d.
+func (v *View) HeardWithin(id topology.VMID, d time.Duration) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	at, ok := v.members.Heard(id)
+	return ok && v.clock.Now().Sub(at) <= d
+}
+
 // Statuses returns what is known of all VMs.
 func (v *View) Statuses() []membership.Status {
 	v.mu.RLock()
--- a/pkg/membership/table.go
+++ b/pkg/membership/table.go
@@ -146,6 +146,15 @@
 	return e.Status, true
 }
 
+// Heard returns when a VM last gave a sign of life; false if it never did.
+func (t *Table) Heard(id topology.VMID) (mono.Time, bool) {
+	e, ok := t.entries[id]
+	if !ok || !e.seenLife {
+		return 0, false
+	}
+	return e.lastLife, true
+}
+
 // Statuses returns all VMs by id.
 func (t *Table) Statuses() []Status {
 	out := make([]Status, 0, len(t.entries))
