--- a/internal/integration/failover_test.go
+++ b/internal/integration/failover_test.go
@@ -230,6 +230,30 @@
 		d.checkNothingLost(2, w)
 	})
 
+	// The caller sees its writes go on, later than usual. The platform answers each
+	// call after half a second when the primary dies: the promoter's read and
+	// commit take that long, and nothing else needs it.
+	It("promotes through a slow platform", func() {
+		d := deploy(shape{groups: 1, proxies: 7})
+		d.settled()
+		before := d.row()
+		w := d.startWriter(1, "landing-report", "boat-9")
+		Eventually(w.count).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
+		_, err := d.standIn.SetFaults(context.Background(), &platformpb.SetFaultsRequest{
+			Faults: []*platformpb.Fault{{CallerPrefix: "vm-", LatencyMs: 500}},
+		})
+		Expect(err).NotTo(HaveOccurred())
+		at := time.Now()
+		d.databases[before.Primary].kill()
+		n := w.count()
+		Eventually(w.count).WithTimeout(30 * time.Second).Should(BeNumerically(">", n+50))
+		fmt.Printf("slow platform: gap %v failures %v\n", w.gap(at).Round(time.Millisecond), w.failures)
+		w.end()
+		d.platformDown(false)
+		Expect(d.row().Term).To(BeNumerically(">", before.Term))
+		d.checkNothingLost(2, w)
+	})
+
 	// The caller sees no failed write. A replica that writes wait for is killed;
 	// the target gives up its wait, the holder takes the replica off the list, and
 	// the writes under way are acknowledged when the other one holds them.
