--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"math"
 	"time"
 
@@ -302,6 +303,9 @@
 	}
 	ctx, unwatch := s.watchHop(ctx, d.pooler, msg)
 	defer unwatch()
+	if log := s.server.o.Log; log != nil && log.Enabled(ctx, slog.LevelDebug) {
+		log.Debug("event=hop", "entry", msg.Entry, "hop", msg.HopId, "vm", d.pooler.ID, "target", msg.Target, "class", msg.Class)
+	}
 	resp, err := s.server.o.Peers.Get(d.pooler).Execute(ctx, msg)
 	if err != nil {
 		return nil, peers.HopResult(d.pooler, err)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -222,9 +222,20 @@
 		resp.Failure = peers.Failure(err)
 		resp.Messages = nil
 	}
+	p.logExecuted(ctx, req, resp)
 	return resp, nil
 }
 
+// logExecuted writes a line that the entry's line of the same hop joins: entry
+// and hop name the request on both VMs.
+func (p *Pooler) logExecuted(ctx context.Context, req *peerpb.ExecuteRequest, resp *peerpb.ExecuteResponse) {
+	if p.o.Log == nil || !p.o.Log.Enabled(ctx, slog.LevelDebug) {
+		return
+	}
+	p.o.Log.Debug("event=executed", "entry", req.Entry, "hop", req.HopId, "target", req.Target, "class", req.Class,
+		"code", resp.GetFailure().GetCode(), "queue_us", resp.QueueUs, "run_us", resp.RunUs)
+}
+
 // ReadPosition implements peerpb.Pooler. The right is checked after the target
 // has answered: while it is valid no later term has acknowledged anything, so
 // the position covers every write acknowledged before the fetch began.
