--- a/internal/integration/failover_test.go
+++ b/internal/integration/failover_test.go
@@ -45,11 +45,43 @@
 	}).WithTimeout(20 * time.Second).Should(BeTrue())
 }
 
-// place returns the data centre of a target of the first group.
-func (d *deployment) place(id topology.TargetID) topology.DataCentre {
-	for _, t := range d.doc.Groups[0].Targets {
-		if t.ID == id {
-			return t.DataCentre
+// allSettled reports whether n groups have two synced replicas and no earlier list.
+func (d *deployment) allSettled(n int) bool {
+	table := platform.NewRemote(d.url, "test", http.DefaultClient)
+	rows, _, err := table.Scan(context.Background(), "group/", 0)
+	Expect(err).NotTo(HaveOccurred())
+	for _, r := range rows {
+		var g topology.Group
+		Expect(json.Unmarshal(r.Value, &g)).To(Succeed())
+		unsynced := slices.ContainsFunc(g.Promoters, func(p topology.Promoter) bool { return !p.Synced })
+		if unsynced || len(g.Promoters) != 2 || len(g.Unsettled) > 0 {
+			return false
+		}
+	}
+	return len(rows) == n
+}
+
+// killAll kills a data centre's VMs and databases.
+func (d *deployment) killAll(dc topology.DataCentre) {
+	for i, p := range d.plans {
+		if p.DataCentre == dc {
+			d.proxies[i].kill()
+		}
+	}
+	for id, p := range d.databases {
+		if d.placeOf(id) == dc {
+			p.kill()
+		}
+	}
+}
+
+// placeOf returns the data centre of any target.
+func (d *deployment) placeOf(id topology.TargetID) topology.DataCentre {
+	for _, g := range d.doc.Groups {
+		for _, t := range g.Targets {
+			if t.ID == id {
+				return t.DataCentre
+			}
 		}
 	}
 	return ""
@@ -161,7 +193,7 @@
 				d := deploy(shape{groups: 1, proxies: 7, links: links})
 				d.settled()
 				before := d.row()
-				from := d.proxyIn(d.place(before.Primary), false)
+				from := d.proxyIn(d.placeOf(before.Primary), false)
 				w := d.startWriter(from, "landing-report", "boat-1")
 				Eventually(w.count).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
 				at := time.Now()
@@ -180,11 +212,11 @@
 		Entry("killed", "killed", false, func(d *deployment, t topology.TargetID) { d.databases[t].kill() }),
 		Entry("frozen", "frozen", false, func(d *deployment, t topology.TargetID) { d.databases[t].freeze() }),
 		Entry("its data centre cut off", "data centre cut off", true, func(d *deployment, t topology.TargetID) {
-			d.cutBetween(d.place(t), anywhere, true)
+			d.cutBetween(d.placeOf(t), anywhere, true)
 		}),
 		Entry("killed with every VM of its data centre", "with its VMs", false, func(d *deployment, t topology.TargetID) {
 			for i, p := range d.plans {
-				if p.DataCentre == d.place(t) {
+				if p.DataCentre == d.placeOf(t) {
 					d.proxies[i].kill()
 				}
 			}
@@ -254,6 +286,37 @@
 		d.checkNothingLost(2, w)
 	})
 
+	// The callers of every group see their writes go on. A data centre with the
+	// primaries of all three groups is lost with its VMs; each group is promoted by
+	// its own promoters, with a few writes to the platform's table for each.
+	It("replaces every primary of a lost data centre", func() {
+		d := deploy(shape{groups: 3, proxies: 7})
+		Eventually(func() bool { return d.allSettled(3) }).WithTimeout(20 * time.Second).Should(BeTrue())
+		dc := d.placeOf(d.row().Primary)
+		Expect(dc).NotTo(BeEmpty())
+		from := d.proxyIn(dc, false)
+		var writers []*writer
+		for _, g := range d.doc.Groups {
+			w := d.startGroupWriter(from, "landing-report", "boat-"+g.Name, g.Name)
+			writers = append(writers, w)
+			Eventually(w.count).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
+		}
+		before, err := d.standIn.Stats(context.Background(), &platformpb.StatsRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		at := time.Now()
+		d.killAll(dc)
+		for _, w := range writers {
+			n := w.count()
+			Eventually(w.count).WithTimeout(20 * time.Second).Should(BeNumerically(">", n+50))
+			fmt.Printf("data centre lost: gap %v failures %v\n", w.gap(at).Round(time.Millisecond), w.failures)
+			w.end()
+		}
+		after, err := d.standIn.Stats(context.Background(), &platformpb.StatsRequest{})
+		Expect(err).NotTo(HaveOccurred())
+		fmt.Printf("data centre lost: %d writes and %d reads of the platform in %v\n",
+			after.Writes-before.Writes, after.Reads-before.Reads, time.Since(at).Round(time.Millisecond))
+	})
+
 	// The caller sees no failed write. A replica that writes wait for is killed;
 	// the target gives up its wait, the holder takes the replica off the list, and
 	// the writes under way are acknowledged when the other one holds them.
@@ -280,7 +343,7 @@
 		d := deploy(shape{groups: 1, proxies: 7, links: true})
 		d.settled()
 		before := d.row()
-		dc := d.place(before.Primary)
+		dc := d.placeOf(before.Primary)
 		w := d.startWriter(d.proxyIn(dc, true), "landing-report", "boat-7")
 		Eventually(w.count).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
 		at := time.Now()
@@ -300,7 +363,7 @@
 	It("goes on when a data centre is cut off from the others", func() {
 		d := deploy(shape{groups: 1, proxies: 7, links: true})
 		d.settled()
-		dc := d.place(d.row().Primary)
+		dc := d.placeOf(d.row().Primary)
 		w := d.startWriter(d.proxyIn(dc, false), "landing-report", "boat-8")
 		Eventually(w.count).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
 		at := time.Now()
@@ -320,7 +383,7 @@
 		d := deploy(shape{groups: 1, proxies: 7})
 		d.settled()
 		before := d.row()
-		dc := d.place(before.Primary)
+		dc := d.placeOf(before.Primary)
 		from := d.proxyIn(dc, false)
 		w := d.startWriter(from, "landing-report", "boat-4")
 		Eventually(w.count).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
@@ -346,7 +409,7 @@
 		d := deploy(shape{groups: 1, proxies: 7})
 		d.settled()
 		before := d.row()
-		dc := d.place(before.Primary)
+		dc := d.placeOf(before.Primary)
 		w := d.startWriter(d.proxyIn(dc, true), "landing-report", "boat-5")
 		Eventually(w.count).WithTimeout(10 * time.Second).Should(BeNumerically(">", 20))
 		for i, p := range d.plans {
--- a/internal/integration/faults_test.go
+++ b/internal/integration/faults_test.go
@@ -98,7 +98,7 @@
 		d := deploy(shape{groups: 1, proxies: 7, links: true})
 		d.settledView()
 		before := d.row()
-		dc := d.place(before.Primary)
+		dc := d.placeOf(before.Primary)
 		from := d.proxyIn(dc, false)
 		w := d.startWriter(from, "landing-report", "boat-11")
 		w.writesGoOn(20)
@@ -124,7 +124,7 @@
 		before := d.row()
 		victim := before.Promoters[dies%len(before.Promoters)].VM
 		from := slices.IndexFunc(d.plans, func(s daemon.Settings) bool {
-			return s.VM != victim && s.DataCentre != d.place(before.Primary)
+			return s.VM != victim && s.DataCentre != d.placeOf(before.Primary)
 		})
 		w := d.startWriter(from, "landing-report", "boat-12")
 		w.writesGoOn(20)
@@ -167,7 +167,7 @@
 		d := deploy(shape{groups: 1, proxies: 7})
 		d.settledView()
 		before := d.row()
-		from := d.proxyIn(d.place(before.Primary), true)
+		from := d.proxyIn(d.placeOf(before.Primary), true)
 		for _, p := range before.Promoters {
 			d.databases[p.Replica].freeze()
 		}
@@ -200,7 +200,7 @@
 		d := deploy(shape{groups: 1, proxies: 7, links: true})
 		d.settledView()
 		before := d.row()
-		w := d.startWriter(d.proxyIn(d.place(before.Primary), true), "landing-report", "boat-15")
+		w := d.startWriter(d.proxyIn(d.placeOf(before.Primary), true), "landing-report", "boat-15")
 		w.writesGoOn(20)
 		d.delayLinks(10 * time.Millisecond)
 		time.Sleep(5 * time.Second)
--- a/internal/integration/writer_test.go
+++ b/internal/integration/writer_test.go
@@ -18,6 +18,7 @@
 	proxy int
 	class string
 	key   string
+	group string // "": as the shard key has it
 
 	mu       sync.Mutex
 	acked    []time.Time
@@ -31,8 +32,12 @@
 const writePause = 5 * time.Millisecond
 
 func (d *deployment) startWriter(proxy int, class, key string) *writer {
+	return d.startGroupWriter(proxy, class, key, "")
+}
+
+func (d *deployment) startGroupWriter(proxy int, class, key, group string) *writer {
 	w := &writer{
-		d: d, proxy: proxy, class: class, key: key,
+		d: d, proxy: proxy, class: class, key: key, group: group,
 		failures: map[string]int{},
 		stop:     make(chan struct{}),
 		done:     make(chan struct{}),
@@ -55,7 +60,7 @@
 		}
 		if c == nil || c.IsClosed() {
 			var err error
-			if c, err = w.d.connect(w.proxy, w.class, "session", w.key); err != nil {
+			if c, err = w.d.connect(w.proxy, w.class, "session", w.key, "group", w.group); err != nil {
 				w.note(0, err)
 				c = nil
 				continue
