Entry: a connection that closes before its start-up message ends nothing else

Cause: receiveStartUp gave back neither a message nor an error on EOF, since endOnReadError turns EOF into nil; startUp then used the nil message and the panic ended the daemon with all its sessions. Ruled out: the decoder itself (pgproto3 reports EOF as an error). Also: a panic in one session is contained, logged with its stack; a broken invariant still ends the process.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -9,6 +9,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/buckthornshore/buckthornshore/internal/contain"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/view"
@@ -88,6 +89,10 @@
 // handle serves one connection to its end.
 func (s *Server) handle(nc net.Conn) {
 	defer nc.Close()
+	contain.Run(s.o.Log, "session", func() { s.session(nc) })
+}
+
+func (s *Server) session(nc net.Conn) {
 	sess := newCaller(s, nc)
 	if err := sess.startUp(); err != nil {
 		s.o.Log.Debug("event=session_refused", "remote", nc.RemoteAddr(), "error", err)
--- a/internal/entry/startup.go
+++ b/internal/entry/startup.go
@@ -49,7 +49,7 @@
 	for {
 		msg, err := s.backend.ReceiveStartupMessage()
 		if err != nil {
-			return nil, s.endOnReadError(err)
+			return nil, errors.Join(err, s.endOnReadError(err))
 		}
 		switch m := msg.(type) {
 		case *pgproto3.StartupMessage:
