--- /dev/null
+++ b/internal/directory/directory.go
@@ -0,0 +1,224 @@
+// Package directory holds what a VM knows of its deployment: the configuration in
+// force, the targets and the other VMs, each kept up to date by a watcher.
+package directory
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// Freshness is what the reads of a class need.
+type Freshness int
+
+// The kinds of freshness.
+const (
+	// Newest reads see every acknowledged commit.
+	Newest Freshness = iota
+	// Bounded reads see every commit acknowledged longer ago than the staleness.
+	Bounded
+	// OwnWrites reads see besides every commit of their own session.
+	OwnWrites
+)
+
+// Class is how the requests of one database name are served.
+type Class struct {
+	// Database is the name that callers open a session with.
+	Database string
+	// Name of the class for logs and metrics.
+	Name  string
+	Group topology.GroupID
+	Reads Freshness
+	// Staleness that Bounded and OwnWrites reads accept.
+	Staleness time.Duration
+	// StatementTimeout limits one statement.
+	StatementTimeout time.Duration
+	// Objective is within what time callers want their answer.
+	Objective time.Duration
+	// Priority orders the classes; lower numbers go first.
+	Priority int
+}
+
+// Configuration is one version of what the operators declare.
+type Configuration struct {
+	Version uint64
+	// Classes by database name.
+	Classes map[string]Class
+	// Connections that each target of a group takes from all VMs together.
+	Connections map[topology.GroupID]int
+	// SyncReplicas is how many replicas hold a commit before it is acknowledged.
+	SyncReplicas map[topology.GroupID]int
+	// IdleTransaction is how long a transaction may rest between two statements.
+	IdleTransaction time.Duration
+}
+
+// Target is a database as it registered itself.
+type Target struct {
+	topology.Target
+	// SaysPrimary: it takes itself for the primary.
+	SaysPrimary bool
+	Slots       int
+}
+
+// Directory holds the newest of each. Safe for concurrent use.
+type Directory struct {
+	self topology.VM
+
+	mu      sync.RWMutex
+	config  *Configuration
+	targets map[topology.TargetID]Target
+	vms     map[topology.VMID]topology.VM
+	// told is closed and replaced when something changes.
+	told chan struct{}
+}
+
+// New makes an empty directory of a VM.
+func New(self topology.VM) *Directory {
+	return &Directory{
+		self:    self,
+		targets: map[topology.TargetID]Target{},
+		vms:     map[topology.VMID]topology.VM{},
+		told:    make(chan struct{}),
+	}
+}
+
+// Self returns this VM.
+func (d *Directory) Self() topology.VM { return d.self }
+
+// Changed returns a channel that is closed with the next change.
+func (d *Directory) Changed() <-chan struct{} {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.told
+}
+
+func (d *Directory) tell() {
+	close(d.told)
+	d.told = make(chan struct{})
+}
+
+// SetConfiguration takes over a newer configuration. It reports whether it was
+// newer: what is in force never goes back.
+func (d *Directory) SetConfiguration(c *Configuration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.config != nil && c.Version <= d.config.Version {
+		return false
+	}
+	d.config = c
+	d.tell()
+	return true
+}
+
+// Configuration returns the one in force, or nil.
+func (d *Directory) Configuration() *Configuration {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.config
+}
+
+// Class returns the class of a database name.
+func (d *Directory) Class(database string) (Class, bool) {
+	c := d.Configuration()
+	if c == nil {
+		return Class{}, false
+	}
+	class, ok := c.Classes[database]
+	return class, ok
+}
+
+// SetTarget takes over what is newly known of a target, and reports whether it
+// differs.
+func (d *Directory) SetTarget(t Target) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.targets[t.ID] == t {
+		return false
+	}
+	d.targets[t.ID] = t
+	d.tell()
+	return true
+}
+
+// RemoveTarget forgets a target that has gone.
+func (d *Directory) RemoveTarget(id topology.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.targets, id)
+	d.tell()
+}
+
+// Target returns a target.
+func (d *Directory) Target(id topology.TargetID) (Target, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	t, ok := d.targets[id]
+	return t, ok
+}
+
+// Targets returns all targets in order of their names.
+func (d *Directory) Targets() []Target {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(d.targets), func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
+
+// TargetsOf returns a group's targets in order of their names.
+func (d *Directory) TargetsOf(group topology.GroupID) []Target {
+	var of []Target
+	for _, t := range d.Targets() {
+		if t.Group == group {
+			of = append(of, t)
+		}
+	}
+	return of
+}
+
+// SetVM takes over a VM's registration; an earlier incarnation is passed over.
+func (d *Directory) SetVM(vm topology.VM) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.vms[vm.ID].Incarnation > vm.Incarnation {
+		return
+	}
+	d.vms[vm.ID] = vm
+	d.tell()
+}
+
+// SetVMs replaces all registrations by those of one listing.
+func (d *Directory) SetVMs(vms []topology.VM) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.vms = map[topology.VMID]topology.VM{}
+	for _, vm := range vms {
+		d.vms[vm.ID] = vm
+	}
+	d.tell()
+}
+
+// RemoveVM forgets a VM that is no longer registered.
+func (d *Directory) RemoveVM(id topology.VMID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.vms, id)
+	d.tell()
+}
+
+// VM returns a registered VM.
+func (d *Directory) VM(id topology.VMID) (topology.VM, bool) {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	vm, ok := d.vms[id]
+	return vm, ok
+}
+
+// VMs returns the registered VMs in order of their names.
+func (d *Directory) VMs() []topology.VM {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return slices.SortedFunc(maps.Values(d.vms), func(a, b topology.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+}
--- /dev/null
+++ b/internal/directory/watcher.go
@@ -0,0 +1,117 @@
+package directory
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+)
+
+const (
+	// watchWait is how long the store holds a watch without a change. A watch on a
+	// connection that has gone silent is noticed that late, and a configuration
+	// has to be in force within three seconds.
+	watchWait = 1800 * time.Millisecond
+	// watchRetry after a failed call; a store that refuses for its load gets
+	// some relief.
+	watchRetry = 200 * time.Millisecond
+)
+
+// Watcher keeps one table of the store in view.
+type Watcher struct {
+	Store metastore.Store
+	Table string
+	Clock mono.Clock
+	Log   *slog.Logger
+	// Wait replaces the usual wait of a watch, if set.
+	Wait time.Duration
+	// All is called with the rows of a listing that was sent at began: rows that
+	// are not among them are gone.
+	All func(rows []metastore.Row, began mono.Time)
+	// Change is called for each row that changed after.
+	Change func(row metastore.Row, began mono.Time)
+	// Seen is called after each answer of a call that was sent at began; nil:
+	// nobody asks.
+	Seen func(began mono.Time)
+}
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		err := w.follow(ctx, func() {
+			if lost {
+				w.Log.Info("event=store_regained", "table", w.Table)
+				lost = false
+			}
+		})
+		if ctx.Err() != nil {
+			return
+		}
+		if errors.Is(err, metastore.ErrHistoryGone) {
+			w.Log.Info("event=store_history_gone", "table", w.Table, "outcome", "listed_again")
+			continue
+		}
+		if !lost {
+			w.Log.Warn("event=store_lost", "table", w.Table, "error", err)
+			lost = true
+		}
+		pause(ctx, watchRetry/2+rand.N(watchRetry))
+	}
+}
+
+// follow lists the table and follows its changes until a call fails.
+func (w *Watcher) follow(ctx context.Context, answered func()) error {
+	began := w.Clock.Now()
+	rows, err := w.Store.List(ctx, w.Table)
+	if err != nil {
+		return err
+	}
+	answered()
+	w.All(rows.Rows, began)
+	w.seen(began)
+	wait := w.Wait
+	if wait == 0 {
+		wait = watchWait
+	}
+	failures := 0
+	for version := rows.Version; ; {
+		began = w.Clock.Now()
+		changes, err := w.Store.Watch(ctx, w.Table, version, wait)
+		if err != nil {
+			// A failed watch misses nothing as long as the history is kept, so the
+			// same one is repeated before the whole table is read again.
+			failures++
+			if errors.Is(err, metastore.ErrHistoryGone) || failures > 1 || ctx.Err() != nil {
+				return err
+			}
+			continue
+		}
+		failures = 0
+		for _, row := range changes.Rows {
+			w.Change(row, began)
+		}
+		w.seen(began)
+		version = max(version, changes.Version)
+	}
+}
+
+func (w *Watcher) seen(began mono.Time) {
+	if w.Seen != nil {
+		w.Seen(began)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/gateway/read.go
@@ -0,0 +1,136 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const (
+	// retryPause between attempts where nothing ran: about one statement's time.
+	retryPause = 10 * time.Millisecond
+	// attemptTime is what a further attempt needs at least.
+	attemptTime = 20 * time.Millisecond
+	// comeBack is when a caller whose request found no target in time may return:
+	// most failovers are over within a second.
+	comeBack = 500 * time.Millisecond
+)
+
+// sessionFloor is the position that the session's own writes ask for.
+func (r *request) sessionFloor() position.Position {
+	if r.class.Reads != directory.OwnWrites {
+		return position.Position{}
+	}
+	r.settledFloors()
+	return r.floors.Floor(r.class.Group)
+}
+
+// readAnywhere runs a read at the replica or primary that serves it soonest and holds
+// what it must see. A read changes nothing, so it is tried again elsewhere when a
+// target fails.
+func (r *request) readAnywhere() statement.Answer {
+	var last *result.Error
+	tried := map[topology.TargetID]bool{}
+	for r.left(attemptTime) && r.ctx.Err() == nil {
+		c, failure := r.server.router.chooseRead(&r.class, r.sessionFloor(), tried)
+		if failure != nil {
+			last = failure
+			r.beforeNextRead(failure, tried)
+			continue
+		}
+		answer, failure := r.readAt(c)
+		if failure == nil {
+			return answer
+		}
+		last = failure
+		if failure.Code == result.DeadlineExceeded {
+			break
+		}
+		tried[c.pool.Target().ID] = true
+	}
+	return statement.Fail(refuse(last), r.state())
+}
+
+// beforeNextRead waits for what a read lacked: a position of the primary, or targets
+// that were tried and may serve again.
+func (r *request) beforeNextRead(failure *result.Error, tried map[topology.TargetID]bool) {
+	if failure.Code == result.AgeNotShown {
+		r.server.router.awaitSample(r.ctx, r.class.Group)
+		r.pause(time.Millisecond)
+		return
+	}
+	clear(tried)
+	r.pause(retryPause)
+}
+
+func (r *request) pause(d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-r.ctx.Done():
+	}
+}
+
+// readAt runs the read at one target. The target itself refuses it if its log lacks
+// the floor.
+func (r *request) readAt(c choice) (statement.Answer, *result.Error) {
+	t := c.pool.Target()
+	r.note(t.ID)
+	link, failure := c.pool.Acquire(r.ctx, r.class.Priority, r.deadline, r.context.Values())
+	if failure != nil {
+		return statement.Answer{}, failure
+	}
+	defer link.Release()
+	answer, err := r.run(link, c.floor)
+	if err != nil {
+		return answer, r.lost(t.ID, err)
+	}
+	if answer.Failure != nil {
+		if answer.Failure.Code == result.ReplicaBehind {
+			r.server.router.behind(r.class.Group, t.ID, answer.Position)
+		}
+		return answer, answer.Failure
+	}
+	r.server.router.learn(r.class.Group, t.ID, answer.Position)
+	answer.State = r.state()
+	return answer, nil
+}
+
+// run sends the statement over a connection that has the session's values.
+func (r *request) run(link *target.Link, after position.Position) (statement.Answer, error) {
+	wall := r.wall()
+	if err := link.Adapt(wall, r.context.Values()); err != nil {
+		return statement.Answer{}, notSent{err}
+	}
+	cmd := target.Command{Kind: target.Caller, ID: r.st.ID, Text: r.st.Text, After: after}
+	if r.st.Kind == statement.Execute {
+		name, err := link.Ensure(wall, r.prepared)
+		if err != nil {
+			return statement.Answer{}, notSent{err}
+		}
+		cmd.Kind, cmd.Name, cmd.Value = target.Execute, name, r.st.Arguments
+	}
+	return link.Run(wall, cmd)
+}
+
+// notSent is a failure before the caller's statement was sent: it has not run.
+type notSent struct{ error }
+
+func (e notSent) Unwrap() error { return e.error }
+
+// refuse makes sure that a failure says when to come back, and is a refusal.
+func refuse(e *result.Error) *result.Error {
+	if e == nil {
+		return result.New(result.DeadlineInQueue, "no target in time").After(comeBack)
+	}
+	if e.Ran == result.NotRun && e.RetryAfter == 0 {
+		return e.After(comeBack)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,189 @@
+// Package gateway serves callers' sessions with typed statements: it routes each
+// one, keeps transactions on their connection, and says truly what has run.
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/contain"
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+)
+
+// Caller is a caller's connection as its protocol's codec offers it.
+type Caller interface {
+	// Open reads which database the caller wants.
+	Open() (database string, err error)
+	Welcome() error
+	Refuse(e *result.Error) error
+	// Next reads the next statement; a result refuses it and the session goes on.
+	// After a timeout a message that has come in part is kept.
+	Next() (*statement.Statement, *result.Error, error)
+	// Begun reports whether a message has come in part or whole.
+	Begun() bool
+	Answer(a statement.Answer) error
+}
+
+// Options of NewServer.
+type Options struct {
+	Directory *directory.Directory
+	Pools     *target.Pools
+	Rights    Rights
+	Codec     func(net.Conn) Caller
+	Clock     mono.Clock
+	Log       *slog.Logger
+	Metrics   *metrics.Entry
+	// MaxSessions bounds the open sessions.
+	MaxSessions int
+}
+
+// Server serves sessions. Safe for concurrent use.
+type Server struct {
+	Options
+	router *router
+	number atomic.Uint64
+
+	mu       sync.Mutex
+	sessions map[*session]bool
+	// plan is set when the daemon leaves.
+	plan *LeavePlan
+	done sync.WaitGroup
+}
+
+// LeavePlan says how the open sessions end when the daemon leaves.
+type LeavePlan struct {
+	// Idle: from then on sessions without a request or transaction are closed.
+	Idle time.Time
+	// Transactions still open then are rolled back.
+	Transactions time.Time
+	// All sessions are closed then.
+	All time.Time
+}
+
+// NewServer makes a server.
+func NewServer(o Options) *Server {
+	return &Server{
+		Options:  o,
+		router:   newRouter(o.Directory, o.Pools, o.Rights, o.Clock),
+		sessions: map[*session]bool{},
+	}
+}
+
+// acceptRetry after a failure such as too many open files.
+const acceptRetry = 20 * time.Millisecond
+
+// Serve accepts sessions until the listener is closed.
+func (s *Server) Serve(ctx context.Context, l net.Listener) {
+	for {
+		nc, err := l.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.Log.Warn("event=accept_failed", "error", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		s.done.Add(1)
+		go func() {
+			defer s.done.Done()
+			defer nc.Close()
+			contain.Run(s.Log, "session", func() { s.handle(nc) })
+		}()
+	}
+}
+
+// startTimeout bounds how long a connection may take to open its session. Callers
+// give up after two seconds.
+const startTimeout = 5 * time.Second
+
+// handle serves one connection to its end.
+func (s *Server) handle(nc net.Conn) {
+	_ = nc.SetReadDeadline(time.Now().Add(startTimeout))
+	caller := s.Codec(nc)
+	database, err := caller.Open()
+	if err != nil {
+		s.Log.Debug("event=session_not_opened", "remote", nc.RemoteAddr(), "error", err)
+		return
+	}
+	sess := &session{server: s, conn: nc, caller: caller, database: database, number: s.number.Add(1)}
+	if failure := s.admit(sess); failure != nil {
+		s.Log.Info("event=session_refused", "database", database, "code", failure.Code, "reason", failure.Code.Name())
+		_ = caller.Refuse(failure)
+		return
+	}
+	defer s.remove(sess)
+	if err := caller.Welcome(); err != nil {
+		return
+	}
+	sess.run()
+}
+
+func (s *Server) admit(sess *session) *result.Error {
+	if _, ok := s.Directory.Class(sess.database); !ok {
+		return result.New(result.UnknownService, "database %.40q", sess.database)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.sessions) >= s.MaxSessions {
+		return result.New(result.TooManySessions, "%d are open", len(s.sessions)).After(time.Second)
+	}
+	s.sessions[sess] = true
+	return nil
+}
+
+func (s *Server) remove(sess *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, sess)
+}
+
+// Leave ends the sessions by the plan: requests under way are answered, sessions are
+// closed between two requests.
+func (s *Server) Leave(plan LeavePlan) {
+	s.mu.Lock()
+	s.plan = &plan
+	open := make([]*session, 0, len(s.sessions))
+	for sess := range s.sessions {
+		open = append(open, sess)
+	}
+	s.mu.Unlock()
+	for _, sess := range open {
+		sess.wake()
+	}
+}
+
+func (s *Server) leaving() *LeavePlan {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.plan
+}
+
+// Wait returns when all sessions have ended or ctx ends.
+func (s *Server) Wait(ctx context.Context) {
+	ended := make(chan struct{})
+	go func() {
+		s.done.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// Sessions returns how many sessions are open.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
--- /dev/null
+++ b/internal/gatewayd/watch.go
@@ -0,0 +1,123 @@
+package gatewayd
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+	"github.com/buckthornshore/buckthornshore/platform"
+)
+
+// configurationWatcher keeps the operators' configuration in force.
+func (p *parts) configurationWatcher() *directory.Watcher {
+	take := func(r metastore.Row, _ mono.Time) {
+		if r.Key == platform.ConfigurationKey && !r.Deleted {
+			p.takeConfiguration(r)
+		}
+	}
+	return &directory.Watcher{
+		Store: p.Store, Table: platform.OperatorTable, Clock: p.Clock, Log: p.Log, Change: take,
+		All: func(rows []metastore.Row, began mono.Time) {
+			for _, r := range rows {
+				take(r, began)
+			}
+		},
+	}
+}
+
+func (p *parts) takeConfiguration(r metastore.Row) {
+	c, err := platform.DecodeConfiguration(r.Value)
+	if err != nil {
+		p.Log.Error("event=configuration_malformed", "row_version", r.Version, "error", err, "outcome", "kept the one in force")
+		return
+	}
+	if p.Directory.SetConfiguration(c) {
+		p.Log.Info("event=configuration_in_force", "version", c.Version, "row_version", r.Version, "classes", len(c.Classes))
+	}
+}
+
+// targetWatcher follows the targets' registrations.
+func (p *parts) targetWatcher() *directory.Watcher {
+	return &directory.Watcher{
+		Store: p.Store, Table: platform.TargetTable, Clock: p.Clock, Log: p.Log,
+		All: func(rows []metastore.Row, began mono.Time) {
+			listed := map[topology.TargetID]bool{}
+			for _, r := range rows {
+				listed[topology.TargetID(r.Key)] = true
+				p.takeTarget(r, began)
+			}
+			for _, t := range p.Directory.Targets() {
+				if !listed[t.ID] {
+					p.removeTarget(t.ID)
+				}
+			}
+		},
+		Change: p.takeTarget,
+	}
+}
+
+func (p *parts) removeTarget(id topology.TargetID) {
+	p.Directory.RemoveTarget(id)
+	p.Log.Info("event=target_unregistered", "target", id)
+}
+
+func (p *parts) takeTarget(r metastore.Row, _ mono.Time) {
+	if r.Deleted {
+		p.removeTarget(topology.TargetID(r.Key))
+		return
+	}
+	t, err := platform.DecodeTarget(r.Key, r.Value)
+	if err != nil {
+		p.Log.Error("event=registration_malformed", "target", r.Key, "error", err)
+		return
+	}
+	if p.Directory.SetTarget(t) {
+		p.Log.Info("event=target_registered", "target", t.ID, "group", t.Group, "address", t.Address, "data_centre", t.DataCentre,
+			"leaving", t.Leaving, "says_primary", t.SaysPrimary, "row_version", r.Version)
+	}
+}
+
+// reloads reads the settings file again on SIGHUP. The log level changes at once; the
+// rest is told to need a restart.
+func (p *parts) reloads(ctx context.Context) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+			p.reload()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *parts) reload() {
+	next, err := LoadSettings(string(p.File))
+	if err != nil {
+		p.Log.Error("event=reload_refused", "error", err, "outcome", "kept the settings in force")
+		return
+	}
+	p.Logging.setLevel(next.LogLevel)
+	p.Settings.LogLevel = next.LogLevel
+	p.Log.Info("event=reloaded", "log_level", next.LogLevel, "needs_restart", p.differing(next))
+}
+
+// differing lists the settings that are not the ones in force.
+func (p *parts) differing(next Settings) []string {
+	var keys []string
+	was, is := reflect.ValueOf(p.Settings), reflect.ValueOf(next)
+	for i := range was.NumField() {
+		if was.Field(i).Interface() != is.Field(i).Interface() {
+			keys = append(keys, was.Type().Field(i).Tag.Get("json"))
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/internal/lead/judge.go
@@ -0,0 +1,92 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const (
+	// reportAge is how long a report counts: a few renewals.
+	reportAge = 1200 * time.Millisecond
+	// failedAfter is how long a VM must not have reached the primary before it
+	// counts as failing there: a lost connection is followed by a new one within
+	// 100 ms, and a full queue delays one by about as much.
+	failedAfter = 400 * time.Millisecond
+	// failedShare of the reporting VMs must fail at the primary. A primary that is
+	// cut off from fewer serves most callers better than a change would.
+	failedShare = 0.4
+	// missingAfter is how long a primary's registration may be absent while the
+	// store answers before the primary counts as gone: one that lapsed during an
+	// outage is back within two seconds.
+	missingAfter = 2500 * time.Millisecond
+	// retryHandover keeps from trying again at once what could not succeed.
+	retryHandover = 500 * time.Millisecond
+)
+
+// judge replaces primaries of the groups that this VM coordinates when they fail or
+// leave, and finishes handovers that were begun.
+func (l *Lead) judge(ctx context.Context, now mono.Time) {
+	l.mu.Lock()
+	groups := l.coordinator.Groups()
+	l.mu.Unlock()
+	for _, group := range groups {
+		l.mu.Lock()
+		reason := l.reasonToReplace(group, now)
+		l.mu.Unlock()
+		if reason != "" {
+			l.start(group, func() {
+				l.replace(ctx, group, reason)
+				pauseFor(ctx, retryHandover)
+			})
+		}
+	}
+}
+
+// reasonToReplace returns why the group's primary is to be replaced, or "".
+func (l *Lead) reasonToReplace(group topology.GroupID, now mono.Time) string {
+	row := l.coordinator.Row(group)
+	if row == nil || l.working[group] {
+		return ""
+	}
+	if !row.Open() {
+		return row.Handover.Reason
+	}
+	if l.leaving {
+		return ""
+	}
+	if l.primaryFailed(row, now) {
+		return "primary_failed"
+	}
+	t, ok := l.Directory.Target(row.Primary)
+	switch {
+	case ok:
+		delete(l.missing, group)
+		if t.Leaving {
+			return "primary_leaving"
+		}
+	case l.missing[group] == 0:
+		l.missing[group] = now
+	case now.Sub(l.missing[group]) > missingAfter && now.Sub(l.storeSeen) < storeLostAfter:
+		return "primary_gone"
+	}
+	return ""
+}
+
+// primaryFailed weighs the VMs' reports of the primary.
+func (l *Lead) primaryFailed(row *lease.Row, now mono.Time) bool {
+	failing, reaching := 0, 0
+	for _, r := range l.reports[row.Group] {
+		switch {
+		case r.target != row.Primary || now.Sub(r.at) > reportAge:
+		case r.failing >= failedAfter:
+			failing++
+		case r.reached:
+			reaching++
+		}
+	}
+	return failing > 0 && float64(failing) >= failedShare*float64(failing+reaching)
+}
--- /dev/null
+++ b/internal/lead/lead.go
@@ -0,0 +1,302 @@
+// Package lead carries out what pkg/lease decides: it renews this VM's rights,
+// coordinates groups, takes over from coordinators that fail, and replaces
+// primaries.
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// Table is the system's own table in the metadata store.
+const Table = "buckthornshore"
+
+// Keys in the table.
+const (
+	vmPrefix    = "vm/"
+	groupPrefix = "group/"
+)
+
+const (
+	tickPeriod = 50 * time.Millisecond
+	// renewPeriod leaves room for two lost renewals within a right.
+	renewPeriod = 400 * time.Millisecond
+	// readAhead: a right that ends sooner and was not renewed is kept up by
+	// readings of the store.
+	readAhead = 700 * time.Millisecond
+	// readPeriod between two such readings.
+	readPeriod = 400 * time.Millisecond
+)
+
+// ErrNotPromotable is a platform's refusal to promote: the target does not run.
+var ErrNotPromotable = errors.New("lead: the target can't be promoted")
+
+// Promotions orders the platform to promote.
+type Promotions interface {
+	Promote(ctx context.Context, group topology.GroupID, id topology.TargetID, holder topology.VMID, fence uint64) error
+}
+
+// Control commands targets over connections of its own.
+type Control interface {
+	Status(ctx context.Context, t topology.Target) (target.Status, error)
+	StopReceiving(ctx context.Context, t topology.Target, term uint64) (target.Status, error)
+	Resume(ctx context.Context, t topology.Target) (target.Status, error)
+	StepDown(ctx context.Context, t topology.Target, term uint64) (target.Status, error)
+}
+
+// Health tells how this VM finds a target.
+type Health interface {
+	Load(id topology.TargetID) (target.Load, bool)
+}
+
+// Options of New.
+type Options struct {
+	Directory  *directory.Directory
+	Store      metastore.Store
+	Control    Control
+	Promotions Promotions
+	Health     Health
+	Transport  *Transport
+	Clock      mono.Clock
+	Log        *slog.Logger
+	// CanHand tells whether a statement of a transaction runs; used by tests.
+}
+
+// Lead keeps this VM's rights and its part in choosing primaries. Safe for
+// concurrent use.
+type Lead struct {
+	Options
+	self topology.VM
+
+	mu          sync.Mutex
+	holder      *lease.Holder
+	coordinator *lease.Coordinator
+	versions    map[topology.GroupID]uint64 // of the rows in the store
+	reports     map[topology.GroupID]map[topology.VMID]report
+	renewals    map[topology.VMID]*exchange
+	silences    map[topology.GroupID]*silence
+	working     map[topology.GroupID]bool // a change of this VM is under way
+	missing     map[topology.GroupID]mono.Time
+	firstSeen   map[topology.GroupID]mono.Time
+	heard       map[topology.VMID]mono.Time // when each VM's last message came
+	storeSeen   mono.Time
+	reading     bool
+	lastRead    mono.Time
+	leaving     bool
+	registered  bool
+	changed     chan struct{}
+}
+
+// exchange is the renewals to one coordinator.
+type exchange struct {
+	sequence uint64
+	sent     mono.Time
+	// sentAt holds the instants of the last renewals by sequence.
+	sentAt map[uint64]mono.Time
+}
+
+// New makes a Lead that holds no right. The VM must have been registered in the store.
+func New(o Options) *Lead {
+	self := o.Directory.Self()
+	return &Lead{
+		Options:     o,
+		self:        self,
+		holder:      lease.NewHolder(),
+		coordinator: lease.NewCoordinator(self.ID, self.Incarnation),
+		versions:    map[topology.GroupID]uint64{},
+		reports:     map[topology.GroupID]map[topology.VMID]report{},
+		renewals:    map[topology.VMID]*exchange{},
+		silences:    map[topology.GroupID]*silence{},
+		working:     map[topology.GroupID]bool{},
+		missing:     map[topology.GroupID]mono.Time{},
+		firstSeen:   map[topology.GroupID]mono.Time{},
+		heard:       map[topology.VMID]mono.Time{},
+		changed:     make(chan struct{}),
+	}
+}
+
+// Run works until ctx ends.
+func (l *Lead) Run(ctx context.Context) {
+	watcher := &directory.Watcher{
+		Store: l.Store, Table: Table, Clock: l.Clock, Log: l.Log,
+		All: l.takeAll, Change: l.takeChange, Seen: l.storeAnswered,
+	}
+	go watcher.Run(ctx)
+	go l.Transport.Serve(ctx, l.handle)
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		l.tick(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// Leave gives up this VM's part as a coordinator: it answers no renewal's judgement
+// any more, and the others take over.
+func (l *Lead) Leave(ctx context.Context) {
+	l.mu.Lock()
+	l.leaving = true
+	groups := l.coordinator.Groups()
+	l.mu.Unlock()
+	for _, g := range groups {
+		l.handOver(ctx, g)
+	}
+}
+
+// Right returns the right that this VM has for the group's primary now.
+func (l *Lead) Right(group topology.GroupID) (lease.Right, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.Right(group, l.Clock.Now())
+}
+
+// Confirm reports whether the right still stands.
+func (l *Lead) Confirm(r lease.Right) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.Confirm(r, l.Clock.Now())
+}
+
+// Row returns the newest row known of a group, or nil.
+func (l *Lead) Row(group topology.GroupID) *lease.Row {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.Row(group)
+}
+
+// Await returns the right for the group's primary, waiting for it until ctx ends.
+func (l *Lead) Await(ctx context.Context, group topology.GroupID) (lease.Right, bool) {
+	for {
+		l.mu.Lock()
+		r, ok := l.holder.Right(group, l.Clock.Now())
+		changed := l.changed
+		l.mu.Unlock()
+		if ok {
+			return r, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return lease.Right{}, false
+		}
+	}
+}
+
+// tell wakes those that wait for a right.
+func (l *Lead) tell() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// storeAnswered notes that the store answered a call sent at began.
+func (l *Lead) storeAnswered(began mono.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.storeSeen = max(l.storeSeen, began)
+	for _, g := range l.coordinator.Groups() {
+		// The watch has shown every change up to its answer, so what is known of
+		// the row was still so when the call was sent.
+		l.coordinator.Observe(l.coordinator.Row(g), began, l.Clock.Now())
+	}
+}
+
+// takeAll takes a whole listing over.
+func (l *Lead) takeAll(rows []metastore.Row, began mono.Time) {
+	var vms []topology.VM
+	listed := false
+	for _, r := range rows {
+		if !strings.HasPrefix(r.Key, vmPrefix) {
+			continue
+		}
+		var vm topology.VM
+		if err := json.Unmarshal(r.Value, &vm); err != nil {
+			l.Log.Error("event=row_malformed", "key", r.Key, "error", err)
+			continue
+		}
+		vms = append(vms, vm)
+		listed = listed || vm.ID == l.self.ID && vm.Incarnation == l.self.Incarnation
+	}
+	l.Directory.SetVMs(vms)
+	for _, r := range rows {
+		if strings.HasPrefix(r.Key, groupPrefix) {
+			l.takeRow(r, began, listed)
+		}
+	}
+}
+
+// takeChange takes one changed row over.
+func (l *Lead) takeChange(r metastore.Row, began mono.Time) {
+	if id, ok := strings.CutPrefix(r.Key, vmPrefix); ok {
+		l.takeVM(topology.VMID(id), r)
+		return
+	}
+	if strings.HasPrefix(r.Key, groupPrefix) && !r.Deleted {
+		l.takeRow(r, began, false)
+	}
+}
+
+func (l *Lead) takeVM(id topology.VMID, r metastore.Row) {
+	if r.Deleted {
+		l.Directory.RemoveVM(id)
+		return
+	}
+	var vm topology.VM
+	if err := json.Unmarshal(r.Value, &vm); err != nil {
+		l.Log.Error("event=row_malformed", "key", r.Key, "error", err)
+		return
+	}
+	l.Directory.SetVM(vm)
+}
+
+// takeRow takes a group's row over. A listing that has this VM's registration also
+// is a source of the right: without the registration the coordinator would not wait
+// for this VM before a promotion.
+func (l *Lead) takeRow(r metastore.Row, began mono.Time, reading bool) {
+	var row lease.Row
+	if err := json.Unmarshal(r.Value, &row); err != nil {
+		l.Log.Error("event=row_malformed", "key", r.Key, "error", err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Version > l.versions[row.Group] {
+		l.versions[row.Group] = r.Version
+	}
+	l.adopt(&row, "store")
+	if reading {
+		l.holder.Read(row.Group, row.Version, began)
+		l.tell()
+	}
+	l.coordinator.Observe(&row, began, l.Clock.Now())
+}
+
+// adopt takes a newer row over, whoever told it.
+func (l *Lead) adopt(row *lease.Row, from string) {
+	if !l.holder.Adopt(row) {
+		return
+	}
+	l.Log.Info("event=row_adopted", "group", row.Group, "version", row.Version, "term", row.Term, "primary", row.Primary,
+		"coordinator", row.Coordinator, "incarnation", row.Incarnation, "open", row.Open(), "from", from)
+	delete(l.silences, row.Group)
+	if x := l.renewals[row.Coordinator]; x != nil {
+		x.sent = 0 // Ask the coordinator at once.
+	}
+	l.tell()
+}
--- /dev/null
+++ b/internal/lead/message.go
@@ -0,0 +1,59 @@
+package lead
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+type messageKind uint8
+
+const (
+	// renewal asks a coordinator for its promise.
+	renewal messageKind = iota + 1
+	// promise answers a renewal.
+	promise
+	// notice tells a changed row.
+	notice
+	// question asks whether a VM hears a group's coordinator.
+	question
+	// opinion answers a question.
+	opinion
+)
+
+// message is one datagram between two VMs. All are idempotent, and a lost one is
+// made up for by the next.
+type message struct {
+	Kind        messageKind          `msgpack:"k"`
+	From        topology.VMID        `msgpack:"f"`
+	Incarnation topology.Incarnation `msgpack:"i"`
+	// Sequence of the renewal; its promise has the same.
+	Sequence uint64 `msgpack:"s"`
+	Groups   []part `msgpack:"g"`
+}
+
+// part is what a message says of one group.
+type part struct {
+	Group topology.GroupID `msgpack:"g"`
+	// Version that the sender has adopted.
+	Version uint64 `msgpack:"v"`
+	// Promised: the coordinator promises, or an opinion's sender has a promise.
+	Promised bool `msgpack:"p,omitempty"`
+	// Row is sent to a VM that knows an older one.
+	Row *lease.Row `msgpack:"r,omitempty"`
+	// Target, Reached and FailingMS report how the sender finds the primary.
+	Target    topology.TargetID `msgpack:"t,omitempty"`
+	Reached   bool              `msgpack:"o,omitempty"`
+	FailingMS int64             `msgpack:"x,omitempty"`
+	// StoreLost: the coordinator does not reach the store and can't replace the
+	// primary; another VM had better take its place.
+	StoreLost bool `msgpack:"l,omitempty"`
+}
+
+func encode(m *message) ([]byte, error) { return msgpack.Marshal(m) }
+
+func decode(raw []byte) (*message, error) {
+	m := &message{}
+	return m, msgpack.Unmarshal(raw, m)
+}
--- /dev/null
+++ b/internal/lead/renew.go
@@ -0,0 +1,250 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// renewalsKept is how many renewals may be on their way.
+const renewalsKept = 8
+
+// report is how one VM finds a group's primary.
+type report struct {
+	at      mono.Time
+	target  topology.TargetID
+	reached bool
+	failing time.Duration
+}
+
+func (l *Lead) tick(ctx context.Context) {
+	l.mu.Lock()
+	now := l.Clock.Now()
+	l.renew(now)
+	read := l.needsReading(now)
+	l.mu.Unlock()
+	if read {
+		go l.read(ctx)
+	}
+	l.firstRows(ctx, now)
+	l.takeOvers(ctx, now)
+	l.judge(ctx, now)
+	l.prune(ctx, now)
+}
+
+// renew asks the coordinators for their promises, one message a coordinator.
+func (l *Lead) renew(now mono.Time) {
+	parts := map[topology.VMID][]part{}
+	for _, group := range l.groups() {
+		row := l.holder.Row(group)
+		if row == nil {
+			continue
+		}
+		x := l.renewals[row.Coordinator]
+		if x == nil {
+			x = &exchange{sentAt: map[uint64]mono.Time{}}
+			l.renewals[row.Coordinator] = x
+		}
+		if now.Sub(x.sent) >= renewPeriod || x.sent == 0 {
+			parts[row.Coordinator] = append(parts[row.Coordinator], l.partOf(group, row))
+		}
+	}
+	for vm, p := range parts {
+		x := l.renewals[vm]
+		x.sent = now
+		x.sequence++
+		x.sentAt[x.sequence] = now
+		delete(x.sentAt, x.sequence-renewalsKept)
+		m := &message{Kind: renewal, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: x.sequence, Groups: p}
+		l.sendTo(vm, m)
+	}
+}
+
+// groups lists the groups that the configuration names and have a known row or target.
+func (l *Lead) groups() []topology.GroupID {
+	seen := map[topology.GroupID]bool{}
+	var ids []topology.GroupID
+	for _, t := range l.Directory.Targets() {
+		if !seen[t.Group] {
+			seen[t.Group] = true
+			ids = append(ids, t.Group)
+		}
+	}
+	return ids
+}
+
+func (l *Lead) partOf(group topology.GroupID, row *lease.Row) part {
+	p := part{Group: group, Version: row.Version, Target: row.Primary}
+	load, ok := l.Health.Load(row.Primary)
+	if !ok {
+		return p
+	}
+	p.FailingMS = load.FailingFor.Milliseconds()
+	p.Reached = load.LastAnswer != 0 && l.Clock.Now().Sub(load.LastAnswer) < reportAge
+	return p
+}
+
+// sendTo sends a message to a VM; one to this VM itself is handled at once.
+func (l *Lead) sendTo(id topology.VMID, m *message) {
+	if id == l.self.ID {
+		go l.handle(l.self.PeerAddress, m)
+		return
+	}
+	vm, ok := l.Directory.VM(id)
+	if !ok {
+		return
+	}
+	l.Transport.Send(vm.PeerAddress, m)
+}
+
+// handle takes a message of another VM.
+func (l *Lead) handle(from string, m *message) {
+	switch m.Kind {
+	case renewal:
+		l.handleRenewal(from, m)
+	case promise:
+		l.handlePromise(m)
+	case notice:
+		l.handleNotice(m)
+	case question:
+		l.handleQuestion(from, m)
+	case opinion:
+		l.handleOpinion(m)
+	}
+}
+
+func (l *Lead) reply(to string, from topology.VMID, m *message) {
+	if from == l.self.ID {
+		l.handle(l.self.PeerAddress, m)
+		return
+	}
+	l.Transport.Send(to, m)
+}
+
+func (l *Lead) handleRenewal(from string, m *message) {
+	answer := &message{Kind: promise, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: m.Sequence}
+	l.mu.Lock()
+	now := l.Clock.Now()
+	l.heard[m.From] = now
+	storeLost := now.Sub(l.storeSeen) > storeLostAfter
+	for _, p := range m.Groups {
+		l.noteReport(m.From, p, now)
+		a := part{Group: p.Group, StoreLost: storeLost}
+		a.Promised = l.coordinator.Promise(p.Group, m.From, m.Incarnation, p.Version, now)
+		if row := l.holder.Row(p.Group); row != nil {
+			a.Version = row.Version
+			if row.Version > p.Version {
+				a.Row = row
+			}
+		}
+		answer.Groups = append(answer.Groups, a)
+	}
+	l.mu.Unlock()
+	l.reply(from, m.From, answer)
+}
+
+func (l *Lead) noteReport(vm topology.VMID, p part, now mono.Time) {
+	if p.Target == "" {
+		return
+	}
+	if l.reports[p.Group] == nil {
+		l.reports[p.Group] = map[topology.VMID]report{}
+	}
+	l.reports[p.Group][vm] = report{
+		at: now, target: p.Target, reached: p.Reached, failing: time.Duration(p.FailingMS) * time.Millisecond,
+	}
+}
+
+func (l *Lead) handlePromise(m *message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	l.heard[m.From] = now
+	x := l.renewals[m.From]
+	if x == nil {
+		return
+	}
+	sent, ok := x.sentAt[m.Sequence]
+	if !ok {
+		return
+	}
+	for _, p := range m.Groups {
+		if p.Row != nil {
+			l.adopt(p.Row, string(m.From))
+			continue
+		}
+		row := l.holder.Row(p.Group)
+		if row == nil || row.Coordinator != m.From || row.Incarnation != m.Incarnation {
+			continue
+		}
+		l.coordinatorHeard(p.Group, p.StoreLost, now)
+		if p.Promised {
+			had := now.Before(l.holder.Until(p.Group))
+			l.holder.Promised(p.Group, p.Version, sent)
+			if !had {
+				l.tell()
+			}
+		}
+	}
+}
+
+// handleNotice adopts the rows and confirms it at once: the coordinator waits for it.
+func (l *Lead) handleNotice(m *message) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard[m.From] = l.Clock.Now()
+	for _, p := range m.Groups {
+		if p.Row == nil {
+			continue
+		}
+		l.adopt(p.Row, string(m.From))
+		if x := l.renewals[p.Row.Coordinator]; x != nil {
+			x.sent = 0
+		}
+	}
+	l.renew(l.Clock.Now())
+}
+
+// notify tells all VMs a row.
+func (l *Lead) notify(row *lease.Row) {
+	m := &message{Kind: notice, From: l.self.ID, Incarnation: l.self.Incarnation, Groups: []part{{Group: row.Group, Version: row.Version, Row: row}}}
+	for _, vm := range l.Directory.VMs() {
+		l.sendTo(vm.ID, m)
+	}
+}
+
+// needsReading reports whether a right is about to end that the coordinator did not
+// renew.
+func (l *Lead) needsReading(now mono.Time) bool {
+	if l.reading || now.Sub(l.lastRead) < readPeriod {
+		return false
+	}
+	for _, group := range l.groups() {
+		row := l.holder.Row(group)
+		if row != nil && row.Open() && l.holder.Until(group).Sub(now) < readAhead {
+			l.reading = true
+			l.lastRead = now
+			return true
+		}
+	}
+	return false
+}
+
+// read reads the rows, which is a source of the right by itself.
+func (l *Lead) read(ctx context.Context) {
+	began := l.Clock.Now()
+	rows, err := l.Store.List(ctx, Table)
+	if err == nil {
+		l.takeAll(rows.Rows, began)
+		l.storeAnswered(began)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.reading = false
+	if err != nil {
+		l.Log.Warn("event=right_not_read", "error", err, "took", l.Clock.Now().Sub(began))
+	}
+}
--- /dev/null
+++ b/internal/lead/replace.go
@@ -0,0 +1,328 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const (
+	// rightsPoll and renotify are how often it is looked whether all rights ended,
+	// and how often the VMs are told again that they are to.
+	rightsPoll = 5 * time.Millisecond
+	renotify   = 60 * time.Millisecond
+	// catchUpTime is how long a candidate may take to receive what the primary,
+	// having stepped down, holds.
+	catchUpTime = time.Second
+	catchUpPoll = 15 * time.Millisecond
+	// promotedPoll is how often a candidate is asked whether it leads by now: a
+	// promotion takes some hundred milliseconds.
+	promotedPoll = 60 * time.Millisecond
+	// promoteAgain is when an unanswered or ineffective promotion is ordered again.
+	promoteAgain = 1500 * time.Millisecond
+	// promotePatience is how long a candidate that does not answer is waited for
+	// before another one is chosen: its promotion may still take effect.
+	promotePatience = 4 * time.Second
+)
+
+// errNoCandidate: no replica can be reached, so closing the row would only stop
+// those that may still reach the primary.
+var errNoCandidate = errors.New("lead: no replica can be reached")
+
+// replacement is the change of one group's primary.
+type replacement struct {
+	*Lead
+	group topology.GroupID
+	row   *lease.Row
+	began time.Time
+}
+
+// replace moves a group to another primary: close the row, wait until all rights
+// have ended, choose the candidate, promote it, open the row.
+func (l *Lead) replace(ctx context.Context, group topology.GroupID, reason string) {
+	r := &replacement{Lead: l, group: group, began: time.Now()}
+	err := r.run(ctx, reason)
+	l.Log.Info("event=primary_replacement", "group", group, "reason", reason, "error", err, "took", time.Since(r.began))
+}
+
+func (r *replacement) run(ctx context.Context, reason string) error {
+	r.row = r.owned()
+	if r.row == nil {
+		return errOvertaken
+	}
+	if r.row.Open() {
+		if err := r.close(ctx, reason); err != nil {
+			return err
+		}
+	}
+	if r.row.Handover.Candidate == "" {
+		if err := r.awaitRightsEnded(ctx); err != nil {
+			return err
+		}
+		if err := r.choose(ctx); err != nil {
+			return err
+		}
+	}
+	term, err := r.promote(ctx)
+	if err != nil {
+		return err
+	}
+	return r.change(ctx, r.row.Opened(term))
+}
+
+// owned returns the row if this VM coordinates the group.
+func (r *replacement) owned() *lease.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.coordinator.Row(r.group)
+}
+
+// change commits the row's next version.
+func (r *replacement) change(ctx context.Context, next *lease.Row) error {
+	if err := r.commit(ctx, next); err != nil {
+		return err
+	}
+	r.row = next
+	return nil
+}
+
+// close stops promises and commits the closed row. The promises stop before the
+// write is sent: its answer may be lost although it took effect.
+func (r *replacement) close(ctx context.Context, reason string) error {
+	if len(r.statuses(ctx, true)) == 0 {
+		return errNoCandidate
+	}
+	r.mu.Lock()
+	r.coordinator.Withdraw(r.group)
+	r.mu.Unlock()
+	err := r.change(ctx, r.row.Closed(reason))
+	if errors.Is(err, errOvertaken) {
+		r.mu.Lock()
+		r.coordinator.Restore(r.group) // The row was read again, and is another one.
+		r.mu.Unlock()
+	}
+	return err
+}
+
+// awaitRightsEnded waits until no VM can acknowledge for the old primary.
+func (r *replacement) awaitRightsEnded(ctx context.Context) error {
+	registered, err := r.registered(ctx)
+	told := r.Clock.Now()
+	for {
+		if r.owned() == nil {
+			return errOvertaken
+		}
+		r.mu.Lock()
+		ended := r.coordinator.RightsEnded(r.group, registered, r.Clock.Now())
+		r.mu.Unlock()
+		if ended {
+			r.Log.Info("event=rights_ended", "group", r.group, "registered", len(registered), "took", time.Since(r.began))
+			return nil
+		}
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if now := r.Clock.Now(); now.Sub(told) >= renotify {
+			told = now
+			r.notify(r.row)
+			if err != nil {
+				registered, err = r.registered(ctx)
+			}
+		}
+		pauseFor(ctx, rightsPoll)
+	}
+}
+
+// unlisted stands for VMs that a failed listing did not tell of: it never confirms,
+// so rights are waited out.
+var unlisted = topology.VM{ID: "", Incarnation: 1}
+
+// registered lists the VMs that may hold a right, after the row was closed.
+func (r *replacement) registered(ctx context.Context) ([]topology.VM, error) {
+	rows, err := r.Store.List(ctx, Table)
+	if err != nil {
+		r.Log.Warn("event=registrations_not_read", "group", r.group, "error", err)
+		return []topology.VM{unlisted}, err
+	}
+	var vms []topology.VM
+	for _, row := range rows.Rows {
+		if !strings.HasPrefix(row.Key, vmPrefix) {
+			continue
+		}
+		var vm topology.VM
+		if err := json.Unmarshal(row.Value, &vm); err != nil {
+			r.Log.Error("event=row_malformed", "key", row.Key, "error", err)
+			vm = unlisted
+		}
+		vms = append(vms, vm)
+	}
+	return vms, nil
+}
+
+// found is a target that answered.
+type found struct {
+	target topology.Target
+	status target.Status
+}
+
+// statuses asks the group's targets in parallel, the old primary only if wanted not.
+func (r *replacement) statuses(ctx context.Context, replicasOnly bool) []found {
+	var mu sync.Mutex
+	var all []found
+	var wg sync.WaitGroup
+	for _, t := range r.Directory.TargetsOf(r.group) {
+		if replicasOnly && t.ID == r.row.Primary || t.Leaving {
+			continue
+		}
+		wg.Go(func() {
+			s, err := r.status(ctx, t.Target)
+			if err != nil {
+				r.Log.Info("event=status_failed", "target", t.ID, "error", err)
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all = append(all, found{target: t.Target, status: s})
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+// choose picks the replica that received most, keeps it from receiving more, and
+// records it with what it holds.
+func (r *replacement) choose(ctx context.Context) error {
+	last, stopped := r.stepDown(ctx)
+	best, err := r.best(ctx, last, stopped)
+	if err != nil {
+		return err
+	}
+	ctxStop, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	s, err := r.Control.StopReceiving(ctxStop, best.target, r.row.Term+1)
+	if err != nil {
+		return errors.Wrapf(err, "stop %s from receiving", best.target.ID)
+	}
+	r.Log.Info("event=candidate_chosen", "group", r.group, "candidate", best.target.ID, "holds", s.Received,
+		"primary_held", last, "primary_stepped_down", stopped)
+	return r.change(ctx, r.row.Choosing(best.target.ID, s.Received))
+}
+
+// stepDown asks the old primary to stop writing; then nothing of it needs be lost.
+func (r *replacement) stepDown(ctx context.Context) (position.Position, bool) {
+	t, ok := r.Directory.Target(r.row.Primary)
+	if !ok {
+		return position.Position{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	s, err := r.Control.StepDown(ctx, t.Target, r.row.Term+1)
+	if err != nil {
+		r.Log.Info("event=step_down_failed", "target", t.ID, "error", err)
+		return position.Position{}, false
+	}
+	return s.Received, true
+}
+
+// best returns the replica that holds most. After an orderly step down it is waited
+// for, until one holds all.
+func (r *replacement) best(ctx context.Context, last position.Position, stopped bool) (found, error) {
+	end := time.Now().Add(catchUpTime)
+	for {
+		all := r.statuses(ctx, true)
+		if len(all) < r.needed() {
+			return found{}, errNoCandidate
+		}
+		best := all[0]
+		for _, f := range all[1:] {
+			if best.status.Received.Less(f.status.Received) {
+				best = f
+			}
+		}
+		if !stopped || !best.status.Received.Less(last) || time.Now().After(end) {
+			return best, nil
+		}
+		pauseFor(ctx, catchUpPoll)
+	}
+}
+
+// needed is how many replicas must answer. Where commits wait for replicas, one that
+// has it must be among those that answer, whichever it is.
+func (r *replacement) needed() int {
+	c := r.Directory.Configuration()
+	if c == nil || c.SyncReplicas[r.group] == 0 {
+		return 1
+	}
+	replicas := 0
+	for _, t := range r.Directory.TargetsOf(r.group) {
+		if t.ID != r.row.Primary {
+			replicas++
+		}
+	}
+	return max(1, replicas-c.SyncReplicas[r.group]+1)
+}
+
+// promote orders the promotion and waits for its effect. An unanswered order may
+// take effect late, so the candidate stays the same until it is known to be down.
+func (r *replacement) promote(ctx context.Context) (term uint64, err error) {
+	ordered, seen := time.Time{}, time.Now()
+	for {
+		if r.owned() == nil || ctx.Err() != nil {
+			return 0, errOvertaken
+		}
+		candidate, ok := r.Directory.Target(r.row.Handover.Candidate)
+		if !ok {
+			return 0, r.chooseAgain(ctx, "registration_gone")
+		}
+		if time.Since(ordered) > promoteAgain {
+			ordered = time.Now()
+			err := r.order(ctx, candidate.ID)
+			if errors.Is(err, ErrNotPromotable) {
+				return 0, r.chooseAgain(ctx, "not_promotable")
+			}
+			if err != nil {
+				r.Log.Warn("event=promotion_unanswered", "group", r.group, "candidate", candidate.ID, "error", err)
+			}
+		}
+		s, err := r.status(ctx, candidate.Target)
+		switch {
+		case err == nil && s.Primary && s.Term > r.row.Term:
+			return s.Term, nil
+		case err == nil:
+			seen = time.Now()
+		case time.Since(seen) > promotePatience:
+			return 0, r.chooseAgain(ctx, "silent")
+		}
+		pauseFor(ctx, promotedPoll)
+	}
+}
+
+// order sends the order just after a look at the clock: a VM that was paused before
+// it may have been replaced as the coordinator.
+func (r *replacement) order(ctx context.Context, candidate topology.TargetID) error {
+	r.mu.Lock()
+	fresh := r.Clock.Now().Sub(r.coordinator.Confirmed(r.group)) < lease.CoordinatorLimit
+	r.mu.Unlock()
+	if !fresh {
+		return errOvertaken
+	}
+	return r.Promotions.Promote(ctx, r.group, candidate, r.self.ID, r.row.Fence)
+}
+
+// chooseAgain drops a candidate that is down; the next run chooses another one.
+func (r *replacement) chooseAgain(ctx context.Context, why string) error {
+	failed := r.row.Handover.Candidate
+	if err := r.change(ctx, r.row.Choosing("", position.Position{})); err != nil {
+		return err
+	}
+	return errors.Newf("candidate %s failed: %s", failed, why)
+}
--- /dev/null
+++ b/internal/lead/transport.go
@@ -0,0 +1,75 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/netip"
+
+	"github.com/buckthornshore/buckthornshore/internal/contain"
+)
+
+// maxDatagram is the greatest message: some dozens of groups with their rows.
+const maxDatagram = 60000
+
+// Transport sends datagrams to other VMs. Datagrams and not connections: a connection
+// may go silent for good without an error, and a promise that comes late is worth
+// nothing anyway.
+type Transport struct {
+	conn *net.UDPConn
+	log  *slog.Logger
+}
+
+// Listen opens the socket at the address, ip:port.
+func Listen(address string, log *slog.Logger) (*Transport, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, err
+	}
+	return &Transport{conn: conn, log: log}, nil
+}
+
+// Send sends one message. A failure is logged only: the next renewal makes up for it.
+func (t *Transport) Send(address string, m *message) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		t.log.Warn("event=peer_address_invalid", "address", address, "error", err)
+		return
+	}
+	raw, err := encode(m)
+	if err != nil {
+		t.log.Error("event=message_not_encoded", "error", err)
+		return
+	}
+	if _, err := t.conn.WriteToUDPAddrPort(raw, a); err != nil && !errors.Is(err, net.ErrClosed) {
+		t.log.Debug("event=message_not_sent", "to", address, "error", err)
+	}
+}
+
+// Serve hands each message to handle until the context ends.
+func (t *Transport) Serve(ctx context.Context, handle func(from string, m *message)) {
+	stop := context.AfterFunc(ctx, func() { t.conn.Close() })
+	defer stop()
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, from, err := t.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			t.log.Debug("event=message_not_received", "error", err)
+			continue
+		}
+		m, err := decode(buffer[:n])
+		if err != nil {
+			t.log.Warn("event=message_malformed", "from", from, "error", err)
+			continue
+		}
+		contain.Run(t.log, "peer_message", func() { handle(from.String(), m) })
+	}
+}
--- /dev/null
+++ b/internal/target/driver.go
@@ -0,0 +1,70 @@
+// Package target keeps this VM's connections to the targets and decides which
+// waiting request gets the next free one.
+package target
+
+import (
+	"context"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// CommandKind says what is sent to a target: a caller's own text, or a command of
+// the system.
+type CommandKind int
+
+// The kinds of commands.
+const (
+	// Caller: Text goes to the target unchanged.
+	Caller CommandKind = iota
+	// Execute runs a prepared statement under the name that it has at the target.
+	Execute
+	Begin
+	BeginReadOnly
+	Rollback
+	// Reset clears the connection's values and prepared statements.
+	Reset
+	Set
+	PrepareRead
+	PrepareWrite
+)
+
+// Command is what a connection runs.
+type Command struct {
+	Kind CommandKind
+	// ID is the caller's, or statement.OwnID.
+	ID   string
+	Text string
+	// Name and Value are the parts of Execute, Set and the prepares.
+	Name, Value string
+	// After makes the target refuse unless its log holds the position.
+	After position.Position
+}
+
+// Conn is a connection to a target. One goroutine uses it at a time.
+type Conn interface {
+	// Run sends a command and returns its whole answer. After an error the
+	// connection can't be used, and whether the command ran is not known.
+	Run(deadline time.Time, c Command) (statement.Answer, error)
+	Close()
+}
+
+// Driver opens connections by a target's own protocol. Safe for concurrent use.
+type Driver interface {
+	// Dial connects, and fails unless the target at the address is the one named.
+	Dial(ctx context.Context, t topology.Target) (Conn, error)
+}
+
+// Status is a target's own view of itself.
+type Status struct {
+	Primary bool
+	// Term of its newest log entry.
+	Term uint64
+	// Received is the newest position that it holds.
+	Received position.Position
+	// StoppedAt is the term up to which it does not receive; 0: it receives.
+	StoppedAt uint64
+	Lag       time.Duration
+}
--- /dev/null
+++ b/internal/target/link.go
@@ -0,0 +1,191 @@
+package target
+
+import (
+	"hash/fnv"
+	"strconv"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+)
+
+// maxPreparedPerLink bounds the prepared statements of one connection; beyond it
+// the connection is reset.
+const maxPreparedPerLink = 200
+
+// Link is a connection that one request or transaction holds.
+type Link struct {
+	pool *Pool
+	conn Conn
+	// values and prepared are what the connection has been given.
+	values   map[string]string
+	prepared map[string]bool
+	// open: a transaction is open at the target.
+	open bool
+	// broken: the connection can't be used any more.
+	broken bool
+	// sent is when the command under way was sent; 0: none is.
+	sent mono.Time
+	// freed is when the link was last given back.
+	freed mono.Time
+}
+
+// Run sends a command and notes what its answer tells of the target.
+func (l *Link) Run(deadline time.Time, c Command) (statement.Answer, error) {
+	begun := l.pool.begin(l)
+	a, err := l.conn.Run(deadline, c)
+	l.pool.end(l, begun, err)
+	if err != nil {
+		l.broken = true
+		return a, err
+	}
+	l.open = a.State != statement.Idle
+	return a, nil
+}
+
+// own runs a command of the system, which must succeed.
+func (l *Link) own(deadline time.Time, c Command) error {
+	c.ID = statement.OwnID
+	a, err := l.Run(deadline, c)
+	if err != nil {
+		return err
+	}
+	if a.Failure != nil {
+		return a.Failure
+	}
+	return nil
+}
+
+// Adapt gives the connection the session's values. Connections are shared between
+// sessions: without it a statement would run under another session's values.
+func (l *Link) Adapt(deadline time.Time, values map[string]string) error {
+	for name := range l.values {
+		if _, ok := values[name]; ok {
+			continue
+		}
+		if err := l.reset(deadline); err != nil {
+			return err
+		}
+		break
+	}
+	for name, value := range values {
+		if present, ok := l.values[name]; ok && present == value {
+			continue
+		}
+		if err := l.own(deadline, Command{Kind: Set, Name: name, Value: value}); err != nil {
+			l.broken = true // Which of the values it has is not known.
+			return err
+		}
+		if l.values == nil {
+			l.values = map[string]string{}
+		}
+		l.values[name] = value
+	}
+	return nil
+}
+
+func (l *Link) reset(deadline time.Time) error {
+	if err := l.own(deadline, Command{Kind: Reset}); err != nil {
+		l.broken = true
+		return err
+	}
+	l.values, l.prepared = nil, nil
+	return nil
+}
+
+// Ensure prepares a statement under a name that is the same for all sessions, so
+// that names of two sessions can't collide, and returns that name.
+func (l *Link) Ensure(deadline time.Time, p statement.Prepared) (string, error) {
+	name := sharedName(p)
+	if l.prepared[name] {
+		return name, nil
+	}
+	if len(l.prepared) >= maxPreparedPerLink && !l.open {
+		values := l.values
+		if err := l.reset(deadline); err != nil {
+			return "", err
+		}
+		if err := l.Adapt(deadline, values); err != nil {
+			return "", err
+		}
+	}
+	kind := PrepareRead
+	if p.Writes {
+		kind = PrepareWrite
+	}
+	if err := l.own(deadline, Command{Kind: kind, Name: name, Value: p.Shape}); err != nil {
+		l.broken = true
+		return "", err
+	}
+	if l.prepared == nil {
+		l.prepared = map[string]bool{}
+	}
+	l.prepared[name] = true
+	return name, nil
+}
+
+// sharedName is short, and differs for each shape and kind.
+func sharedName(p statement.Prepared) string {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.Shape)) // A hash never fails.
+	prefix := "r"
+	if p.Writes {
+		prefix = "w"
+	}
+	return prefix + strconv.FormatUint(h.Sum64(), 36)
+}
+
+// Begin opens a transaction; the target refuses unless it holds after.
+func (l *Link) Begin(deadline time.Time, readOnly bool, after position.Position) error {
+	c := Command{Kind: Begin, After: after}
+	if readOnly {
+		c.Kind = BeginReadOnly
+	}
+	return l.own(deadline, c)
+}
+
+// Position asks for the target's newest position, without taking a slot.
+func (l *Link) Position(deadline time.Time) (position.Position, error) {
+	a, err := l.Run(deadline, Command{Kind: Reset, ID: statement.OwnID})
+	if err != nil {
+		return position.Position{}, err
+	}
+	l.values, l.prepared = nil, nil
+	if a.Failure != nil {
+		return position.Position{}, a.Failure
+	}
+	return a.Position, nil
+}
+
+// rollbackTimeout bounds the roll-back of a transaction that its caller left.
+const rollbackTimeout = 500 * time.Millisecond
+
+// Release gives the connection back. A transaction that is still open is rolled
+// back first; a connection on which that fails is closed, which rolls back, too.
+func (l *Link) Release() {
+	if l.open && !l.broken {
+		if err := l.own(time.Now().Add(rollbackTimeout), Command{Kind: Rollback}); err != nil {
+			l.pool.log.Info("event=rollback_failed", "target", l.pool.target.ID, "error", err, "outcome", "connection_closed")
+			l.broken = true
+		}
+		l.broken = l.broken || l.open
+	}
+	l.pool.release(l)
+}
+
+// Broken reports whether the connection can't be used any more.
+func (l *Link) Broken() bool { return l.broken }
+
+// Open reports whether a transaction is open at the target.
+func (l *Link) Open() bool { return l.open }
+
+// refusalOf turns a failed dial into a result.
+func refusalOf(err error, target string) *result.Error {
+	e := result.From(err)
+	if e.Code == result.Internal {
+		return result.New(result.TargetUnreachable, "%s: %v", target, err)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/target/pool.go
@@ -0,0 +1,340 @@
+package target
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const (
+	// dialTimeout of a new connection. It takes 12 ms in a slot, and waits for one
+	// behind up to sixteen requests of 9 ms.
+	dialTimeout = 400 * time.Millisecond
+	// fullPause is how long no connection is tried after the target had none
+	// left: about the time that a transaction holds one.
+	fullPause = 150 * time.Millisecond
+	// dialPause is how long no connection is tried after one failed.
+	dialPause = 100 * time.Millisecond
+	// surplusIdle is how long a connection beyond the share stays unused.
+	surplusIdle = time.Second
+	// silentAfter is how long the target may leave all commands unanswered before
+	// a new connection is tried: thirty times the usual answer.
+	silentAfter = 300 * time.Millisecond
+	// extraLinks is how many connections beyond its share a VM may open while
+	// transactions that rest between two statements hold the others.
+	extraLinks = 3
+)
+
+// given is what a waiter gets: a link or the reason why not.
+type given struct {
+	link *Link
+	err  *result.Error
+}
+
+// Pool holds this VM's connections to one target. Safe for concurrent use.
+type Pool struct {
+	target topology.Target
+	driver Driver
+	clock  mono.Clock
+	log    *slog.Logger
+
+	mu      sync.Mutex
+	share   int // how many connections this VM may hold open as a rule
+	links   map[*Link]bool
+	idle    []*Link
+	dialing int
+	waiting waitlist
+	// noDialUntil keeps from connecting again at once.
+	noDialUntil mono.Time
+	health      health
+	closed      bool
+}
+
+// NewPool makes an empty pool.
+func NewPool(t topology.Target, share int, d Driver, clock mono.Clock, log *slog.Logger) *Pool {
+	return &Pool{target: t, share: share, driver: d, clock: clock, log: log, links: map[*Link]bool{}}
+}
+
+// Target returns the pool's target.
+func (p *Pool) Target() topology.Target { return p.target }
+
+// SetShare changes how many connections this VM may hold.
+func (p *Pool) SetShare(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = n
+}
+
+// Acquire waits for a connection until the deadline. values are those of the
+// session: a connection that has them already is preferred.
+func (p *Pool) Acquire(ctx context.Context, priority int, deadline mono.Time, values map[string]string) (*Link, *result.Error) {
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		return nil, result.New(result.TargetUnreachable, "%s is gone", p.target.ID)
+	}
+	if l := p.takeIdle(values); l != nil {
+		p.mu.Unlock()
+		return l, nil
+	}
+	w := p.waiting.add(priority, deadline)
+	p.grow()
+	p.mu.Unlock()
+	return p.await(ctx, w, deadline)
+}
+
+func (p *Pool) await(ctx context.Context, w *waiter, deadline mono.Time) (*Link, *result.Error) {
+	timer := time.NewTimer(deadline.Sub(p.clock.Now()))
+	defer timer.Stop()
+	select {
+	case g := <-w.result:
+		return g.link, g.err
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	removed := p.waiting.remove(w)
+	p.mu.Unlock()
+	if removed {
+		return nil, result.New(result.DeadlineInQueue, "no connection to %s in time", p.target.ID)
+	}
+	g := <-w.result // It was given one in this moment.
+	return g.link, g.err
+}
+
+// takeIdle returns an unused link, best one with the session's values already.
+func (p *Pool) takeIdle(values map[string]string) *Link {
+	if len(p.idle) == 0 {
+		return nil
+	}
+	best := len(p.idle) - 1 // The last one used: others may fall idle and be closed.
+	for i, l := range p.idle {
+		if sameValues(l.values, values) {
+			best = i
+		}
+	}
+	l := p.idle[best]
+	p.idle = append(p.idle[:best], p.idle[best+1:]...)
+	return l
+}
+
+func sameValues(a, b map[string]string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for name, value := range a {
+		if other, ok := b[name]; !ok || other != value {
+			return false
+		}
+	}
+	return true
+}
+
+// grow opens connections for those that wait, within this VM's bounds.
+func (p *Pool) grow() {
+	now := p.clock.Now()
+	for len(p.waiting.items) > p.dialing && len(p.links)+p.dialing < p.bound() && !now.Before(p.noDialUntil) && !p.closed {
+		p.dialing++
+		go p.dial()
+	}
+}
+
+// bound is the share, and more while open transactions hold connections that run
+// nothing: the slots would stand idle although requests wait.
+func (p *Pool) bound() int {
+	resting := 0
+	for l := range p.links {
+		if l.open && l.sent == 0 {
+			resting++
+		}
+	}
+	return p.share + min(resting, extraLinks)
+}
+
+func (p *Pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	conn, err := p.driver.Dial(ctx, p.target)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	now := p.clock.Now()
+	if err != nil {
+		p.dialFailed(now, err)
+		return
+	}
+	p.health.succeeded(now)
+	if p.closed {
+		conn.Close()
+		return
+	}
+	l := &Link{pool: p, conn: conn, freed: now}
+	p.links[l] = true
+	p.hand(l)
+}
+
+// dialFailed answers those that no connection is left for.
+func (p *Pool) dialFailed(now mono.Time, err error) {
+	e := refusalOf(err, string(p.target.ID))
+	pause := dialPause
+	if e.Code == result.ConnectionsInUse {
+		pause = fullPause
+	} else {
+		p.health.failed(now)
+		p.log.Info("event=dial_failed", "target", p.target.ID, "address", p.target.Address, "links", len(p.links),
+			"waiting", p.waiting.Len(), "failing_for", p.health.failingFor(now), "error", err)
+	}
+	p.noDialUntil = now.Add(pause)
+	if len(p.links) > 0 || p.dialing > 0 {
+		return
+	}
+	for w := p.waiting.next(); w != nil; w = p.waiting.next() {
+		w.result <- given{err: e}
+	}
+}
+
+// hand gives a free link to the first that waits, or keeps it.
+func (p *Pool) hand(l *Link) {
+	if w := p.waiting.next(); w != nil {
+		w.result <- given{link: l}
+		return
+	}
+	l.freed = p.clock.Now()
+	p.idle = append(p.idle, l)
+}
+
+func (p *Pool) release(l *Link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.broken || p.closed {
+		p.drop(l)
+		p.grow()
+		return
+	}
+	p.hand(l)
+}
+
+func (p *Pool) drop(l *Link) {
+	delete(p.links, l)
+	l.conn.Close()
+}
+
+func (p *Pool) begin(l *Link) mono.Time {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.sent = now
+	return now
+}
+
+func (p *Pool) end(l *Link, begun mono.Time, err error) {
+	now := p.clock.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.sent = 0
+	if err != nil {
+		p.health.failed(now)
+		p.log.Info("event=target_connection_lost", "target", p.target.ID, "sent_before", now.Sub(begun), "error", err)
+		p.probe()
+		return
+	}
+	p.health.answered(now, now.Sub(begun))
+	if l.open && p.waiting.Len() > 0 {
+		p.grow()
+	}
+}
+
+// probe finds out by a new connection whether the target lives.
+func (p *Pool) probe() {
+	if p.dialing == 0 && !p.closed {
+		p.dialing++
+		go p.dial()
+	}
+}
+
+// Tick finds targets that have gone silent, closes surplus connections and connects
+// for those that still wait.
+func (p *Pool) Tick() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	for l := range p.links {
+		if l.sent != 0 && now.Sub(l.sent) > silentAfter && p.health.lastAnswer < l.sent {
+			p.health.silent(now)
+			p.probe()
+			break
+		}
+	}
+	if p.health.failing() && !now.Before(p.noDialUntil) {
+		p.probe()
+	}
+	p.closeSurplus(now)
+	p.grow()
+}
+
+func (p *Pool) closeSurplus(now mono.Time) {
+	for len(p.links) > p.share && len(p.idle) > 0 && now.Sub(p.idle[0].freed) > surplusIdle {
+		p.drop(p.idle[0])
+		p.idle = p.idle[1:]
+	}
+}
+
+// Warm opens a first connection ahead of need: a target that becomes the primary
+// would otherwise make its first requests wait for one.
+func (p *Pool) Warm() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.links) == 0 && !p.clock.Now().Before(p.noDialUntil) {
+		p.probe()
+	}
+}
+
+// Close ends the pool: idle connections at once, those in use when they are freed.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for _, l := range p.idle {
+		p.drop(l)
+	}
+	p.idle = nil
+	for w := p.waiting.next(); w != nil; w = p.waiting.next() {
+		w.result <- given{err: result.New(result.TargetUnreachable, "%s is gone", p.target.ID)}
+	}
+}
+
+// Load is what is known of the target's load and health at this VM.
+type Load struct {
+	// InFlight counts the requests under way and waiting.
+	InFlight int
+	// Latency is the average time of an answer.
+	Latency time.Duration
+	// FailingFor is how long the target has not answered; 0: it answers.
+	FailingFor time.Duration
+	// LastAnswer is when it last answered; 0: never.
+	LastAnswer mono.Time
+}
+
+// Load returns the pool's present figures.
+func (p *Pool) Load() Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	busy := 0
+	for l := range p.links {
+		if l.sent != 0 {
+			busy++
+		}
+	}
+	return Load{
+		InFlight:   busy + p.waiting.Len(),
+		Latency:    p.health.latency,
+		FailingFor: p.health.failingFor(now),
+		LastAnswer: p.health.lastAnswer,
+	}
+}
--- /dev/null
+++ b/internal/target/pools.go
@@ -0,0 +1,127 @@
+package target
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const (
+	tickPeriod = 50 * time.Millisecond
+	// reserve is how many connections of a target are left for commands to it and
+	// for VMs that start.
+	reserve = 2
+	// warmEvery is how many ticks pass between looks for targets without any
+	// connection.
+	warmEvery = 20
+)
+
+// Pools holds the pools of all targets. Safe for concurrent use.
+type Pools struct {
+	directory *directory.Directory
+	driver    Driver
+	clock     mono.Clock
+	log       *slog.Logger
+
+	mu    sync.Mutex
+	pools map[topology.TargetID]*Pool
+}
+
+// NewPools makes pools for the directory's targets.
+func NewPools(d *directory.Directory, driver Driver, clock mono.Clock, log *slog.Logger) *Pools {
+	return &Pools{directory: d, driver: driver, clock: clock, log: log, pools: map[topology.TargetID]*Pool{}}
+}
+
+// Get returns a target's pool.
+func (p *Pools) Get(id topology.TargetID) (*Pool, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pool, ok := p.pools[id]
+	return pool, ok
+}
+
+// Load returns how this VM finds a target; false if it has no pool.
+func (p *Pools) Load(id topology.TargetID) (Load, bool) {
+	pool, ok := p.Get(id)
+	if !ok {
+		return Load{}, false
+	}
+	return pool.Load(), true
+}
+
+// Run keeps the pools in line with the directory until ctx ends.
+func (p *Pools) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for n := 0; ; n++ {
+		p.sync()
+		for _, pool := range p.all() {
+			pool.Tick()
+			if n%warmEvery == 0 {
+				pool.Warm()
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (p *Pools) all() []*Pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	all := make([]*Pool, 0, len(p.pools))
+	for _, pool := range p.pools {
+		all = append(all, pool)
+	}
+	return all
+}
+
+// sync opens pools of new targets, and closes those of targets that have gone or
+// are at another address.
+func (p *Pools) sync() {
+	config := p.directory.Configuration()
+	if config == nil {
+		return
+	}
+	vms := len(p.directory.VMs())
+	present := map[topology.TargetID]bool{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, t := range p.directory.Targets() {
+		present[t.ID] = true
+		share := Share(config.Connections[t.Group], vms)
+		pool := p.pools[t.ID]
+		if pool != nil && pool.target.Address != t.Address {
+			pool.Close()
+			pool = nil
+		}
+		if pool == nil {
+			p.pools[t.ID] = NewPool(t.Target, share, p.driver, p.clock, p.log)
+			continue
+		}
+		pool.SetShare(share)
+	}
+	for id, pool := range p.pools {
+		if !present[id] {
+			pool.Close()
+			delete(p.pools, id)
+			p.log.Info("event=target_gone", "target", id)
+		}
+	}
+}
+
+// Share is how many of a target's connections one of the VMs may hold as a rule.
+func Share(connections, vms int) int {
+	if vms == 0 {
+		return 1
+	}
+	return max(1, (connections-reserve)/vms)
+}
--- /dev/null
+++ b/pkg/lease/lease_test.go
@@ -0,0 +1,144 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const second = mono.Time(time.Second)
+
+func firstRow() *lease.Row {
+	return &lease.Row{Group: "g", Version: 1, Term: 3, Primary: "a", Coordinator: "vm-1", Incarnation: 1, Fence: 1}
+}
+
+func vms(ids ...topology.VMID) []topology.VM {
+	var all []topology.VM
+	for _, id := range ids {
+		all = append(all, topology.VM{ID: id, Incarnation: 1})
+	}
+	return all
+}
+
+func mustEnd(t *testing.T, c *lease.Coordinator, registered []topology.VM, now mono.Time, want bool) {
+	t.Helper()
+	if got := c.RightsEnded("g", registered, now); got != want {
+		t.Fatalf("at %v rights ended: %v, want %v", time.Duration(now), got, want)
+	}
+}
+
+// A VM freezes after its statement was sent. When it wakes, the primary's answer
+// is there, but another primary may have been promoted meanwhile: the caller must
+// not be told that its write stands.
+func TestConfirmAfterAPause(t *testing.T) {
+	h := lease.NewHolder()
+	h.Adopt(firstRow())
+	h.Promised("g", 1, 10*second)
+	right, ok := h.Right("g", 10*second)
+	if !ok || !h.Confirm(right, 11*second) {
+		t.Fatal("no right after a promise")
+	}
+	if h.Confirm(right, 12*second) {
+		t.Fatal("the right outlived its promise")
+	}
+}
+
+// The store is out: the coordinator's promises alone keep the right. Then the
+// coordinator is cut off: readings of the row alone keep it.
+func TestEitherSourceSuffices(t *testing.T) {
+	h := lease.NewHolder()
+	h.Adopt(firstRow())
+	h.Read("g", 1, 10*second)
+	if _, ok := h.Right("g", 11*second); !ok {
+		t.Fatal("a reading gives no right")
+	}
+	h.Promised("g", 1, 12*second)
+	if _, ok := h.Right("g", 13*second); !ok {
+		t.Fatal("a promise gives no right")
+	}
+	h.Read("g", 0, 20*second)
+	if _, ok := h.Right("g", 20*second); ok {
+		t.Fatal("a reading of an older row gave a right")
+	}
+}
+
+// The primary fails while one VM can't be reached. Its rights lapse by time, those
+// of the others end as they adopt the closed row; then alone a promotion is safe.
+func TestPromotionWaitsForEveryVM(t *testing.T) {
+	c := lease.NewCoordinator("vm-1", 1)
+	row := firstRow()
+	c.Observe(row, 10*second, 10*second)
+	if !c.Promise("g", "vm-2", 1, 1, 11*second) || !c.Promise("g", "vm-3", 1, 1, 11*second) {
+		t.Fatal("no promise under an open row")
+	}
+	c.Withdraw("g")
+	if c.Promise("g", "vm-2", 1, 1, 11*second) {
+		t.Fatal("promised while the row is being closed")
+	}
+	closed := row.Closed("primary_failed")
+	c.Observe(closed, 11*second, 11*second)
+	registered := vms("vm-1", "vm-2", "vm-3")
+	c.Promise("g", "vm-1", 1, 2, 11*second)
+	c.Promise("g", "vm-2", 1, 2, 11*second)
+	mustEnd(t, c, registered, 11*second, false)
+	mustEnd(t, c, registered, 12*second, false)
+	mustEnd(t, c, registered, 13*second, true)
+	c.Promise("g", "vm-3", 1, 2, 11*second)
+	mustEnd(t, c, registered, 11*second, true)
+}
+
+// A coordinator is cut off from the store and from the VM that took over, and goes
+// on promising to the VMs beside it until its limit. A promotion before that
+// would leave them acknowledging at the replaced primary.
+func TestTakeoverWaitsForTheEarlierCoordinator(t *testing.T) {
+	c := lease.NewCoordinator("vm-2", 1)
+	taken := firstRow().TakenBy("vm-2", 1)
+	c.Observe(taken, 10*second, 10*second)
+	c.Observe(taken.Closed("primary_failed"), 11*second, 11*second)
+	registered := vms("vm-1", "vm-2")
+	c.Promise("g", "vm-2", 1, 3, 11*second)
+	mustEnd(t, c, registered, 15*second, false)
+	mustEnd(t, c, registered, 23*second, false)
+	mustEnd(t, c, registered, 24*second, true)
+	c.Promise("g", "vm-1", 1, 3, 12*second)
+	mustEnd(t, c, registered, 12*second, true)
+}
+
+// A VM that started again has lost what it adopted, and may hold a reading of its
+// own: what its former process confirmed counts for nothing.
+func TestAnEarlierStartsAdoptionDoesNotCount(t *testing.T) {
+	c := lease.NewCoordinator("vm-1", 1)
+	row := firstRow()
+	c.Observe(row, 10*second, 10*second)
+	c.Observe(row.Closed("x"), 10*second, 10*second)
+	c.Promise("g", "vm-1", 1, 2, 10*second)
+	c.Promise("g", "vm-2", 1, 2, 10*second)
+	registered := vms("vm-1", "vm-2")
+	registered[1].Incarnation = 2
+	mustEnd(t, c, registered, 10*second, false)
+}
+
+func TestCoordinatorStopsWithoutTheStore(t *testing.T) {
+	c := lease.NewCoordinator("vm-1", 1)
+	c.Observe(firstRow(), 10*second, 10*second)
+	if !c.Promise("g", "vm-2", 1, 1, 21*second) {
+		t.Fatal("stopped before its limit")
+	}
+	if c.Promise("g", "vm-2", 1, 1, 23*second) {
+		t.Fatal("promised past its limit")
+	}
+}
+
+func TestRowOfAHandover(t *testing.T) {
+	row := firstRow().Closed("x").Choosing("b", position.Position{Term: 3, Index: 9}).Opened(4)
+	if row.Version != 4 || row.Term != 4 || row.Primary != "b" || !row.Open() {
+		t.Fatalf("%+v", row)
+	}
+	if !row.Topology().Lost(position.Position{Term: 3, Index: 10}) {
+		t.Fatal("the end of the term is not kept")
+	}
+}
--- /dev/null
+++ b/pkg/lease/row.go
@@ -0,0 +1,127 @@
+// Package lease decides which VMs may acknowledge for the primary of a group when
+// every VM connects to the targets itself.
+//
+// Each group has a row in the metadata store. It names the primary, its term and
+// one VM as the group's coordinator, the only one that may order a promotion. A VM
+// has the right to acknowledge for a limited time, from either of two sources: a
+// promise of the coordinator, or its own reading of the row. Two sources keep
+// writes going when either the store or the coordinator can't be reached. To
+// replace the primary the coordinator first closes the row, which ends readings as a
+// source, stops promising, and waits until every VM has confirmed that it holds
+// no right, or until all rights have lapsed.
+//
+// The package is pure: instants come in, decisions go out. Not safe for concurrent
+// use.
+package lease
+
+import (
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const (
+	// Duration of a right, from when its source was asked. It bounds the wait for
+	// a VM that can't be reached, and outlives three lost renewals.
+	Duration = 1500 * time.Millisecond
+	// margin by which a coordinator waits longer: clocks of VMs err by well under
+	// 0.1 %.
+	margin = Duration / 100
+	// CoordinatorLimit is how long a coordinator promises without having read the
+	// row as its own. It outlasts outages of the store of some seconds, and a VM
+	// that took over from one that it can't reach waits it out before a promotion.
+	CoordinatorLimit = 12 * time.Second
+	// historyKept bounds the ends of earlier terms in a row: floors and samples
+	// are seconds old, so only the last few are asked for.
+	historyKept = 20
+)
+
+// Row is a group's row in the store. Each change raises Version.
+type Row struct {
+	Group   topology.GroupID  `json:"group" msgpack:"g"`
+	Version uint64            `json:"version" msgpack:"v"`
+	Term    uint64            `json:"term" msgpack:"t"`
+	Primary topology.TargetID `json:"primary" msgpack:"p"`
+	// Coordinator alone may change the primary; any VM may take its place.
+	Coordinator topology.VMID        `json:"coordinator" msgpack:"c"`
+	Incarnation topology.Incarnation `json:"incarnation" msgpack:"i"`
+	// Fence rises whenever the coordinator changes.
+	Fence uint64 `json:"fence" msgpack:"f"`
+	// Handover is set while the primary is being replaced: nobody has a right.
+	Handover *Handover          `json:"handover,omitempty" msgpack:"h,omitempty"`
+	History  []topology.TermEnd `json:"history,omitempty" msgpack:"y,omitempty"`
+}
+
+// Handover is a change of the primary under way.
+type Handover struct {
+	// ClosedAt is the version that closed the row.
+	ClosedAt uint64 `json:"closed_at" msgpack:"c"`
+	// Candidate is to be promoted; empty while none is chosen. It stays for as long
+	// as its promotion may still take effect.
+	Candidate topology.TargetID `json:"candidate" msgpack:"t"`
+	// End is what the candidate held when it was chosen: the end of the term.
+	End position.Position `json:"end" msgpack:"e"`
+	// Reason is for the operators.
+	Reason string `json:"reason" msgpack:"r"`
+}
+
+// Open reports whether rights may be held under the row.
+func (r *Row) Open() bool { return r.Handover == nil }
+
+// Topology returns the row as the routing decisions take it.
+func (r *Row) Topology() *topology.Group {
+	return &topology.Group{ID: r.Group, Version: r.Version, Term: r.Term, Primary: r.Primary, History: r.History}
+}
+
+// next returns a copy that may be changed, one version on.
+func (r *Row) next() *Row {
+	n := *r
+	n.Version++
+	n.History = append([]topology.TermEnd(nil), r.History...)
+	if r.Handover != nil {
+		h := *r.Handover
+		n.Handover = &h
+	}
+	return &n
+}
+
+// TakenBy returns the row with another coordinator.
+func (r *Row) TakenBy(vm topology.VMID, incarnation topology.Incarnation) *Row {
+	n := r.next()
+	n.Coordinator, n.Incarnation = vm, incarnation
+	n.Fence++
+	return n
+}
+
+// Closed returns the row with a handover begun.
+func (r *Row) Closed(reason string) *Row {
+	n := r.next()
+	n.Handover = &Handover{ClosedAt: n.Version, Reason: reason}
+	return n
+}
+
+// Choosing returns the row with the candidate chosen.
+func (r *Row) Choosing(candidate topology.TargetID, end position.Position) *Row {
+	n := r.next()
+	n.Handover.Candidate, n.Handover.End = candidate, end
+	return n
+}
+
+// Opened returns the row after the candidate has become the primary in the term.
+func (r *Row) Opened(term uint64) *Row {
+	n := r.next()
+	n.History = append(n.History, topology.TermEnd{Term: r.Term, End: r.Handover.End})
+	if extra := len(n.History) - historyKept; extra > 0 {
+		n.History = n.History[extra:]
+	}
+	n.Primary, n.Term, n.Handover = r.Handover.Candidate, term, nil
+	return n
+}
+
+// Resumed returns the row with the handover given up: the primary stays.
+func (r *Row) Resumed() *Row {
+	n := r.next()
+	n.Handover = nil
+	return n
+}
--- /dev/null
+++ b/pkg/metastore/memory.go
@@ -0,0 +1,130 @@
+package metastore
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Memory is the twin of a store, for tests.
+type Memory struct {
+	mu      sync.Mutex
+	version uint64
+	tables  map[string]map[string]Row
+	changed chan struct{}
+	// Fail, if set, is asked before each call; its error ends the call. When it
+	// also reports that the effect is kept, a change is made all the same, as
+	// when only the answer is lost.
+	Fail func(call string) (err error, done bool) //nolint:revive // The error comes first: it is what is asked for.
+	// oldest is the first version whose changes are kept.
+	oldest uint64
+}
+
+// NewMemory makes an empty store.
+func NewMemory() *Memory {
+	return &Memory{tables: map[string]map[string]Row{}, changed: make(chan struct{})}
+}
+
+// ForgetHistory drops the changes so far: watches from before end.
+func (m *Memory) ForgetHistory() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.oldest = m.version + 1
+	m.wake()
+}
+
+func (m *Memory) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+func (m *Memory) fail(call string) (error, bool) { //nolint:revive // As Fail.
+	if m.Fail == nil {
+		return nil, true
+	}
+	return m.Fail(call)
+}
+
+// List implements Store.
+func (m *Memory) List(_ context.Context, table string) (Rows, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err, _ := m.fail("list"); err != nil {
+		return Rows{}, err
+	}
+	return Rows{Rows: m.since(table, 0, false), Version: m.version}, nil
+}
+
+func (m *Memory) since(table string, after uint64, deleted bool) []Row {
+	var rows []Row
+	for _, r := range m.tables[table] {
+		if r.Version > after && (deleted || !r.Deleted) {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	return rows
+}
+
+// Watch implements Store.
+func (m *Memory) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		m.mu.Lock()
+		err, _ := m.fail("watch")
+		if err == nil && after+1 < m.oldest {
+			err = ErrHistoryGone
+		}
+		rows := Rows{Rows: m.since(table, after, true), Version: m.version}
+		changed := m.changed
+		m.mu.Unlock()
+		if err != nil || len(rows.Rows) > 0 {
+			return rows, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return rows, nil
+		case <-ctx.Done():
+			return Rows{}, ctx.Err()
+		}
+	}
+}
+
+// Put implements Store.
+func (m *Memory) Put(_ context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+	return m.change(table, Row{Key: key, Value: slices.Clone(value)}, expected, "put")
+}
+
+// Delete implements Store.
+func (m *Memory) Delete(_ context.Context, table, key string, expected uint64) error {
+	_, err := m.change(table, Row{Key: key, Deleted: true}, expected, "delete")
+	return err
+}
+
+func (m *Memory) change(table string, row Row, expected uint64, call string) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	failure, done := m.fail(call)
+	if failure != nil && !done {
+		return 0, failure
+	}
+	present := m.tables[table][row.Key]
+	if present.Deleted {
+		present.Version = 0
+	}
+	if present.Version != expected {
+		return 0, ErrConflict
+	}
+	m.version++
+	row.Version = m.version
+	if m.tables[table] == nil {
+		m.tables[table] = map[string]Row{}
+	}
+	m.tables[table][row.Key] = row
+	m.wake()
+	return row.Version, failure
+}
--- /dev/null
+++ b/pkg/metastore/metastore.go
@@ -0,0 +1,55 @@
+// Package metastore is the interface to the store in which everything lives that
+// must outlast a process: small tables of rows with versions, changed under a
+// condition and watched for changes.
+package metastore
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The failures that a caller treats differently. Any other error means that the
+// outcome is not known.
+var (
+	// ErrConflict: the row was not at the expected version; nothing was done.
+	ErrConflict = errors.New("metastore: the row has changed")
+	// ErrNotDone: the store refused before it did anything.
+	ErrNotDone = errors.New("metastore: refused, nothing was done")
+	// ErrHistoryGone: the changes asked for are no longer kept; list anew.
+	ErrHistoryGone = errors.New("metastore: history is gone")
+)
+
+// Row is one row of a table.
+type Row struct {
+	Key   string
+	Value []byte
+	// Version of the transaction that wrote the row; 0: there is no such row.
+	Version uint64
+	// Deleted rows come in changes only.
+	Deleted bool
+}
+
+// Rows are the rows of a table, or those that changed, as of a version.
+type Rows struct {
+	Rows []Row
+	// Version is the store's newest when it answered.
+	Version uint64
+}
+
+// Store keeps the rows. Answers are linearizable. Implementations are safe for
+// concurrent use.
+type Store interface {
+	// List returns all rows of a table as of one moment.
+	List(ctx context.Context, table string) (Rows, error)
+	// Watch returns the rows of a table that changed after the version, as soon
+	// as there is one, or none after the wait.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error)
+	// Put writes a row if its version is the expected one (0: if there is none)
+	// and returns its new version. After an unknown outcome the same call may be
+	// repeated: its condition lets it take effect once.
+	Put(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error)
+	// Delete removes a row if its version is the expected one.
+	Delete(ctx context.Context, table, key string, expected uint64) error
+}
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -18,6 +18,7 @@
 	BadRequestID      Code = 1011
 	ResultTooLarge    Code = 1012
 	TransactionFailed Code = 1013
+	UnknownStatement  Code = 1014
 )
 
 // Codes 1100 to 1199: refused by load or limits.
@@ -53,6 +54,9 @@
 	Cancelled          Code = 1214
 	WrongPooler        Code = 1215
 	NoReplicaForClass  Code = 1216
+	WrongTarget        Code = 1217
+	TargetFailed       Code = 1218
+	TargetBusy         Code = 1219
 )
 
 // Codes 1300 to 1399: configuration, presets and operators.
@@ -95,6 +99,8 @@
 	ResultTooLarge:    {"ResultTooLarge", "the answer is larger than allowed", Unknown},
 	TransactionFailed: {"TransactionFailed", "an earlier statement of the transaction failed", NotRun},
 
+	UnknownStatement: {"UnknownStatement", "no statement is prepared under this name", NotRun},
+
 	QueueFull:        {"QueueFull", "the queue of the class is full", NotRun},
 	DeadlineInQueue:  {"DeadlineInQueue", "the deadline would pass in the queue", NotRun},
 	TooManySessions:  {"TooManySessions", "too many sessions", NotRun},
@@ -123,6 +129,9 @@
 	Cancelled:          {"Cancelled", "cancelled by the caller", Unknown},
 	WrongPooler:        {"WrongPooler", "this VM is not the target's pooler", NotRun},
 	NoReplicaForClass:  {"NoReplicaForClass", "no synchronous replica for a class that needs one", NotRun},
+	WrongTarget:        {"WrongTarget", "another target answers at this address", NotRun},
+	TargetFailed:       {"TargetFailed", "the target ran the request and failed", Unknown},
+	TargetBusy:         {"TargetBusy", "the target refused for its load, before the run", NotRun},
 
 	ConfigInvalid:       {"ConfigInvalid", "the configuration is not valid", NotRun},
 	ConfigConflict:      {"ConfigConflict", "another operator's change came first", NotRun},
