Promotions: one VM holds the duty for all groups, with one rising fence

Now: the duty is a row of its own, claimed under a condition; a new holder waits 700 ms, longer than an order may be on its way; the order of coordinators is the same for all groups, those far from most primaries first.

--- /dev/null
+++ b/internal/lead/duty.go
@@ -0,0 +1,131 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// dutyKey is the row that says who may order promotions.
+const dutyKey = "duty/promotion"
+
+const (
+	// dutySettle is how long a new holder of the duty waits if another VM held it
+	// before. It is longer than one order of that VM may be on its way.
+	dutySettle = 700 * time.Millisecond
+	// dutyFresh is how long before an order the duty must have been read as ours.
+	dutyFresh = 300 * time.Millisecond
+)
+
+// duty is the right to order promotions, for all groups: one VM holds it at a time,
+// and its fencing token rises with each holder. The platform does not check the token,
+// so that an order of a replaced holder which comes late would count.
+type duty struct {
+	Holder      topology.VMID        `json:"holder"`
+	Incarnation topology.Incarnation `json:"incarnation"`
+	Fence       uint64               `json:"fence"`
+}
+
+// dutyState is what this VM knows of the duty.
+type dutyState struct {
+	duty
+	version uint64
+	// read is when the newest reading began that showed it.
+	read mono.Time
+	// usable is from when this VM may order, once it holds the duty.
+	usable mono.Time
+}
+
+// ours reports whether this start of this VM holds the duty.
+func (l *Lead) dutyIsOurs() bool {
+	return l.duty.Holder == l.self.ID && l.duty.Incarnation == l.self.Incarnation
+}
+
+// takeDuty takes the row over as it was read.
+func (l *Lead) takeDuty(r metastore.Row, began mono.Time) {
+	var d duty
+	if err := json.Unmarshal(r.Value, &d); err != nil {
+		l.Log.Error("event=row_malformed", "key", r.Key, "error", err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r.Version < l.duty.version {
+		return
+	}
+	l.duty.duty, l.duty.version = d, r.Version
+	l.duty.read = max(l.duty.read, began)
+}
+
+// acquireDuty makes this VM the holder of the duty and returns its fencing token once
+// an order may be sent.
+func (l *Lead) acquireDuty(ctx context.Context) (fence uint64, err error) {
+	if err := l.readDuty(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	held, former := l.dutyIsOurs(), l.duty
+	l.mu.Unlock()
+	if !held {
+		if err := l.claimDuty(ctx, former); err != nil {
+			return 0, err
+		}
+	}
+	l.mu.Lock()
+	wait := l.duty.usable.Sub(l.Clock.Now())
+	fence = l.duty.Fence
+	l.mu.Unlock()
+	if wait > 0 {
+		pauseFor(ctx, wait)
+		return l.acquireDuty(ctx)
+	}
+	return fence, nil
+}
+
+// readDuty reads the row unless it was read just now.
+func (l *Lead) readDuty(ctx context.Context) error {
+	l.mu.Lock()
+	fresh := l.dutyIsOurs() && l.Clock.Now().Sub(l.duty.read) < dutyFresh
+	l.mu.Unlock()
+	if fresh {
+		return nil
+	}
+	began := l.Clock.Now()
+	rows, err := l.Store.List(ctx, Table)
+	if err != nil {
+		return err
+	}
+	l.takeAll(rows.Rows, began)
+	return nil
+}
+
+func (l *Lead) claimDuty(ctx context.Context, former dutyState) error {
+	next := duty{Holder: l.self.ID, Incarnation: l.self.Incarnation, Fence: former.Fence + 1}
+	raw, err := json.Marshal(next)
+	if err != nil {
+		return err
+	}
+	began := l.Clock.Now()
+	version, err := l.Store.Put(ctx, Table, dutyKey, raw, former.version)
+	if errors.Is(err, metastore.ErrConflict) {
+		return errOvertaken // Read again before the next try: it may be ours after all.
+	}
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.Clock.Now()
+	l.duty = dutyState{duty: next, version: version, read: began, usable: now}
+	if former.Holder != "" && former.Holder != l.self.ID {
+		l.duty.usable = now.Add(dutySettle)
+	}
+	l.Log.Info("event=duty_claimed", "fence", next.Fence, "from", former.Holder)
+	return nil
+}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -72,7 +72,6 @@
 	Transport  *Transport
 	Clock      mono.Clock
 	Log        *slog.Logger
-	// CanHand tells whether a statement of a transaction runs; used by tests.
 }
 
 // Lead keeps this VM's rights and its part in choosing primaries. Safe for
@@ -89,6 +88,7 @@
 	renewals    map[topology.VMID]*exchange
 	silences    map[topology.GroupID]*silence
 	working     map[topology.GroupID]bool // a change of this VM is under way
+	duty        dutyState
 	missing     map[topology.GroupID]mono.Time
 	firstSeen   map[topology.GroupID]mono.Time
 	heard       map[topology.VMID]mono.Time // when each VM's last message came
@@ -235,7 +235,10 @@
 	}
 	l.Directory.SetVMs(vms)
 	for _, r := range rows {
-		if strings.HasPrefix(r.Key, groupPrefix) {
+		switch {
+		case r.Key == dutyKey:
+			l.takeDuty(r, began)
+		case strings.HasPrefix(r.Key, groupPrefix):
 			l.takeRow(r, began, listed)
 		}
 	}
@@ -247,7 +250,11 @@
 		l.takeVM(topology.VMID(id), r)
 		return
 	}
-	if strings.HasPrefix(r.Key, groupPrefix) && !r.Deleted {
+	switch {
+	case r.Deleted:
+	case r.Key == dutyKey:
+		l.takeDuty(r, began)
+	case strings.HasPrefix(r.Key, groupPrefix):
 		l.takeRow(r, began, false)
 	}
 }
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -315,7 +315,11 @@
 	if !fresh {
 		return errOvertaken
 	}
-	return r.Promotions.Promote(ctx, r.group, candidate, r.self.ID, r.row.Fence)
+	fence, err := r.acquireDuty(ctx)
+	if err != nil {
+		return errors.Wrap(err, "the duty")
+	}
+	return r.Promotions.Promote(ctx, r.group, candidate, r.self.ID, fence)
 }
 
 // chooseAgain drops a candidate that is down; the next run chooses another one.
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -39,19 +39,27 @@
 	deaf, hearing map[topology.VMID]bool
 }
 
-// rank orders the VMs as coordinators of a group: those outside of the primary's data
-// centre first, so that the loss of one data centre does not take both.
-func (l *Lead) rank(group topology.GroupID, primary topology.TargetID) []topology.VMID {
-	vms := l.Directory.VMs()
-	t, _ := l.Directory.Target(primary)
-	weight := func(vm topology.VM) uint64 {
-		w := xxhash.Sum64String(string(group)+"\x00"+string(vm.ID)) >> 1
-		if vm.DataCentre == t.DataCentre {
-			w |= 1 << 63
+// rank orders the VMs as coordinators. The order is the same for all groups, so that one
+// VM coordinates them all and holds the duty to promote. VMs of the data centre with
+// the fewest primaries come first: its loss takes the coordinator and a primary at
+// once in the fewest groups, and then the change has to wait for promises to lapse.
+func (l *Lead) rank() []topology.VMID {
+	primaries := map[topology.DataCentre]int{}
+	for _, group := range l.groups() {
+		if row := l.holder.Row(group); row != nil {
+			t, _ := l.Directory.Target(row.Primary)
+			primaries[t.DataCentre]++
+		} else if t, ok := l.selfStyledPrimary(group); ok {
+			primaries[t.DataCentre]++
 		}
-		return w
 	}
-	slices.SortFunc(vms, func(a, b topology.VM) int { return cmp.Compare(weight(a), weight(b)) })
+	vms := l.Directory.VMs()
+	slices.SortFunc(vms, func(a, b topology.VM) int {
+		return cmp.Or(
+			cmp.Compare(primaries[a.DataCentre], primaries[b.DataCentre]),
+			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
+		)
+	})
 	ids := make([]topology.VMID, 0, len(vms))
 	for _, vm := range vms {
 		ids = append(ids, vm.ID)
@@ -59,9 +67,9 @@
 	return ids
 }
 
-// delayOf is how long this VM waits before it takes a group over.
-func (l *Lead) delayOf(group topology.GroupID, primary topology.TargetID) time.Duration {
-	place := slices.Index(l.rank(group, primary), l.self.ID)
+// delay is how long this VM waits before it takes a group over.
+func (l *Lead) delay() time.Duration {
+	place := slices.Index(l.rank(), l.self.ID)
 	if place < 0 {
 		return rankDelay
 	}
@@ -113,7 +121,7 @@
 		}
 		l.silences[group] = s
 	}
-	delay := silentAfter + l.delayOf(group, row.Primary)
+	delay := silentAfter + l.delay()
 	switch {
 	case now.Sub(s.since) < delay:
 		return false, false, ""
@@ -214,6 +222,14 @@
 	l.mu.Lock()
 	delete(l.silences, group)
 	l.mu.Unlock()
+	if err != nil {
+		return
+	}
+	// The duty comes along now, so that its waiting time has passed when a primary
+	// fails.
+	if _, err := l.acquireDuty(ctx); err != nil {
+		l.Log.Info("event=duty_not_claimed", "error", err)
+	}
 }
 
 // handOver gives a group to the next VM in order, when this one leaves.
@@ -222,7 +238,7 @@
 	if row == nil || row.Coordinator != l.self.ID {
 		return
 	}
-	next := l.successor(group, row.Primary)
+	next := l.successor()
 	if next.ID == "" {
 		return
 	}
@@ -231,11 +247,11 @@
 }
 
 // successor is the first other VM that was heard lately.
-func (l *Lead) successor(group topology.GroupID, primary topology.TargetID) topology.VM {
+func (l *Lead) successor() topology.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
-	for _, id := range l.rank(group, primary) {
+	for _, id := range l.rank() {
 		vm, ok := l.Directory.VM(id)
 		heard := l.heard[id]
 		if ok && id != l.self.ID && !vm.Leaving && heard != 0 && now.Sub(heard) < silentAfter {
@@ -254,12 +270,13 @@
 			l.firstSeen[group], seen = now, now
 		}
 		known := l.holder.Row(group) != nil || l.leaving || l.storeSeen == 0
+		wait := firstDelay + l.delay()
 		l.mu.Unlock()
 		if known {
 			continue
 		}
 		primary, ok := l.selfStyledPrimary(group)
-		if ok && now.Sub(seen) >= firstDelay+l.delayOf(group, primary.ID) {
+		if ok && now.Sub(seen) >= wait {
 			l.start(group, func() { l.firstRow(ctx, group, primary) })
 		}
 	}
