Lease: a coordinator that is gone is waited for by proof, not by its limit

Ruled out: the promotion itself (0.4 s) and the detection (0.5 s). Now a later start of the coordinator, or the coordinator itself, marks the change as ended; witnesses in the row shorten the wait otherwise; registrations of VMs that are silent for 10 s are removed, and come back if the VM does; a leaving primary is kept until the wait is over.

--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -65,7 +65,9 @@
 	switch {
 	case ok:
 		delete(l.missing, group)
-		if t.Leaving {
+		// It serves for some seconds more: while promises of an earlier coordinator
+		// may stand, nothing is gained by stopping it.
+		if t.Leaving && l.coordinator.Settled(group, now) {
 			return "primary_leaving"
 		}
 	case l.missing[group] == 0:
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -96,7 +96,6 @@
 	reading     bool
 	lastRead    mono.Time
 	leaving     bool
-	registered  bool
 	changed     chan struct{}
 }
 
@@ -160,6 +159,12 @@
 	}
 }
 
+func (l *Lead) isLeaving() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.leaving
+}
+
 // Right returns the right that this VM has for the group's primary now.
 func (l *Lead) Right(group topology.GroupID) (lease.Right, bool) {
 	l.mu.Lock()
@@ -234,6 +239,9 @@
 		listed = listed || vm.ID == l.self.ID && vm.Incarnation == l.self.Incarnation
 	}
 	l.Directory.SetVMs(vms)
+	if !listed && !l.isLeaving() {
+		go l.registerAgain(context.Background())
+	}
 	for _, r := range rows {
 		switch {
 		case r.Key == dutyKey:
@@ -262,6 +270,9 @@
 func (l *Lead) takeVM(id topology.VMID, r metastore.Row) {
 	if r.Deleted {
 		l.Directory.RemoveVM(id)
+		if id == l.self.ID && !l.isLeaving() {
+			go l.registerAgain(context.Background())
+		}
 		return
 	}
 	var vm topology.VM
--- a/internal/lead/register.go
+++ b/internal/lead/register.go
@@ -15,8 +15,8 @@
 const registerRetry = 200 * time.Millisecond
 
 // pruneAfter is how long a VM must be silent before its registration is removed. It
-// is longer than any restart, and much longer than a right.
-const pruneAfter = 40 * time.Second
+// is longer than most restarts, and much longer than a right.
+const pruneAfter = 10 * time.Second
 
 // Register writes this VM's registration with the next incarnation, until it succeeds
 // or ctx ends: nothing on a VM outlives its process, so the store counts the starts.
@@ -58,26 +58,38 @@
 	return vm, err
 }
 
-// prune removes registrations of VMs that were silent for long: each would make a
-// replacement of a primary wait for its rights to lapse. The first VM in order does
-// it, and only for VMs that this one has heard since it started.
+// registerAgain restores this VM's registration after it was removed. Until then the VM
+// has no right by readings of the store.
+func (l *Lead) registerAgain(ctx context.Context) {
+	raw, err := json.Marshal(l.self)
+	if err == nil {
+		_, err = l.Store.Put(ctx, Table, vmPrefix+string(l.self.ID), raw, 0)
+	}
+	l.Log.Warn("event=registered_again", "error", err)
+}
+
+// prune removes registrations of VMs that were silent for long: each makes a
+// replacement of a primary wait for its rights to lapse. The coordinators do it, since
+// all VMs send to them. A VM that was only cut off registers again.
 func (l *Lead) prune(ctx context.Context, now mono.Time) {
 	vms := l.Directory.VMs()
-	if len(vms) == 0 || vms[0].ID != l.self.ID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.coordinator.Groups()) == 0 {
+		clear(l.heard)
 		return
 	}
-	l.mu.Lock()
-	var gone []topology.VMID
 	for _, vm := range vms {
-		if heard := l.heard[vm.ID]; vm.ID != l.self.ID && heard != 0 && now.Sub(heard) > pruneAfter {
-			gone = append(gone, vm.ID)
+		heard := l.heard[vm.ID]
+		switch {
+		case vm.ID == l.self.ID:
+		case heard == 0:
+			l.heard[vm.ID] = now // From now on it is listened for.
+		case now.Sub(heard) > pruneAfter:
 			l.heard[vm.ID] = now // Tried once a period.
+			go l.unregister(ctx, vm.ID)
 		}
 	}
-	l.mu.Unlock()
-	for _, id := range gone {
-		go l.unregister(ctx, id)
-	}
 }
 
 func (l *Lead) unregister(ctx context.Context, id topology.VMID) {
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -216,7 +216,7 @@
 	if row == nil {
 		return
 	}
-	taken := row.TakenBy(l.self.ID, l.self.Incarnation)
+	taken := row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, l.witnesses())
 	err := l.commit(ctx, taken)
 	l.Log.Info("event=coordinator_taken_over", "group", group, "from", row.Coordinator, "why", why, "version", taken.Version, "error", err)
 	l.mu.Lock()
@@ -242,10 +242,23 @@
 	if next.ID == "" {
 		return
 	}
-	err := l.commit(ctx, row.TakenBy(next.ID, next.Incarnation))
+	err := l.commit(ctx, row.TakenBy(next.ID, next.Incarnation, l.self.ID, l.witnesses()))
 	l.Log.Info("event=coordinator_handed_over", "group", group, "to", next.ID, "error", err)
 }
 
+// witnesses draws a row's witnesses from all registered VMs.
+func (l *Lead) witnesses() []topology.VMID {
+	vms := l.Directory.VMs()
+	slices.SortFunc(vms, func(a, b topology.VM) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
+	})
+	var ids []topology.VMID
+	for _, vm := range vms[:min(len(vms), lease.MaxWitnesses)] {
+		ids = append(ids, vm.ID)
+	}
+	return ids
+}
+
 // successor is the first other VM that was heard lately.
 func (l *Lead) successor() topology.VM {
 	l.mu.Lock()
@@ -300,7 +313,7 @@
 	}
 	row := &lease.Row{
 		Group: group, Version: 1, Term: status.Term, Primary: primary.ID,
-		Coordinator: l.self.ID, Incarnation: l.self.Incarnation, Fence: 1,
+		Coordinator: l.self.ID, Incarnation: l.self.Incarnation, Fence: 1, Witnesses: l.witnesses(),
 	}
 	err = l.commit(ctx, row)
 	l.Log.Info("event=first_row", "group", group, "primary", primary.ID, "term", status.Term, "error", err)
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -24,7 +24,13 @@
 	closed mono.Time
 	// inherited is until when promises of an earlier coordinator may stand.
 	inherited mono.Time
-	adopted   map[topology.VMID]adoption
+	// takenAt is when this VM took the group over, at a version, while the
+	// coordinator before may go on; 0: it does not.
+	takenAt      mono.Time
+	takenVersion uint64
+	// contacts are when each witness was heard.
+	contacts map[topology.VMID]mono.Time
+	adopted  map[topology.VMID]adoption
 	// promised is until when the promise to each VM stands.
 	promised map[topology.VMID]mono.Time
 }
@@ -51,10 +57,8 @@
 		return
 	}
 	if g == nil {
-		g = &coordinated{row: row, adopted: map[topology.VMID]adoption{}, promised: map[topology.VMID]mono.Time{}}
-		if row.Fence > 1 {
-			g.inherited = now.Add(CoordinatorLimit + Duration + margin)
-		}
+		g = &coordinated{row: row, adopted: map[topology.VMID]adoption{}, promised: map[topology.VMID]mono.Time{}, contacts: map[topology.VMID]mono.Time{}}
+		g.inherit(row, now)
 		c.groups[row.Group] = g
 	}
 	if row.Version < g.row.Version {
@@ -66,6 +70,61 @@
 	g.confirmed = max(g.confirmed, began)
 }
 
+// inherit notes until when promises of the coordinator before may stand: it goes on
+// promising until it learns of the change or reaches its limit.
+func (g *coordinated) inherit(row *Row, now mono.Time) {
+	switch {
+	case row.Fence <= 1:
+	case row.Ended:
+		g.inherited = now.Add(Duration + margin)
+	default:
+		g.inherited = now.Add(CoordinatorLimit + Duration + margin)
+		g.takenAt, g.takenVersion = now, row.Version
+	}
+}
+
+// shorten ends the wait for the coordinator before once it is known to have stopped:
+// it, or a later start of it, has adopted the change; or most of its witnesses have,
+// so that it has lost their contact, and its last reading has run out.
+func (g *coordinated) shorten(now mono.Time) {
+	if g.takenAt == 0 {
+		return
+	}
+	lapse := now.Add(Duration + margin)
+	if g.adopted[g.row.Former].version >= g.takenVersion {
+		g.inherited = min(g.inherited, lapse)
+		g.takenAt = 0
+		return
+	}
+	following := 0
+	for _, vm := range g.row.FormerWitnesses {
+		if g.adopted[vm].version >= g.takenVersion {
+			following++
+		}
+	}
+	if 2*following <= len(g.row.FormerWitnesses) {
+		return
+	}
+	stopped := max(g.takenAt.Add(storeGrace), now.Add(contactGrace))
+	g.inherited = min(g.inherited, stopped.Add(Duration+margin))
+	g.takenAt = 0
+}
+
+// mayPromise reports whether the coordinator can still be the only one: it has read
+// the row lately, or it hears most of the witnesses and is within its limit.
+func (g *coordinated) mayPromise(now mono.Time) bool {
+	if now.Before(g.confirmed.Add(storeGrace)) {
+		return true
+	}
+	heard := 0
+	for _, vm := range g.row.Witnesses {
+		if at := g.contacts[vm]; at != 0 && now.Sub(at) < contactGrace {
+			heard++
+		}
+	}
+	return 2*heard > len(g.row.Witnesses) && now.Before(g.confirmed.Add(CoordinatorLimit))
+}
+
 func (g *coordinated) take(row *Row, now mono.Time) {
 	g.row = row
 	g.withdrawn = !row.Open()
@@ -127,14 +186,25 @@
 	}
 	if a := g.adopted[vm]; inc > a.incarnation || inc == a.incarnation && version > a.version {
 		g.adopted[vm] = adoption{incarnation: inc, version: version}
+		g.shorten(now)
+	}
+	if version <= g.row.Version {
+		g.contacts[vm] = now
 	}
-	if g.withdrawn || !g.row.Open() || version != g.row.Version || !now.Before(g.confirmed.Add(CoordinatorLimit)) {
+	if g.withdrawn || !g.row.Open() || version != g.row.Version || !g.mayPromise(now) {
 		return false
 	}
 	g.promised[vm] = now.Add(Duration + margin)
 	return true
 }
 
+// Settled reports whether no promise of an earlier coordinator can stand any more, so
+// that a change which is not urgent can be made without a long wait.
+func (c *Coordinator) Settled(group topology.GroupID, now mono.Time) bool {
+	g := c.groups[group]
+	return g != nil && !now.Before(g.inherited)
+}
+
 // RightsEnded reports whether no VM can have a right any more. registered are the
 // VMs that the store listed after the row was closed: one that registers later
 // reads the closed row.
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -28,10 +28,18 @@
 	// margin by which a coordinator waits longer: clocks of VMs err by well under
 	// 0.1 %.
 	margin = Duration / 100
-	// CoordinatorLimit is how long a coordinator promises without having read the
-	// row as its own. It outlasts outages of the store of some seconds, and a VM
-	// that took over from one that it can't reach waits it out before a promotion.
+	// storeGrace is how long a coordinator promises without having read the row as
+	// its own: a watch of the row is answered every 1.8 s at the latest.
+	storeGrace = 2500 * time.Millisecond
+	// contactGrace: longer than that it promises only while it has heard most of
+	// the row's witnesses within this time, which is three renewals.
+	contactGrace = 1200 * time.Millisecond
+	// CoordinatorLimit is how long it promises without the store at all. It outlasts
+	// outages of the store of some seconds.
 	CoordinatorLimit = 12 * time.Second
+	// MaxWitnesses bounds the witnesses in a row: enough that three of them may be
+	// lost, few enough for a row that is sent about.
+	MaxWitnesses = 7
 	// historyKept bounds the ends of earlier terms in a row: floors and samples
 	// are seconds old, so only the last few are asked for.
 	historyKept = 20
@@ -48,6 +56,17 @@
 	Incarnation topology.Incarnation `json:"incarnation" msgpack:"i"`
 	// Fence rises whenever the coordinator changes.
 	Fence uint64 `json:"fence" msgpack:"f"`
+	// Witnesses are VMs of which the coordinator has to hear most while it does not
+	// reach the store. A VM that takes its place learns from most of the same ones
+	// that they follow it; two majorities share a VM, so the earlier coordinator
+	// has stopped by then, also when neither hears of the other.
+	Witnesses []topology.VMID `json:"witnesses,omitempty" msgpack:"w,omitempty"`
+	// Ended: the coordinator before this one had stopped promising when this one was
+	// put in place.
+	Ended bool `json:"ended,omitempty" msgpack:"e,omitempty"`
+	// Former is the VM that was the coordinator before, with its witnesses.
+	Former          topology.VMID   `json:"former,omitempty" msgpack:"o,omitempty"`
+	FormerWitnesses []topology.VMID `json:"former_witnesses,omitempty" msgpack:"u,omitempty"`
 	// Handover is set while the primary is being replaced: nobody has a right.
 	Handover *Handover          `json:"handover,omitempty" msgpack:"h,omitempty"`
 	History  []topology.TermEnd `json:"history,omitempty" msgpack:"y,omitempty"`
@@ -86,11 +105,16 @@
 	return &n
 }
 
-// TakenBy returns the row with another coordinator.
-func (r *Row) TakenBy(vm topology.VMID, incarnation topology.Incarnation) *Row {
+// TakenBy returns the row with another coordinator. by is the VM that changes it: if it
+// is the present coordinator itself, or a later start of it, nobody goes on promising
+// by the earlier version. witnesses are those of the new one.
+func (r *Row) TakenBy(vm topology.VMID, incarnation topology.Incarnation, by topology.VMID, witnesses []topology.VMID) *Row {
 	n := r.next()
+	n.Ended = by == r.Coordinator
+	n.Former = r.Coordinator
 	n.Coordinator, n.Incarnation = vm, incarnation
 	n.Fence++
+	n.FormerWitnesses, n.Witnesses = r.Witnesses, witnesses
 	return n
 }
 
