--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -81,11 +81,20 @@
 	wait := l.duty.usable.Sub(l.Clock.Now())
 	fence = l.duty.Fence
 	l.mu.Unlock()
-	if wait > 0 {
-		pauseFor(ctx, wait)
-		return l.acquireDuty(ctx)
+	if wait <= 0 {
+		return fence, nil
 	}
-	return fence, nil
+	pauseFor(ctx, wait)
+	if err := l.readDuty(ctx); err != nil {
+		return 0, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.dutyIsOurs() {
+		// Claiming it back at once would have two VMs take it from each other for good.
+		return 0, errOvertaken
+	}
+	return l.duty.Fence, nil
 }
 
 // readDuty reads the row unless it was read just now.
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -36,16 +36,51 @@
 	for _, group := range groups {
 		l.mu.Lock()
 		reason := l.reasonToReplace(group, now)
+		resume := reason == "" && !l.working[group] && l.coordinator.Withdrawn(group)
+		better, move := l.betterPlace(group, now)
 		l.mu.Unlock()
-		if reason != "" {
+		switch {
+		case reason != "":
 			l.start(group, func() {
 				l.replace(ctx, group, reason)
 				pauseFor(ctx, retryHandover)
 			})
+		case resume:
+			l.start(group, func() { l.resume(ctx, group) })
+		case move:
+			l.start(group, func() { l.handOver(ctx, group, better) })
 		}
 	}
 }
 
+// resume lets promises go on after a change to replace the primary whose outcome was
+// never known, once the primary has come back by itself.
+func (l *Lead) resume(ctx context.Context, group topology.GroupID) {
+	row := l.Row(group)
+	if row == nil || row.Coordinator != l.self.ID {
+		return
+	}
+	err := l.commit(ctx, row.Resumed())
+	l.Log.Info("event=replacement_given_up", "group", group, "error", err)
+	if err != nil {
+		pauseFor(ctx, retryHandover)
+	}
+}
+
+// betterPlace returns the holder of the promotion duty if it is another VM that lives:
+// a group coordinated elsewhere would have to fetch the duty from it first.
+func (l *Lead) betterPlace(group topology.GroupID, now mono.Time) (topology.VM, bool) {
+	if l.duty.Holder == "" || l.duty.Holder == l.self.ID || l.leaving || l.working[group] {
+		return topology.VM{}, false
+	}
+	vm, ok := l.Directory.VM(l.duty.Holder)
+	heard := l.heard[l.duty.Holder]
+	if !ok || vm.Incarnation != l.duty.Incarnation || heard == 0 || now.Sub(heard) > silentAfter {
+		return topology.VM{}, false
+	}
+	return vm, true
+}
+
 // reasonToReplace returns why the group's primary is to be replaced, or "".
 func (l *Lead) reasonToReplace(group topology.GroupID, now mono.Time) string {
 	row := l.coordinator.Row(group)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -86,7 +86,8 @@
 	versions    map[topology.GroupID]uint64 // of the rows in the store
 	reports     map[topology.GroupID]map[topology.VMID]report
 	renewals    map[topology.VMID]*exchange
-	silences    map[topology.GroupID]*silence
+	answers     map[topology.VMID]answers
+	silences    map[topology.VMID]*silence
 	working     map[topology.GroupID]bool // a change of this VM is under way
 	duty        dutyState
 	missing     map[topology.GroupID]mono.Time
@@ -118,7 +119,8 @@
 		versions:    map[topology.GroupID]uint64{},
 		reports:     map[topology.GroupID]map[topology.VMID]report{},
 		renewals:    map[topology.VMID]*exchange{},
-		silences:    map[topology.GroupID]*silence{},
+		answers:     map[topology.VMID]answers{},
+		silences:    map[topology.VMID]*silence{},
 		working:     map[topology.GroupID]bool{},
 		missing:     map[topology.GroupID]mono.Time{},
 		firstSeen:   map[topology.GroupID]mono.Time{},
@@ -154,8 +156,9 @@
 	l.leaving = true
 	groups := l.coordinator.Groups()
 	l.mu.Unlock()
+	next := l.successor()
 	for _, g := range groups {
-		l.handOver(ctx, g)
+		l.handOver(ctx, g, next)
 	}
 }
 
@@ -312,7 +315,6 @@
 	}
 	l.Log.Info("event=row_adopted", "group", row.Group, "version", row.Version, "term", row.Term, "primary", row.Primary,
 		"coordinator", row.Coordinator, "incarnation", row.Incarnation, "open", row.Open(), "from", from)
-	delete(l.silences, row.Group)
 	if x := l.renewals[row.Coordinator]; x != nil {
 		x.sent = 0 // Ask the coordinator at once.
 	}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -31,6 +31,10 @@
 	// Sequence of the renewal; its promise has the same.
 	Sequence uint64 `msgpack:"s"`
 	Groups   []part `msgpack:"g"`
+	// About is the coordinator that a question and its opinion are of; Hears: the
+	// opinion's sender hears it.
+	About topology.VMID `msgpack:"a,omitempty"`
+	Hears bool          `msgpack:"h,omitempty"`
 }
 
 // part is what a message says of one group.
@@ -38,7 +42,7 @@
 	Group topology.GroupID `msgpack:"g"`
 	// Version that the sender has adopted.
 	Version uint64 `msgpack:"v"`
-	// Promised: the coordinator promises, or an opinion's sender has a promise.
+	// Promised: the coordinator promises.
 	Promised bool `msgpack:"p,omitempty"`
 	// Row is sent to a VM that knows an older one.
 	Row *lease.Row `msgpack:"r,omitempty"`
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -180,7 +180,7 @@
 		if row == nil || row.Coordinator != m.From || row.Incarnation != m.Incarnation {
 			continue
 		}
-		l.coordinatorHeard(p.Group, p.StoreLost, now)
+		l.coordinatorHeard(m.From, p.StoreLost, now)
 		if p.Promised {
 			had := now.Before(l.holder.Until(p.Group))
 			l.holder.Promised(p.Group, p.Version, sent)
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,17 +29,22 @@
 	firstDelay = 300 * time.Millisecond
 )
 
-// silence is what is known of a coordinator that does not answer.
+// silence is what is known of a coordinator that is of no use.
 type silence struct {
-	since mono.Time
-	// storeLost: it answers, but does not reach the store.
-	storeLost bool
-	// asked is when the others were asked; 0: they were not.
+	// asked is when the others were asked about it; 0: they were not.
 	asked mono.Time
 	// deaf and hearing are those that answered that they don't hear it, or do.
 	deaf, hearing map[topology.VMID]bool
 }
 
+// answers is when a coordinator last answered a renewal, and whether it reached the
+// store then.
+type answers struct {
+	last mono.Time
+	// useless is since when it has answered without reaching the store; 0: it does.
+	useless mono.Time
+}
+
 // rank orders the VMs as coordinators. The order is the same for all groups, so that one
 // VM coordinates them all and holds the duty to promote. VMs of the data centre with
 // the fewest primaries come first: its loss takes the coordinator and a primary at
@@ -76,129 +82,134 @@
 	return time.Duration(place) * rankDelay
 }
 
-// coordinatorHeard ends a silence, unless the coordinator is of no use.
-func (l *Lead) coordinatorHeard(group topology.GroupID, storeLost bool, now mono.Time) {
-	if !storeLost {
-		delete(l.silences, group)
-		return
-	}
-	if s := l.silences[group]; s == nil || !s.storeLost {
-		l.silences[group] = &silence{since: now, storeLost: true}
+// coordinatorHeard notes an answer of a coordinator.
+func (l *Lead) coordinatorHeard(vm topology.VMID, storeLost bool, now mono.Time) {
+	a := l.answers[vm]
+	a.last = now
+	switch {
+	case !storeLost:
+		a.useless = 0
+	case a.useless == 0:
+		a.useless = now
 	}
+	l.answers[vm] = a
+	delete(l.silences, vm)
 }
 
-// takeOvers takes the place of coordinators that failed.
+// takeOvers takes the place of coordinators that failed, for all their groups at once:
+// one VM then has them all, and with them the duty to promote.
 func (l *Lead) takeOvers(ctx context.Context, now mono.Time) {
-	for _, group := range l.groups() {
-		l.mu.Lock()
-		take, ask, why := l.judgeCoordinator(group, now)
-		l.mu.Unlock()
+	l.mu.Lock()
+	of := l.groupsByCoordinator()
+	for vm, groups := range of {
+		take, ask, why := l.judgeCoordinator(vm, now)
 		if ask {
-			l.askOthers(group)
+			go l.askOthers(vm)
 		}
 		if take {
-			l.start(group, func() { l.takeOver(ctx, group, why) })
+			go l.takeOver(ctx, groups, why)
 		}
 	}
+	l.mu.Unlock()
 }
 
-// judgeCoordinator decides whether to ask the others about a group's coordinator, or
-// to take its place.
-func (l *Lead) judgeCoordinator(group topology.GroupID, now mono.Time) (take, ask bool, why string) {
-	row := l.holder.Row(group)
-	if row == nil || l.leaving || l.working[group] || now.Sub(l.storeSeen) > storeLostAfter {
+// groupsByCoordinator lists the groups of all coordinators but this start of this VM.
+func (l *Lead) groupsByCoordinator() map[topology.VMID][]topology.GroupID {
+	of := map[topology.VMID][]topology.GroupID{}
+	for _, group := range l.groups() {
+		row := l.holder.Row(group)
+		if row != nil && (row.Coordinator != l.self.ID || row.Incarnation < l.self.Incarnation) {
+			of[row.Coordinator] = append(of[row.Coordinator], group)
+		}
+	}
+	return of
+}
+
+// judgeCoordinator decides whether to ask the others about a coordinator, or to take
+// its place.
+func (l *Lead) judgeCoordinator(vm topology.VMID, now mono.Time) (take, ask bool, why string) {
+	if l.leaving || now.Sub(l.storeSeen) > storeLostAfter {
 		return false, false, ""
 	}
-	if row.Coordinator == l.self.ID {
+	if vm == l.self.ID {
 		// An earlier start of this VM: nobody else knows sooner that it has ended.
-		return row.Incarnation < l.self.Incarnation, false, "started_again"
+		return true, false, "started_again"
 	}
-	s := l.silences[group]
-	if s == nil {
-		s = &silence{since: now}
-		if until := l.holder.PromisedUntil(group); until != 0 {
-			s.since = min(now, until.Add(-lease.Duration))
-		}
-		l.silences[group] = s
+	a, known := l.answers[vm]
+	if !known {
+		l.answers[vm] = answers{last: now}
+		return false, false, ""
 	}
 	delay := silentAfter + l.delay()
-	switch {
-	case now.Sub(s.since) < delay:
-		return false, false, ""
-	case s.storeLost:
+	if a.useless != 0 && now.Sub(a.useless) >= delay {
+		l.answers[vm] = answers{last: now}
 		return true, false, "store_lost"
-	case s.asked == 0:
-		s.asked, s.deaf, s.hearing = now, map[topology.VMID]bool{}, map[topology.VMID]bool{}
+	}
+	if now.Sub(a.last) < delay {
+		return false, false, ""
+	}
+	s := l.silences[vm]
+	if s == nil {
+		l.silences[vm] = &silence{asked: now, deaf: map[topology.VMID]bool{}, hearing: map[topology.VMID]bool{}}
 		return false, true, ""
-	case now.Sub(s.asked) < opinionTime:
+	}
+	if now.Sub(s.asked) < opinionTime {
 		return false, false, ""
 	}
-	return l.countOpinions(group, s, now)
+	delete(l.silences, vm)
+	return l.countOpinions(vm, s, now)
 }
 
 // countOpinions takes over only with half of the others, which must not hear the
 // coordinator either: a VM that is cut off alone would take every group from those
 // that go on well, and nobody could follow it.
-func (l *Lead) countOpinions(group topology.GroupID, s *silence, now mono.Time) (take, ask bool, why string) {
+func (l *Lead) countOpinions(vm topology.VMID, s *silence, now mono.Time) (take, ask bool, why string) {
 	others := len(l.Directory.VMs()) - 2 // Neither this VM nor the coordinator.
 	if len(s.hearing) == 0 && (others <= 0 || 2*len(s.deaf) >= others) {
+		l.answers[vm] = answers{last: now}
 		return true, false, "silent"
 	}
-	l.Log.Info("event=takeover_put_off", "group", group, "hearing", len(s.hearing), "deaf", len(s.deaf), "others", others,
-		"silent_for", now.Sub(s.since))
-	s.since, s.asked = now, 0
+	l.Log.Info("event=takeover_put_off", "coordinator", vm, "hearing", len(s.hearing), "deaf", len(s.deaf), "others", others,
+		"silent_for", now.Sub(l.answers[vm].last))
 	return false, false, ""
 }
 
-func (l *Lead) askOthers(group topology.GroupID) {
-	m := &message{Kind: question, From: l.self.ID, Incarnation: l.self.Incarnation, Groups: []part{{Group: group}}}
+func (l *Lead) askOthers(about topology.VMID) {
+	m := &message{Kind: question, From: l.self.ID, Incarnation: l.self.Incarnation, About: about}
 	for _, vm := range l.Directory.VMs() {
-		if vm.ID != l.self.ID {
+		if vm.ID != l.self.ID && vm.ID != about {
 			l.sendTo(vm.ID, m)
 		}
 	}
 }
 
 func (l *Lead) handleQuestion(from string, m *message) {
-	answer := &message{Kind: opinion, From: l.self.ID, Incarnation: l.self.Incarnation}
 	l.mu.Lock()
-	now := l.Clock.Now()
-	for _, p := range m.Groups {
-		row := l.holder.Row(p.Group)
-		if row == nil {
-			continue
-		}
-		// A promise asked for within the last renewals tells that it answers.
-		hears := row.Coordinator == l.self.ID && row.Incarnation == l.self.Incarnation ||
-			l.holder.PromisedUntil(p.Group).Sub(now) > lease.Duration-silentAfter
-		answer.Groups = append(answer.Groups, part{Group: p.Group, Version: row.Version, Promised: hears})
-	}
+	a, known := l.answers[m.About]
+	hears := known && l.Clock.Now().Sub(a.last) < silentAfter
 	l.mu.Unlock()
-	l.reply(from, m.From, answer)
+	l.reply(from, m.From, &message{Kind: opinion, From: l.self.ID, Incarnation: l.self.Incarnation, About: m.About, Hears: hears})
 }
 
 func (l *Lead) handleOpinion(m *message) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, p := range m.Groups {
-		s := l.silences[p.Group]
-		if s == nil || s.asked == 0 {
-			continue
-		}
-		if p.Promised {
-			s.hearing[m.From] = true
-		} else {
-			s.deaf[m.From] = true
-		}
+	s := l.silences[m.About]
+	switch {
+	case s == nil:
+	case m.Hears:
+		s.hearing[m.From] = true
+	default:
+		s.deaf[m.From] = true
 	}
 }
 
-// start runs a change of a group unless one is under way.
-func (l *Lead) start(group topology.GroupID, change func()) {
+// start runs a change of a group unless one is under way, and reports whether it does.
+func (l *Lead) start(group topology.GroupID, change func()) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.working[group] {
-		return
+		return false
 	}
 	l.working[group] = true
 	go func() {
@@ -209,22 +220,21 @@
 		}()
 		change()
 	}()
+	return true
 }
 
-func (l *Lead) takeOver(ctx context.Context, group topology.GroupID, why string) {
-	row := l.Row(group)
-	if row == nil {
-		return
-	}
-	taken := row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, l.witnesses())
-	err := l.commit(ctx, taken)
-	l.Log.Info("event=coordinator_taken_over", "group", group, "from", row.Coordinator, "why", why, "version", taken.Version, "error", err)
-	l.mu.Lock()
-	delete(l.silences, group)
-	l.mu.Unlock()
-	if err != nil {
-		return
+func (l *Lead) takeOver(ctx context.Context, groups []topology.GroupID, why string) {
+	var taken sync.WaitGroup
+	for _, group := range groups {
+		taken.Add(1)
+		if !l.start(group, func() {
+			defer taken.Done()
+			l.takeGroup(ctx, group, why)
+		}) {
+			taken.Done()
+		}
 	}
+	taken.Wait()
 	// The duty comes along now, so that its waiting time has passed when a primary
 	// fails.
 	if _, err := l.acquireDuty(ctx); err != nil {
@@ -232,18 +242,24 @@
 	}
 }
 
-// handOver gives a group to the next VM in order, when this one leaves.
-func (l *Lead) handOver(ctx context.Context, group topology.GroupID) {
+func (l *Lead) takeGroup(ctx context.Context, group topology.GroupID, why string) {
 	row := l.Row(group)
-	if row == nil || row.Coordinator != l.self.ID {
+	if row == nil {
 		return
 	}
-	next := l.successor()
-	if next.ID == "" {
+	next := row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, l.witnesses())
+	err := l.commit(ctx, next)
+	l.Log.Info("event=coordinator_taken_over", "group", group, "from", row.Coordinator, "why", why, "version", next.Version, "error", err)
+}
+
+// handOver gives a group to another VM.
+func (l *Lead) handOver(ctx context.Context, group topology.GroupID, to topology.VM) {
+	row := l.Row(group)
+	if row == nil || row.Coordinator != l.self.ID || to.ID == "" {
 		return
 	}
-	err := l.commit(ctx, row.TakenBy(next.ID, next.Incarnation, l.self.ID, l.witnesses()))
-	l.Log.Info("event=coordinator_handed_over", "group", group, "to", next.ID, "error", err)
+	err := l.commit(ctx, row.TakenBy(to.ID, to.Incarnation, l.self.ID, l.witnesses()))
+	l.Log.Info("event=coordinator_handed_over", "group", group, "to", to.ID, "error", err)
 }
 
 // witnesses draws a row's witnesses from all registered VMs.
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -169,6 +169,13 @@
 	}
 }
 
+// Withdrawn reports whether the row is open although promises have stopped: a change
+// that was to close it has an unknown outcome.
+func (c *Coordinator) Withdrawn(group topology.GroupID) bool {
+	g := c.groups[group]
+	return g != nil && g.withdrawn && g.row.Open()
+}
+
 // Restore allows promises again: the row was read, and the change did not and
 // can't take effect.
 func (c *Coordinator) Restore(group topology.GroupID) {
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -143,7 +143,8 @@
 	return n
 }
 
-// Resumed returns the row with the handover given up: the primary stays.
+// Resumed returns the row with the handover given up: the primary stays. Writing it
+// over an open row makes sure that a change sent before can't take effect any more.
 func (r *Row) Resumed() *Row {
 	n := r.next()
 	n.Handover = nil
