--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -159,13 +159,14 @@
 func (p *Pool) dial() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
+	begun := p.clock.Now()
 	conn, err := p.driver.Dial(ctx, p.target)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dialing--
 	now := p.clock.Now()
 	if err != nil {
-		p.dialFailed(now, err)
+		p.dialFailed(begun, now, err)
 		return
 	}
 	p.health.succeeded(now)
@@ -178,14 +179,18 @@
 	p.hand(l)
 }
 
-// dialFailed answers those that no connection is left for.
-func (p *Pool) dialFailed(now mono.Time, err error) {
+// dialFailed answers those that no connection is left for. A new connection that takes
+// too long while others are answered tells of a target that is full, not of one that
+// has failed: taken for failed, a primary would be replaced for its load.
+func (p *Pool) dialFailed(begun, now mono.Time, err error) {
 	e := refusalOf(err, string(p.target.ID))
 	pause := dialPause
 	if e.Code == result.ConnectionsInUse {
 		pause = fullPause
 	} else {
-		p.health.failed(now)
+		if p.health.lastAnswer < begun {
+			p.health.failed(now)
+		}
 		p.log.Info("event=dial_failed", "target", p.target.ID, "address", p.target.Address, "links", len(p.links),
 			"waiting", p.waiting.Len(), "failing_for", p.health.failingFor(now), "error", err)
 	}
@@ -238,7 +243,9 @@
 	defer p.mu.Unlock()
 	l.sent = 0
 	if err != nil {
-		p.health.failed(now)
+		if p.health.lastAnswer < begun {
+			p.health.failed(now)
+		}
 		p.log.Info("event=target_connection_lost", "target", p.target.ID, "sent_before", now.Sub(begun), "error", err)
 		p.probe()
 		return
--- /dev/null
+++ b/internal/target/pool_test.go
@@ -0,0 +1,194 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// fakeTarget is the twin of a database: it keeps what its connections were sent.
+type fakeTarget struct {
+	mu      sync.Mutex
+	refuse  error
+	hold    chan struct{} // a dial waits for it
+	dialled int
+	sent    []target.Command
+	// answer is what Run gives; nil: a success outside of a transaction.
+	answer func(target.Command) (statement.Answer, error)
+}
+
+func (f *fakeTarget) Dial(context.Context, topology.Target) (target.Conn, error) {
+	f.mu.Lock()
+	f.dialled++
+	hold := f.hold
+	f.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.refuse != nil {
+		return nil, f.refuse
+	}
+	return &fakeConn{target: f}, nil
+}
+
+func (f *fakeTarget) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.dialled
+}
+
+type fakeConn struct {
+	target *fakeTarget
+	state  statement.State
+}
+
+func (c *fakeConn) Close() {}
+
+func (c *fakeConn) Run(_ time.Time, cmd target.Command) (statement.Answer, error) {
+	c.target.mu.Lock()
+	defer c.target.mu.Unlock()
+	c.target.sent = append(c.target.sent, cmd)
+	switch cmd.Kind {
+	case target.Begin, target.BeginReadOnly:
+		c.state = statement.Open
+	case target.Rollback:
+		c.state = statement.Idle
+	}
+	if c.target.answer != nil {
+		return c.target.answer(cmd)
+	}
+	if c.state == 0 {
+		c.state = statement.Idle
+	}
+	return statement.Answer{State: c.state}, nil
+}
+
+func newPool(f *fakeTarget, share int) *target.Pool {
+	return target.NewPool(topology.Target{ID: "t"}, share, f, mono.System{}, slog.New(slog.DiscardHandler))
+}
+
+func acquire(t *testing.T, p *target.Pool, values map[string]string) *target.Link {
+	t.Helper()
+	l, failure := p.Acquire(context.Background(), 1, mono.System{}.Now().Add(time.Second), values)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	return l
+}
+
+func soon() time.Time { return time.Now().Add(time.Second) }
+
+// Two sessions share a connection. The first one's values must not be in force for the
+// second one's statement.
+func TestAConnectionIsAdaptedToItsSession(t *testing.T) {
+	f := &fakeTarget{}
+	p := newPool(f, 1)
+	first := acquire(t, p, nil)
+	if err := first.Adapt(soon(), map[string]string{"a": "1"}); err != nil {
+		t.Fatal(err)
+	}
+	first.Release()
+	second := acquire(t, p, map[string]string{"b": "2"})
+	if err := second.Adapt(soon(), map[string]string{"b": "2"}); err != nil {
+		t.Fatal(err)
+	}
+	kinds := []target.CommandKind{}
+	for _, c := range f.sent {
+		kinds = append(kinds, c.Kind)
+	}
+	want := []target.CommandKind{target.Set, target.Reset, target.Set}
+	if len(kinds) != 3 || kinds[0] != want[0] || kinds[1] != want[1] || kinds[2] != want[2] {
+		t.Fatalf("sent %v, want %v", kinds, want)
+	}
+}
+
+// A caller leaves in the middle of a transaction: the next session must not find its
+// statements inside it.
+func TestAnOpenTransactionIsRolledBackOnRelease(t *testing.T) {
+	f := &fakeTarget{}
+	p := newPool(f, 1)
+	l := acquire(t, p, nil)
+	if err := l.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	l.Release()
+	if last := f.sent[len(f.sent)-1]; last.Kind != target.Rollback || last.ID != statement.OwnID {
+		t.Fatalf("last sent %+v", last)
+	}
+	if acquire(t, p, nil).Open() {
+		t.Fatal("given out with an open transaction")
+	}
+}
+
+// The target is full: a further connection times out while the one in use is answered.
+// The pool must not report the target as failed, or a primary would be replaced for
+// its load.
+func TestAFullTargetHasNotFailed(t *testing.T) {
+	f := &fakeTarget{}
+	p := newPool(f, 2)
+	l := acquire(t, p, nil)
+	hold := make(chan struct{})
+	f.mu.Lock()
+	f.refuse, f.hold = errors.New("timeout"), hold
+	f.mu.Unlock()
+	refused := make(chan *result.Error)
+	go func() {
+		_, failure := p.Acquire(context.Background(), 1, mono.System{}.Now().Add(100*time.Millisecond), nil)
+		refused <- failure
+	}()
+	for f.count() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := l.Run(soon(), target.Command{}); err != nil {
+		t.Fatal(err)
+	}
+	close(hold)
+	if failure := <-refused; failure == nil || failure.Code != result.DeadlineInQueue {
+		t.Fatalf("got %v", failure)
+	}
+	if load := p.Load(); load.FailingFor != 0 {
+		t.Fatalf("failing for %v", load.FailingFor)
+	}
+}
+
+// Nobody answers: those that wait are refused at once, so that reads go elsewhere.
+func TestAnUnreachableTargetRefusesAtOnce(t *testing.T) {
+	p := newPool(&fakeTarget{refuse: errors.New("refused")}, 2)
+	begun := time.Now()
+	_, failure := p.Acquire(context.Background(), 1, mono.System{}.Now().Add(5*time.Second), nil)
+	if failure == nil || failure.Code != result.TargetUnreachable || time.Since(begun) > time.Second {
+		t.Fatalf("%v after %v", failure, time.Since(begun))
+	}
+	if p.Load().FailingFor == 0 {
+		t.Fatal("not reported as failing")
+	}
+}
+
+// Names of two sessions collide; each must run its own shape.
+func TestPreparedNamesOfTwoSessionsDiffer(t *testing.T) {
+	f := &fakeTarget{}
+	l := acquire(t, newPool(f, 1), nil)
+	one, err := l.Ensure(soon(), statement.Prepared{Shape: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	two, err := l.Ensure(soon(), statement.Prepared{Shape: "x", Writes: true})
+	if err != nil || one == two {
+		t.Fatalf("%q %q %v", one, two, err)
+	}
+	if again, _ := l.Ensure(soon(), statement.Prepared{Shape: "x"}); again != one || len(f.sent) != 2 {
+		t.Fatalf("prepared %d times", len(f.sent))
+	}
+}
