--- /dev/null
+++ b/internal/gateway/harness_test.go
@@ -0,0 +1,322 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/gateway"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// The databases of the harness: one group with a primary and a replica.
+const (
+	group   = topology.GroupID("g")
+	primary = topology.TargetID("p")
+	replica = topology.TargetID("r")
+)
+
+// textCaller is a caller's connection in a protocol of the tests: a line a statement,
+// its kind first; answers are one line, too.
+type textCaller struct {
+	conn    net.Conn
+	r       *bufio.Reader
+	partial string
+}
+
+func newTextCaller(nc net.Conn) gateway.Caller {
+	return &textCaller{conn: nc, r: bufio.NewReader(nc)}
+}
+
+func (c *textCaller) line() (string, error) {
+	s, err := c.r.ReadString('\n')
+	if err != nil {
+		c.partial += s
+		return "", err
+	}
+	s = c.partial + s
+	c.partial = ""
+	return strings.TrimSpace(s), nil
+}
+
+func (c *textCaller) Open() (string, error) { return c.line() }
+func (c *textCaller) Begun() bool           { return c.partial != "" || c.r.Buffered() > 0 }
+func (c *textCaller) Welcome() error        { return c.say("welcome") }
+func (c *textCaller) Refuse(e *result.Error) error {
+	return c.say("refused " + e.Code.Name())
+}
+
+func (c *textCaller) say(s string) error {
+	_, err := io.WriteString(c.conn, s+"\n")
+	return err
+}
+
+var kinds = map[string]statement.Kind{
+	"begin": statement.Begin, "begin_read_only": statement.BeginReadOnly, "commit": statement.Commit,
+	"rollback": statement.Rollback, "read": statement.Read, "write": statement.Write,
+}
+
+func (c *textCaller) Next() (*statement.Statement, *result.Error, error) {
+	s, err := c.line()
+	if err != nil {
+		return nil, nil, err
+	}
+	word, rest, _ := strings.Cut(s, " ")
+	return &statement.Statement{ID: "id", Text: s, Kind: kinds[word], Arguments: rest}, nil, nil
+}
+
+func (c *textCaller) Answer(a statement.Answer) error {
+	if a.Failure != nil {
+		return c.say(string(a.State) + " " + a.Failure.Code.Name() + " " + a.Failure.Ran.String())
+	}
+	return c.say(string(a.State) + " ok " + a.Digest)
+}
+
+// database is the twin of a database.
+type database struct {
+	mu       sync.Mutex
+	position position.Position
+	ran      []string
+	// before is called before a statement of a caller runs; an error breaks the
+	// connection after the run, a failure is the answer.
+	before func(text string) (*result.Error, error)
+}
+
+func (d *database) statements() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return strings.Join(d.ran, ", ")
+}
+
+type databases map[topology.TargetID]*database
+
+func (d databases) Dial(_ context.Context, t topology.Target) (target.Conn, error) {
+	return &databaseConn{database: d[t.ID], state: statement.Idle}, nil
+}
+
+type databaseConn struct {
+	database *database
+	state    statement.State
+}
+
+func (c *databaseConn) Close() {}
+
+func (c *databaseConn) Run(_ time.Time, cmd target.Command) (statement.Answer, error) {
+	d := c.database
+	if cmd.Kind == target.Caller && d.before != nil {
+		failure, err := d.before(cmd.Text)
+		if failure != nil || err != nil {
+			return statement.Answer{Failure: failure, State: c.state, Position: d.position}, err
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.position.Less(cmd.After) {
+		return statement.Answer{Failure: result.New(result.ReplicaBehind, ""), State: c.state, Position: d.position}, nil
+	}
+	digest := ""
+	switch cmd.Kind {
+	case target.Begin, target.BeginReadOnly:
+		c.state = statement.Open
+	case target.Rollback:
+		c.state = statement.Idle
+	case target.Caller:
+		d.ran = append(d.ran, cmd.Text)
+		digest = "d"
+		if cmd.Text == "commit" {
+			c.state = statement.Idle
+		}
+		if cmd.Text == "commit" || strings.HasPrefix(cmd.Text, "write") && c.state == statement.Idle {
+			d.position.Index++
+		}
+	}
+	return statement.Answer{Digest: digest, State: c.state, Position: d.position}, nil
+}
+
+// rights is the twin of a lead: a test gives and takes the right.
+type rights struct {
+	mu      sync.Mutex
+	row     lease.Row
+	held    bool
+	changed chan struct{}
+}
+
+func (r *rights) set(held bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held = held
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *rights) Right(topology.GroupID) (lease.Right, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return lease.Right{Group: group, Term: r.row.Term, Primary: r.row.Primary}, r.held
+}
+
+func (r *rights) Await(ctx context.Context, g topology.GroupID) (lease.Right, bool) {
+	for {
+		r.mu.Lock()
+		changed := r.changed
+		r.mu.Unlock()
+		if right, ok := r.Right(g); ok {
+			return right, true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return lease.Right{}, false
+		}
+	}
+}
+
+func (r *rights) Confirm(want lease.Right) bool {
+	got, ok := r.Right(group)
+	return ok && got == want
+}
+
+func (r *rights) Row(topology.GroupID) *lease.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	row := r.row
+	return &row
+}
+
+// fixture is a server with its surroundings.
+type fixture struct {
+	t         *testing.T
+	server    *gateway.Server
+	databases databases
+	rights    *rights
+	address   string
+}
+
+const statementTimeout = 400 * time.Millisecond
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{t: t, databases: databases{primary: {}, replica: {}}}
+	f.rights = &rights{held: true, changed: make(chan struct{}), row: lease.Row{Group: group, Version: 1, Term: 1, Primary: primary}}
+	for _, d := range f.databases {
+		d.position = position.Position{Term: 1, Index: 1}
+	}
+	log := slog.New(slog.DiscardHandler)
+	d := directory.New(topology.VM{ID: "vm", DataCentre: "dc"})
+	d.SetConfiguration(&directory.Configuration{
+		Version:         1,
+		Connections:     map[topology.GroupID]int{group: 16},
+		IdleTransaction: time.Minute,
+		Classes: map[string]directory.Class{
+			"newest":  {Database: "newest", Group: group, Reads: directory.Newest, StatementTimeout: statementTimeout},
+			"own":     {Database: "own", Group: group, Reads: directory.OwnWrites, Staleness: time.Second, StatementTimeout: statementTimeout},
+			"bounded": {Database: "bounded", Group: group, Reads: directory.Bounded, Staleness: time.Second, StatementTimeout: statementTimeout},
+		},
+	})
+	for _, id := range []topology.TargetID{primary, replica} {
+		d.SetTarget(directory.Target{Target: topology.Target{ID: id, Group: group, DataCentre: "dc", Address: string(id)}, Slots: 2})
+	}
+	pools := target.NewPools(d, f.databases, mono.System{}, log)
+	ctx, cancel := context.WithCancel(context.Background())
+	go pools.Run(ctx)
+	registry := metrics.New()
+	f.server = gateway.NewServer(gateway.Options{
+		Directory: d, Pools: pools, Rights: f.rights, Codec: newTextCaller, Clock: mono.System{}, Log: log,
+		Metrics: metrics.NewEntry(registry), MaxSessions: 100,
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.address = l.Addr().String()
+	go f.server.Serve(ctx, l)
+	t.Cleanup(func() {
+		cancel()
+		l.Close()
+		_ = registry.Close()
+	})
+	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if _, ok := pools.Get(replica); ok {
+			return f
+		}
+	}
+	t.Fatal("no pool for the replica")
+	return nil
+}
+
+// client is a caller of the tests.
+type client struct {
+	t    *testing.T
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+func (f *fixture) open(name string) *client {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { conn.Close() })
+	c := &client{t: f.t, conn: conn, r: bufio.NewReader(conn)}
+	if got := c.ask(name); got != "welcome" {
+		f.t.Fatalf("opening %s: %q", name, got)
+	}
+	return c
+}
+
+func (c *client) ask(text string) string {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, text+"\n"); err != nil {
+		c.t.Fatal(err)
+	}
+	return c.hear()
+}
+
+// hear returns the next line, or "closed".
+func (c *client) hear() string {
+	c.t.Helper()
+	_ = c.conn.SetReadDeadline(time.Now().Add(5 * time.Second))
+	s, err := c.r.ReadString('\n')
+	if errors.Is(err, io.EOF) {
+		return "closed"
+	}
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	return strings.TrimSpace(s)
+}
+
+func (c *client) expect(text, want string) {
+	c.t.Helper()
+	if got := c.ask(text); got != want {
+		c.t.Fatalf("%s: %q, want %q", text, got, want)
+	}
+}
+
+// opening returns what a new session is told.
+func (f *fixture) opening(name string) string {
+	f.t.Helper()
+	conn, err := net.Dial("tcp", f.address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer conn.Close()
+	c := &client{t: f.t, conn: conn, r: bufio.NewReader(conn)}
+	return c.ask(name)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,7 +65,7 @@
 	Idle time.Time
 	// Transactions still open then are rolled back.
 	Transactions time.Time
-	// All sessions are closed then.
+	// All: from then on no request is taken; those under way are answered.
 	All time.Time
 }
 
@@ -134,6 +134,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.plan != nil && time.Now().After(s.plan.All) {
+		return result.New(result.Leaving, "connect again, to another VM").After(time.Second)
+	}
 	if len(s.sessions) >= s.MaxSessions {
 		return result.New(result.TooManySessions, "%d are open", len(s.sessions)).After(time.Second)
 	}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -209,8 +209,11 @@
 	rotationTime = 2200 * time.Millisecond
 	// transactionShare of the grace is left to open transactions.
 	transactionShare = 0.5
-	// lastShare of the grace is when everything is closed.
-	lastShare = 0.8
+	// lastShare of the grace is when the last request is taken. What is left of a
+	// grace of 6 s is longer than a statement may take, so none is cut off.
+	lastShare = 0.6
+	// endShare of the grace is when the process ends in any case.
+	endShare = 0.93
 )
 
 // stop leaves in order: say not ready, hand over the groups that this VM coordinates,
@@ -230,7 +233,7 @@
 	p.Lead.Leave(handing)
 	cancel()
 	time.Sleep(time.Until(plan.Idle))
-	waiting, cancel := context.WithDeadline(ctx, plan.All)
+	waiting, cancel := context.WithDeadline(ctx, now.Add(time.Duration(endShare*grace)))
 	defer cancel()
 	p.Server.Wait(waiting)
 	p.Log.Info("event=stopped", "sessions", p.Server.Sessions(), "took", time.Since(now))
