--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -107,7 +107,7 @@
 
 func (r *request) committed(p position.Position) {
 	tx := r.tx
-	r.session.tx = nil
+	r.tx = nil
 	if tx.wrote {
 		r.floors.Raise(tx.class.Group, p)
 	}
@@ -122,7 +122,7 @@
 func (r *request) endFailed(why *result.Error) statement.Answer {
 	r.fail(why)
 	if r.st.Kind == statement.Commit {
-		r.session.tx = nil
+		r.tx = nil
 		return statement.Fail(why, statement.Idle)
 	}
 	return statement.Fail(why, statement.Failed)
--- /dev/null
+++ b/internal/lead/cluster_test.go
@@ -0,0 +1,291 @@
+package lead_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/lead"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+const group = topology.GroupID("g")
+
+// databases is the twin of a group's databases and of the platform that promotes them.
+type databases struct {
+	mu      sync.Mutex
+	down    map[topology.TargetID]bool
+	role    map[topology.TargetID]bool // primary or not
+	term    uint64
+	index   map[topology.TargetID]uint64
+	orders  []order
+	refused map[topology.TargetID]bool // the platform won't promote it
+	// silent: the platform takes orders, and answers none.
+	silent bool
+}
+
+type order struct {
+	holder topology.VMID
+	fence  uint64
+	id     topology.TargetID
+}
+
+var errDown = errors.New("down")
+
+func newDatabases() *databases {
+	return &databases{
+		down: map[topology.TargetID]bool{}, refused: map[topology.TargetID]bool{}, term: 1,
+		role:  map[topology.TargetID]bool{"a": true, "b": false, "c": false},
+		index: map[topology.TargetID]uint64{"a": 9, "b": 9, "c": 7},
+	}
+}
+
+func (d *databases) Status(_ context.Context, t topology.Target) (target.Status, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.down[t.ID] {
+		return target.Status{}, errDown
+	}
+	return target.Status{Primary: d.role[t.ID], Term: d.term, Received: position.Position{Term: 1, Index: d.index[t.ID]}}, nil
+}
+
+func (d *databases) StopReceiving(ctx context.Context, t topology.Target, _ uint64) (target.Status, error) {
+	return d.Status(ctx, t)
+}
+
+func (d *databases) Resume(ctx context.Context, t topology.Target) (target.Status, error) {
+	return d.Status(ctx, t)
+}
+
+func (d *databases) StepDown(ctx context.Context, t topology.Target, _ uint64) (target.Status, error) {
+	s, err := d.Status(ctx, t)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err == nil {
+		d.role[t.ID] = false
+		d.index["b"] = d.index[t.ID]
+	}
+	return s, err
+}
+
+func (d *databases) Promote(_ context.Context, _ topology.GroupID, id topology.TargetID, holder topology.VMID, fence uint64) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.orders = append(d.orders, order{holder: holder, fence: fence, id: id})
+	if d.down[id] || d.refused[id] {
+		return lead.ErrNotPromotable
+	}
+	for other := range d.role {
+		d.role[other] = d.role[other] && d.down[other]
+	}
+	d.role[id] = true
+	d.term++
+	if d.silent {
+		return errDown
+	}
+	return nil
+}
+
+func (d *databases) kill(id topology.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down[id] = true
+}
+
+func (d *databases) isDown(id topology.TargetID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.down[id]
+}
+
+// vm is one VM of a cluster in this process.
+type vm struct {
+	id        topology.VMID
+	lead      *lead.Lead
+	directory *directory.Directory
+	store     *gate
+	cancel    context.CancelFunc
+}
+
+// gate cuts one VM off from the store.
+type gate struct {
+	metastore.Store
+	mu     sync.Mutex
+	closed bool
+}
+
+func (g *gate) shut(closed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = closed
+}
+
+func (g *gate) err() error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return errDown
+	}
+	return nil
+}
+
+func (g *gate) List(ctx context.Context, table string) (metastore.Rows, error) {
+	if err := g.err(); err != nil {
+		return metastore.Rows{}, err
+	}
+	return g.Store.List(ctx, table)
+}
+
+func (g *gate) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+	if err := g.err(); err != nil {
+		return metastore.Rows{}, err
+	}
+	return g.Store.Watch(ctx, table, after, min(wait, 100*time.Millisecond))
+}
+
+func (g *gate) Put(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+	if err := g.err(); err != nil {
+		return 0, err
+	}
+	return g.Store.Put(ctx, table, key, value, expected)
+}
+
+// health tells what a VM's own requests would: a target that is down fails.
+type health struct {
+	databases *databases
+	mu        sync.Mutex
+	since     map[topology.TargetID]time.Time
+}
+
+func (h *health) Load(id topology.TargetID) (target.Load, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.databases.isDown(id) {
+		delete(h.since, id)
+		return target.Load{LastAnswer: mono.System{}.Now()}, true
+	}
+	if h.since[id].IsZero() {
+		h.since[id] = time.Now()
+	}
+	return target.Load{FailingFor: max(time.Since(h.since[id]), 1)}, true
+}
+
+// cluster is some VMs with one store and one group of databases.
+type cluster struct {
+	t         *testing.T
+	store     *metastore.Memory
+	databases *databases
+	vms       map[topology.VMID]*vm
+	addresses map[topology.VMID]string
+}
+
+func startCluster(t *testing.T, n int) *cluster {
+	t.Helper()
+	t.Parallel()
+	c := &cluster{
+		t: t, store: metastore.NewMemory(), databases: newDatabases(),
+		vms: map[topology.VMID]*vm{}, addresses: map[topology.VMID]string{},
+	}
+	for i := range n {
+		id := topology.VMID(fmt.Sprintf("vm-%d", i+1))
+		c.addresses[id] = freeAddress(t)
+		c.start(id)
+	}
+	return c
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	conn, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	return conn.LocalAddr().String()
+}
+
+// start starts a VM, or starts it again.
+func (c *cluster) start(id topology.VMID) {
+	c.t.Helper()
+	log := slog.New(slog.DiscardHandler)
+	if os.Getenv("BTS_LOGS") != "" {
+		log = slog.New(slog.NewTextHandler(os.Stderr, nil)).With("vm", id)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	store := &gate{Store: c.store}
+	self, err := lead.Register(ctx, store, topology.VM{ID: id, DataCentre: topology.DataCentre("dc-" + string(id)), PeerAddress: c.addresses[id]}, log)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	d := directory.New(self)
+	for _, t := range []topology.TargetID{"a", "b", "c"} {
+		d.SetTarget(directory.Target{Target: topology.Target{ID: t, Group: group}, SaysPrimary: t == "a"})
+	}
+	transport, err := lead.Listen(self.PeerAddress, log)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	l := lead.New(lead.Options{
+		Directory: d, Store: store, Control: c.databases, Promotions: c.databases, Transport: transport,
+		Health: &health{databases: c.databases, since: map[topology.TargetID]time.Time{}},
+		Clock:  mono.System{}, Log: log,
+	})
+	c.vms[id] = &vm{id: id, lead: l, directory: d, store: store, cancel: cancel}
+	go l.Run(ctx)
+	c.t.Cleanup(cancel)
+}
+
+// stop kills a VM's process.
+func (c *cluster) stop(id topology.VMID) {
+	c.vms[id].cancel()
+	delete(c.vms, id)
+	time.Sleep(50 * time.Millisecond) // Its socket closes.
+}
+
+// eventually waits until ok holds.
+func (c *cluster) eventually(within time.Duration, what string, ok func() bool) {
+	c.t.Helper()
+	for end := time.Now().Add(within); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	c.t.Fatalf("not within %v: %s", within, what)
+}
+
+// allRight reports whether every VM has the right for the primary.
+func (c *cluster) allRight(primary topology.TargetID) bool {
+	for _, v := range c.vms {
+		if r, ok := v.lead.Right(group); !ok || r.Primary != primary {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *cluster) row() *lease.Row {
+	for _, v := range c.vms {
+		if r := v.lead.Row(group); r != nil {
+			return r
+		}
+	}
+	return nil
+}
+
+func (c *cluster) settle() topology.VMID {
+	c.t.Helper()
+	c.eventually(5*time.Second, "every VM has the right", func() bool { return c.allRight("a") })
+	return c.row().Coordinator
+}
--- a/internal/lead/transport.go
+++ b/internal/lead/transport.go
@@ -53,7 +53,7 @@
 
 // Serve hands each message to handle until the context ends.
 func (t *Transport) Serve(ctx context.Context, handle func(from string, m *message)) {
-	stop := context.AfterFunc(ctx, func() { t.conn.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for {
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -85,7 +85,7 @@
 func (q *Queue) room(e *entry) (victim *entry, err error) {
 	switch {
 	case e.continues():
-		return nil, nil
+		return nil, nil //nolint:nilnil // No waiting request is displaced, and none is refused.
 	case q.classes[e.Class] >= q.limits.classQueue(e.Class):
 		return nil, q.refuse(result.QueueFull, e)
 	case q.members[e.Member] >= q.limits.MemberQueue:
--- /dev/null
+++ b/pkg/metastore/memory_test.go
@@ -0,0 +1,51 @@
+package metastore_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+)
+
+func TestMemoryChangesUnderAConditionOnly(t *testing.T) {
+	ctx := context.Background()
+	m := metastore.NewMemory()
+	version, err := m.Put(ctx, "t", "k", []byte("1"), 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := m.Put(ctx, "t", "k", []byte("2"), 0); !errors.Is(err, metastore.ErrConflict) {
+		t.Fatalf("written over: %v", err)
+	}
+	if err := m.Delete(ctx, "t", "k", version); err != nil {
+		t.Fatal(err)
+	}
+	changes, err := m.Watch(ctx, "t", version, time.Second)
+	if err != nil || len(changes.Rows) != 1 || !changes.Rows[0].Deleted {
+		t.Fatalf("%+v %v", changes, err)
+	}
+	if rows, _ := m.List(ctx, "t"); len(rows.Rows) != 0 {
+		t.Fatalf("%+v", rows)
+	}
+}
+
+// The store drops its history while a watcher is behind: it must list the table anew, or
+// it would miss what changed.
+func TestMemoryWithoutHistory(t *testing.T) {
+	ctx := context.Background()
+	m := metastore.NewMemory()
+	for i := range 3 {
+		if _, err := m.Put(ctx, "t", string(rune('a'+i)), nil, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	m.ForgetHistory()
+	if _, err := m.Watch(ctx, "t", 1, time.Second); !errors.Is(err, metastore.ErrHistoryGone) {
+		t.Fatalf("got %v", err)
+	}
+	if _, err := m.Watch(ctx, "t", 3, time.Millisecond); err != nil {
+		t.Fatalf("a watcher that is up to date: %v", err)
+	}
+}
