Pool: overload ends with the load: late answers finished, hopeless waits refused

Statements were sent with 1 to 40 ms left, timed out, and their connections were closed (log: target_connection_lost sent_before=1.1ms, 100 a second pair); each new one takes 12 ms of a slot, more than the statement. Tests: late answer, hopeless wait, shortage, yielding (internal/target).

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -116,6 +116,10 @@
 
 func (c *databaseConn) Close() {}
 
+func (c *databaseConn) Finish(time.Time) (statement.Answer, error) {
+	return statement.Answer{State: statement.Idle}, nil
+}
+
 func (c *databaseConn) Run(_ time.Time, cmd target.Command) (statement.Answer, error) {
 	d := c.database
 	if cmd.Kind == target.Caller && d.before != nil {
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -18,7 +18,7 @@
 // proved that it has not run, and a read also when that is not known.
 func (r *request) atPrimary() statement.Answer {
 	var last *result.Error
-	for r.left(attemptTime) && r.ctx.Err() == nil {
+	for r.left(sendReserve) && r.ctx.Err() == nil {
 		answer, failure := r.tryPrimary()
 		if failure == nil {
 			return answer
@@ -37,7 +37,7 @@
 	if failure != nil {
 		return statement.Answer{}, failure
 	}
-	link, failure := pool.Acquire(r.ctx, r.class.Priority, r.deadline, r.context.Values())
+	link, failure := pool.Acquire(r.ctx, r.class.Priority, r.sendBy(), r.context.Values())
 	if failure != nil {
 		return statement.Answer{}, failure
 	}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -14,8 +14,6 @@
 const (
 	// retryPause between attempts where nothing ran: about one statement's time.
 	retryPause = 10 * time.Millisecond
-	// attemptTime is what a further attempt needs at least.
-	attemptTime = 20 * time.Millisecond
 	// comeBack is when a caller whose request found no target in time may return:
 	// most failovers are over within a second.
 	comeBack = 500 * time.Millisecond
@@ -36,7 +34,7 @@
 func (r *request) readAnywhere() statement.Answer {
 	var last *result.Error
 	tried := map[topology.TargetID]bool{}
-	for r.left(attemptTime) && r.ctx.Err() == nil {
+	for r.left(sendReserve) && r.ctx.Err() == nil {
 		c, failure := r.server.router.chooseRead(&r.class, r.sessionFloor(), tried)
 		if failure != nil {
 			last = failure
@@ -82,7 +80,7 @@
 func (r *request) readAt(c choice) (statement.Answer, *result.Error) {
 	t := c.pool.Target()
 	r.note(t.ID)
-	link, failure := c.pool.Acquire(r.ctx, r.class.Priority, r.deadline, r.context.Values())
+	link, failure := c.pool.Acquire(r.ctx, r.class.Priority, r.sendBy(), r.context.Values())
 	if failure != nil {
 		return statement.Answer{}, failure
 	}
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -284,6 +284,14 @@
 	return time.Now().Add(r.deadline.Sub(r.server.Clock.Now()))
 }
 
+// sendReserve is what is left of a statement's time at least when it is sent: as long as
+// a target takes whose connections are all at work, sixteen statements of 9 ms in two
+// slots, and some. A statement that is sent with less is worked on for nobody.
+const sendReserve = 100 * time.Millisecond
+
+// sendBy returns until when the statement may wait for a connection.
+func (r *request) sendBy() mono.Time { return r.deadline.Add(-sendReserve) }
+
 // left reports whether a further attempt, which takes about the given time, can still
 // end in time.
 func (r *request) left(attempt time.Duration) bool {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -166,7 +166,7 @@
 func (r *request) attach() *result.Error {
 	var last *result.Error
 	tried := map[topology.TargetID]bool{}
-	for r.left(attemptTime) && r.ctx.Err() == nil {
+	for r.left(sendReserve) && r.ctx.Err() == nil {
 		var failure *result.Error
 		if r.tx.readOnly && r.class.Reads != directory.Newest {
 			failure = r.attachAnywhere(tried)
@@ -219,7 +219,7 @@
 
 func (r *request) attachTo(pool *target.Pool, floor position.Position) *result.Error {
 	id := pool.Target().ID
-	link, failure := pool.Acquire(r.ctx, r.class.Priority, r.deadline, r.context.Values())
+	link, failure := pool.Acquire(r.ctx, r.class.Priority, r.sendBy(), r.context.Values())
 	if failure != nil {
 		return failure
 	}
--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -182,6 +182,10 @@
 	return target.Load{FailingFor: max(time.Since(h.since[id]), 1)}, true
 }
 
+func (h *health) Starved() []topology.TargetID { return nil }
+
+func (h *health) Yield([]topology.TargetID) {}
+
 // cluster is some VMs with one store and one group of databases.
 type cluster struct {
 	t         *testing.T
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -57,9 +57,12 @@
 	StepDown(ctx context.Context, t topology.Target, term uint64) (target.Status, error)
 }
 
-// Health tells how this VM finds a target.
+// Health tells how this VM finds a target, and shares the targets' connections with the
+// other VMs.
 type Health interface {
 	Load(id topology.TargetID) (target.Load, bool)
+	Starved() []topology.TargetID
+	Yield(ids []topology.TargetID)
 }
 
 // Options of New.
@@ -92,7 +95,8 @@
 	duty        dutyState
 	missing     map[topology.GroupID]mono.Time
 	firstSeen   map[topology.GroupID]mono.Time
-	heard       map[topology.VMID]mono.Time // when each VM's last message came
+	heard       map[topology.VMID]mono.Time     // when each VM's last message came
+	starved     map[topology.TargetID]mono.Time // until when a VM is short of connections
 	storeSeen   mono.Time
 	reading     bool
 	lastRead    mono.Time
@@ -125,6 +129,7 @@
 		missing:     map[topology.GroupID]mono.Time{},
 		firstSeen:   map[topology.GroupID]mono.Time{},
 		heard:       map[topology.VMID]mono.Time{},
+		starved:     map[topology.TargetID]mono.Time{},
 		changed:     make(chan struct{}),
 	}
 }
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -31,6 +31,9 @@
 	// Sequence of the renewal; its promise has the same.
 	Sequence uint64 `msgpack:"s"`
 	Groups   []part `msgpack:"g"`
+	// Starved are targets of which a VM gets fewer connections than its share: in a
+	// renewal the sender, in a promise any.
+	Starved []topology.TargetID `msgpack:"t,omitempty"`
 	// About is the coordinator that a question and its opinion are of; Hears: the
 	// opinion's sender hears it.
 	About topology.VMID `msgpack:"a,omitempty"`
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -52,13 +52,17 @@
 			parts[row.Coordinator] = append(parts[row.Coordinator], l.partOf(group, row))
 		}
 	}
+	if len(parts) == 0 {
+		return
+	}
+	starved := l.Health.Starved()
 	for vm, p := range parts {
 		x := l.renewals[vm]
 		x.sent = now
 		x.sequence++
 		x.sentAt[x.sequence] = now
 		delete(x.sentAt, x.sequence-renewalsKept)
-		m := &message{Kind: renewal, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: x.sequence, Groups: p}
+		m := &message{Kind: renewal, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: x.sequence, Groups: p, Starved: starved}
 		l.sendTo(vm, m)
 	}
 }
@@ -142,10 +146,30 @@
 		}
 		answer.Groups = append(answer.Groups, a)
 	}
+	answer.Starved = l.allStarved(m.Starved, now)
 	l.mu.Unlock()
 	l.reply(from, m.From, answer)
 }
 
+// starvedKept is how long a VM's shortage is passed on: two renewals.
+const starvedKept = 900 * time.Millisecond
+
+// allStarved notes what a VM is short of and returns what any VM is.
+func (l *Lead) allStarved(of []topology.TargetID, now mono.Time) []topology.TargetID {
+	for _, id := range of {
+		l.starved[id] = now.Add(starvedKept)
+	}
+	var all []topology.TargetID
+	for id, until := range l.starved {
+		if now.After(until) {
+			delete(l.starved, id)
+			continue
+		}
+		all = append(all, id)
+	}
+	return all
+}
+
 func (l *Lead) noteReport(vm topology.VMID, p part, now mono.Time) {
 	if p.Target == "" {
 		return
@@ -171,6 +195,7 @@
 	if !ok {
 		return
 	}
+	l.Health.Yield(m.Starved)
 	for _, p := range m.Groups {
 		if p.Row != nil {
 			l.adopt(p.Row, string(m.From))
--- a/internal/target/driver.go
+++ b/internal/target/driver.go
@@ -45,9 +45,12 @@
 
 // Conn is a connection to a target. One goroutine uses it at a time.
 type Conn interface {
-	// Run sends a command and returns its whole answer. After an error the
-	// connection can't be used, and whether the command ran is not known.
+	// Run sends a command and returns its whole answer. After an error whether the
+	// command ran is not known. If that is os.ErrDeadlineExceeded, Finish may be
+	// called; after any other the connection can't be used.
 	Run(deadline time.Time, c Command) (statement.Answer, error)
+	// Finish reads the rest of an answer that Run did not wait for.
+	Finish(deadline time.Time) (statement.Answer, error)
 	Close()
 }
 
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -1,7 +1,9 @@
 package target
 
 import (
+	"errors"
 	"hash/fnv"
+	"os"
 	"strconv"
 	"time"
 
@@ -26,6 +28,10 @@
 	open bool
 	// broken: the connection can't be used any more.
 	broken bool
+	// unfinished: the answer to the last command was not waited for to its end.
+	unfinished bool
+	// taken is when the link was given out.
+	taken mono.Time
 	// sent is when the command under way was sent; 0: none is.
 	sent mono.Time
 	// freed is when the link was last given back.
@@ -36,6 +42,10 @@
 func (l *Link) Run(deadline time.Time, c Command) (statement.Answer, error) {
 	begun := l.pool.begin(l)
 	a, err := l.conn.Run(deadline, c)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		l.unfinished = true
+		return a, err
+	}
 	l.pool.end(l, begun, err)
 	if err != nil {
 		l.broken = true
@@ -159,12 +169,35 @@
 	return a.Position, nil
 }
 
+// finishTimeout is how long a late answer is waited for before its connection is
+// closed. The target works on the statement in any case; closing would have it open
+// another connection, which takes a slot for longer than most statements. Under
+// load that alone kept a target overloaded after the load had gone.
+const finishTimeout = 1500 * time.Millisecond
+
+// finish reads a late answer, so that the connection can be used again.
+func (l *Link) finish() {
+	a, err := l.conn.Finish(time.Now().Add(finishTimeout))
+	l.pool.end(l, l.sent, err)
+	l.unfinished = false
+	l.broken = err != nil
+	l.open = err == nil && a.State != statement.Idle
+}
+
 // rollbackTimeout bounds the roll-back of a transaction that its caller left.
 const rollbackTimeout = 500 * time.Millisecond
 
 // Release gives the connection back. A transaction that is still open is rolled
-// back first; a connection on which that fails is closed, which rolls back, too.
+// back first; a connection on which that fails is closed, which rolls back, too. It
+// does not wait for a late answer.
 func (l *Link) Release() {
+	if l.unfinished {
+		go func() {
+			l.finish()
+			l.Release()
+		}()
+		return
+	}
 	if l.open && !l.broken {
 		if err := l.own(time.Now().Add(rollbackTimeout), Command{Kind: Rollback}); err != nil {
 			l.pool.log.Info("event=rollback_failed", "target", l.pool.target.ID, "error", err, "outcome", "connection_closed")
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -25,6 +25,11 @@
 	// silentAfter is how long the target may leave all commands unanswered before
 	// a new connection is tried: thirty times the usual answer.
 	silentAfter = 300 * time.Millisecond
+	// starvedFor is how long a VM counts as short of its share after a refusal, and
+	// yieldFor how long the others keep to theirs: a few rounds of the messages that
+	// tell of it.
+	starvedFor = time.Second
+	yieldFor   = 2 * time.Second
 	// extraLinks is how many connections beyond its share a VM may open while
 	// transactions that rest between two statements hold the others.
 	extraLinks = 3
@@ -51,8 +56,14 @@
 	waiting waitlist
 	// noDialUntil keeps from connecting again at once.
 	noDialUntil mono.Time
-	health      health
-	closed      bool
+	// starvedUntil: the target had no connection left while this VM held fewer than
+	// its share. yieldUntil: another VM is in this state.
+	starvedUntil mono.Time
+	yieldUntil   mono.Time
+	health       health
+	// hold is the average time for which a request or transaction holds a link.
+	hold   time.Duration
+	closed bool
 }
 
 // NewPool makes an empty pool.
@@ -79,9 +90,14 @@
 		return nil, result.New(result.TargetUnreachable, "%s is gone", p.target.ID)
 	}
 	if l := p.takeIdle(values); l != nil {
+		l.taken = p.clock.Now()
 		p.mu.Unlock()
 		return l, nil
 	}
+	if wait := p.expectedWait(priority); p.clock.Now().Add(wait).After(deadline) {
+		p.mu.Unlock()
+		return nil, result.New(result.QueueFull, "%s: a connection is expected in %v", p.target.ID, wait.Round(time.Millisecond)).After(wait)
+	}
 	w := p.waiting.add(priority, deadline)
 	p.grow()
 	p.mu.Unlock()
@@ -145,8 +161,14 @@
 }
 
 // bound is the share, and more while open transactions hold connections that run
-// nothing: the slots would stand idle although requests wait.
+// nothing: the slots would stand idle although requests wait. While another VM is
+// short of its own share it is the share alone: under load the VMs that came first
+// would otherwise keep all connections, and the others' callers would be refused for
+// as long as the load lasts.
 func (p *Pool) bound() int {
+	if p.clock.Now().Before(p.yieldUntil) {
+		return p.share
+	}
 	resting := 0
 	for l := range p.links {
 		if l.open && l.sent == 0 {
@@ -187,6 +209,9 @@
 	pause := dialPause
 	if e.Code == result.ConnectionsInUse {
 		pause = fullPause
+		if len(p.links) < p.share {
+			p.starvedUntil = now.Add(starvedFor)
+		}
 	} else {
 		if p.health.lastAnswer < begun {
 			p.health.failed(now)
@@ -206,6 +231,7 @@
 // hand gives a free link to the first that waits, or keeps it.
 func (p *Pool) hand(l *Link) {
 	if w := p.waiting.next(); w != nil {
+		l.taken = p.clock.Now()
 		w.result <- given{link: l}
 		return
 	}
@@ -213,17 +239,58 @@
 	p.idle = append(p.idle, l)
 }
 
+// expectedWait is how long a new request of a priority would wait for a connection: each
+// of those before it holds one for the average time. It answers the load in which
+// more requests come than connections are freed: a request that can't be served in
+// time is better told so at once, while its caller has time to go elsewhere.
+func (p *Pool) expectedWait(priority int) time.Duration {
+	if len(p.links) == 0 {
+		return 0 // Nothing is known yet.
+	}
+	return time.Duration(p.waiting.before(priority)+1) * p.hold / time.Duration(len(p.links))
+}
+
+// holdWeight of a new holding time in the average: about the last twenty count.
+const holdWeight = 0.05
+
+func (p *Pool) noteHold(d time.Duration) {
+	p.hold += time.Duration(holdWeight * float64(d-p.hold))
+}
+
 func (p *Pool) release(l *Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.noteHold(p.clock.Now().Sub(l.taken))
 	if l.broken || p.closed {
 		p.drop(l)
 		p.grow()
 		return
 	}
+	if len(p.links) > p.share && p.clock.Now().Before(p.yieldUntil) {
+		p.drop(l)
+		return
+	}
 	p.hand(l)
 }
 
+// Starved reports whether this VM gets fewer connections than its share.
+func (p *Pool) Starved() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.clock.Now().Before(p.starvedUntil)
+}
+
+// Yield has this VM keep to its share for a while.
+func (p *Pool) Yield() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.yieldUntil = p.clock.Now().Add(yieldFor)
+	for len(p.links) > p.share && len(p.idle) > 0 {
+		p.drop(p.idle[0])
+		p.idle = p.idle[1:]
+	}
+}
+
 func (p *Pool) drop(l *Link) {
 	delete(p.links, l)
 	l.conn.Close()
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"os"
 	"sync"
 	"testing"
 	"time"
@@ -56,6 +57,10 @@
 
 func (c *fakeConn) Close() {}
 
+func (c *fakeConn) Finish(time.Time) (statement.Answer, error) {
+	return statement.Answer{State: statement.Idle}, nil
+}
+
 func (c *fakeConn) Run(_ time.Time, cmd target.Command) (statement.Answer, error) {
 	c.target.mu.Lock()
 	defer c.target.mu.Unlock()
@@ -192,3 +197,67 @@
 		t.Fatalf("prepared %d times", len(f.sent))
 	}
 }
+
+// Transactions rest on all of a VM's connections, so it opens one more than its share.
+// Another VM gets none at all and says so: the one beyond the share is given back as
+// soon as it is free, and no other is opened.
+func TestConnectionsBeyondTheShareAreYielded(t *testing.T) {
+	f := &fakeTarget{}
+	p := newPool(f, 1)
+	resting := acquire(t, p, nil)
+	if err := resting.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	extra := acquire(t, p, nil)
+	p.Yield()
+	extra.Release()
+	_, failure := p.Acquire(context.Background(), 1, mono.System{}.Now().Add(50*time.Millisecond), nil)
+	if failure == nil || f.count() != 2 {
+		t.Fatalf("%v after %d connections", failure, f.count())
+	}
+}
+
+// A target without a free connection: a VM that holds fewer than its share is short.
+func TestAShortageIsReported(t *testing.T) {
+	p := newPool(&fakeTarget{refuse: result.New(result.ConnectionsInUse, "")}, 2)
+	_, failure := p.Acquire(context.Background(), 1, mono.System{}.Now().Add(50*time.Millisecond), nil)
+	if failure == nil || !p.Starved() {
+		t.Fatalf("%v, starved %v", failure, p.Starved())
+	}
+}
+
+// An answer comes later than its statement may take. The caller is told in time; the
+// connection is kept and used again once the answer has come. Closing it would cost the
+// target a new one, which takes a slot for longer than most statements.
+func TestALateAnswerKeepsItsConnection(t *testing.T) {
+	f := &fakeTarget{answer: func(target.Command) (statement.Answer, error) {
+		return statement.Answer{}, os.ErrDeadlineExceeded
+	}}
+	p := newPool(f, 1)
+	l := acquire(t, p, nil)
+	if _, err := l.Run(soon(), target.Command{}); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatal(err)
+	}
+	l.Release()
+	if again := acquire(t, p, nil); again != l || f.count() != 1 {
+		t.Fatalf("%d connections opened", f.count())
+	}
+}
+
+// More requests come than connections are freed. One that would wait for longer than it
+// can is refused at once, and says when to come back.
+func TestAHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	p := newPool(&fakeTarget{}, 1)
+	for range 60 { // They teach the pool how long a connection is held.
+		l := acquire(t, p, nil)
+		time.Sleep(4 * time.Millisecond)
+		l.Release()
+	}
+	held := acquire(t, p, nil)
+	defer held.Release()
+	begun := time.Now()
+	_, failure := p.Acquire(context.Background(), 1, mono.System{}.Now().Add(2*time.Millisecond), nil)
+	if failure == nil || failure.Code != result.QueueFull || failure.RetryAfter <= 0 || time.Since(begun) > time.Second {
+		t.Fatalf("%v after %v", failure, time.Since(begun))
+	}
+}
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -54,6 +54,26 @@
 	return pool.Load(), true
 }
 
+// Starved lists the targets of which this VM gets fewer connections than its share.
+func (p *Pools) Starved() []topology.TargetID {
+	var ids []topology.TargetID
+	for _, pool := range p.all() {
+		if pool.Starved() {
+			ids = append(ids, pool.target.ID)
+		}
+	}
+	return ids
+}
+
+// Yield keeps to this VM's share of the targets' connections for a while.
+func (p *Pools) Yield(ids []topology.TargetID) {
+	for _, id := range ids {
+		if pool, ok := p.Get(id); ok {
+			pool.Yield()
+		}
+	}
+}
+
 // Run keeps the pools in line with the directory until ctx ends.
 func (p *Pools) Run(ctx context.Context) {
 	ticker := time.NewTicker(tickPeriod)
--- a/internal/target/waitlist.go
+++ b/internal/target/waitlist.go
@@ -66,6 +66,17 @@
 	return w
 }
 
+// before counts those that a new one of the priority would wait for.
+func (l *waitlist) before(priority int) int {
+	n := 0
+	for _, w := range l.items {
+		if w.priority <= priority {
+			n++
+		}
+	}
+	return n
+}
+
 // next removes and returns the first, or nil.
 func (l *waitlist) next() *waiter {
 	if len(l.items) == 0 {
