Lead: shorter rights, quicker judgement; the duty goes on with its groups

Ruled out: detection (0.7 s), the promotion (0.4 s). Now a right lasts 1 s, a coordinator reads its rows twice a second, leaving VMs are known as such, the duty is given on, and the frozen end of a log serves as its position.

--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"math/rand/v2"
@@ -28,8 +29,8 @@
 	Table string
 	Clock mono.Clock
 	Log   *slog.Logger
-	// Wait replaces the usual wait of a watch, if set.
-	Wait time.Duration
+	// Wait returns the wait of the next watch, or 0 for the usual one; nil: always.
+	Wait func() time.Duration
 	// All is called with the rows of a listing that was sent at began: rows that
 	// are not among them are gone.
 	All func(rows []metastore.Row, began mono.Time)
@@ -75,14 +76,10 @@
 	answered()
 	w.All(rows.Rows, began)
 	w.seen(began)
-	wait := w.Wait
-	if wait == 0 {
-		wait = watchWait
-	}
 	failures := 0
 	for version := rows.Version; ; {
 		began = w.Clock.Now()
-		changes, err := w.Store.Watch(ctx, w.Table, version, wait)
+		changes, err := w.Store.Watch(ctx, w.Table, version, w.wait())
 		if err != nil {
 			// A failed watch misses nothing as long as the history is kept, so the
 			// same one is repeated before the whole table is read again.
@@ -101,6 +98,13 @@
 	}
 }
 
+func (w *Watcher) wait() time.Duration {
+	if w.Wait == nil {
+		return watchWait
+	}
+	return cmp.Or(w.Wait(), watchWait)
+}
+
 func (w *Watcher) seen(began mono.Time) {
 	if w.Seen != nil {
 		w.Seen(began)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/gateway"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
 
@@ -157,3 +158,14 @@
 	c.expect("write a 2", "E TransactionAborted not run")
 	c.expect("rollback", "I ok")
 }
+
+// The primary is being replaced, so nobody can be asked for the newest position. It is
+// known to stand still: reads of a stated age go on at the replica.
+func TestBoundedReadsGoOnWhileThePrimaryIsReplaced(t *testing.T) {
+	f := start(t)
+	f.rights.set(false)
+	f.rights.mu.Lock()
+	f.rights.row = *f.rights.row.Closed("failed").Choosing(replica, position.Position{Term: 1, Index: 1})
+	f.rights.mu.Unlock()
+	f.open("bounded").expect("read a", "I ok d")
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -195,6 +195,15 @@
 	return ok && got == want
 }
 
+func (r *rights) Frozen(topology.GroupID) (position.Position, mono.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.row.Handover == nil {
+		return position.Position{}, 0, false
+	}
+	return r.row.Handover.End, mono.System{}.Now(), true
+}
+
 func (r *rights) Row(topology.GroupID) *lease.Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -39,6 +39,9 @@
 	Right(group topology.GroupID) (lease.Right, bool)
 	Confirm(r lease.Right) bool
 	Row(group topology.GroupID) *lease.Row
+	// Frozen returns the end of the group's log while nothing can be acknowledged,
+	// and when that was last known.
+	Frozen(group topology.GroupID) (position.Position, mono.Time, bool)
 }
 
 // router chooses targets. Safe for concurrent use.
@@ -78,6 +81,11 @@
 	if row := r.rights.Row(group); row != nil {
 		g.fresh.SetGroup(row.Topology())
 	}
+	// While a primary is replaced nobody can be asked for the newest position, and
+	// reads of a stated age would be refused; but it is known not to move.
+	if end, at, ok := r.rights.Frozen(group); ok {
+		g.fresh.AddSample(routing.Sample{Begun: at, Position: end})
+	}
 	return g
 }
 
--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -114,6 +114,21 @@
 	return nil
 }
 
+// giveDuty passes the duty on when this VM leaves: it sends no order any more.
+func (l *Lead) giveDuty(ctx context.Context, to topology.VM) {
+	l.mu.Lock()
+	held, state := l.dutyIsOurs(), l.duty
+	l.mu.Unlock()
+	if !held || to.ID == "" {
+		return
+	}
+	raw, err := json.Marshal(duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.Fence + 1})
+	if err == nil {
+		_, err = l.Store.Put(ctx, Table, dutyKey, raw, state.version)
+	}
+	l.Log.Info("event=duty_given", "to", to.ID, "fence", state.Fence+1, "error", err)
+}
+
 func (l *Lead) claimDuty(ctx context.Context, former dutyState) error {
 	next := duty{Holder: l.self.ID, Incarnation: l.self.Incarnation, Fence: former.Fence + 1}
 	raw, err := json.Marshal(next)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -18,6 +18,7 @@
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -33,12 +34,15 @@
 const (
 	tickPeriod = 50 * time.Millisecond
 	// renewPeriod leaves room for two lost renewals within a right.
-	renewPeriod = 400 * time.Millisecond
+	renewPeriod = 250 * time.Millisecond
 	// readAhead: a right that ends sooner and was not renewed is kept up by
 	// readings of the store.
-	readAhead = 700 * time.Millisecond
+	readAhead = 500 * time.Millisecond
 	// readPeriod between two such readings.
-	readPeriod = 400 * time.Millisecond
+	readPeriod = 300 * time.Millisecond
+	// coordinatorWatch is how long a coordinator's watch of the rows waits: each
+	// answer shows that they are still its own.
+	coordinatorWatch = 500 * time.Millisecond
 )
 
 // ErrNotPromotable is a platform's refusal to promote: the target does not run.
@@ -95,13 +99,16 @@
 	duty        dutyState
 	missing     map[topology.GroupID]mono.Time
 	firstSeen   map[topology.GroupID]mono.Time
-	heard       map[topology.VMID]mono.Time     // when each VM's last message came
-	starved     map[topology.TargetID]mono.Time // until when a VM is short of connections
-	storeSeen   mono.Time
-	reading     bool
-	lastRead    mono.Time
-	leaving     bool
-	changed     chan struct{}
+	heard       map[topology.VMID]mono.Time // when each VM's last message came
+	frozen      map[topology.GroupID]frozenAt
+	// gone are the starts of VMs that said that they leave.
+	gone      map[topology.VMID]topology.Incarnation
+	starved   map[topology.TargetID]mono.Time // until when a VM is short of connections
+	storeSeen mono.Time
+	reading   bool
+	lastRead  mono.Time
+	leaving   bool
+	changed   chan struct{}
 }
 
 // exchange is the renewals to one coordinator.
@@ -129,6 +136,8 @@
 		missing:     map[topology.GroupID]mono.Time{},
 		firstSeen:   map[topology.GroupID]mono.Time{},
 		heard:       map[topology.VMID]mono.Time{},
+		frozen:      map[topology.GroupID]frozenAt{},
+		gone:        map[topology.VMID]topology.Incarnation{},
 		starved:     map[topology.TargetID]mono.Time{},
 		changed:     make(chan struct{}),
 	}
@@ -138,7 +147,7 @@
 func (l *Lead) Run(ctx context.Context) {
 	watcher := &directory.Watcher{
 		Store: l.Store, Table: Table, Clock: l.Clock, Log: l.Log,
-		All: l.takeAll, Change: l.takeChange, Seen: l.storeAnswered,
+		All: l.takeAll, Change: l.takeChange, Seen: l.storeAnswered, Wait: l.watchWait,
 	}
 	go watcher.Run(ctx)
 	go l.Transport.Serve(ctx, l.handle)
@@ -154,6 +163,16 @@
 	}
 }
 
+// watchWait shortens the watch of a coordinator; 0 is the usual wait.
+func (l *Lead) watchWait() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.coordinator.Groups()) > 0 {
+		return coordinatorWatch
+	}
+	return 0
+}
+
 // Leave gives up this VM's part as a coordinator: it answers no renewal's judgement
 // any more, and the others take over.
 func (l *Lead) Leave(ctx context.Context) {
@@ -161,10 +180,14 @@
 	l.leaving = true
 	groups := l.coordinator.Groups()
 	l.mu.Unlock()
+	if len(groups) == 0 {
+		return
+	}
 	next := l.successor()
 	for _, g := range groups {
 		l.handOver(ctx, g, next)
 	}
+	l.giveDuty(ctx, next)
 }
 
 func (l *Lead) isLeaving() bool {
@@ -212,6 +235,25 @@
 	}
 }
 
+// Frozen returns the end of the group's log while its primary is being replaced and no
+// VM has a right, with when that was last heard: nothing is acknowledged meanwhile.
+func (l *Lead) Frozen(group topology.GroupID) (position.Position, mono.Time, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row := l.holder.Row(group)
+	at := l.frozen[group]
+	if row == nil || row.Open() || row.Handover.Candidate == "" || at.version != row.Version {
+		return position.Position{}, 0, false
+	}
+	return row.Handover.End, at.heard, true
+}
+
+// frozenAt is when a version of a row was last confirmed by its coordinator.
+type frozenAt struct {
+	version uint64
+	heard   mono.Time
+}
+
 // tell wakes those that wait for a right.
 func (l *Lead) tell() {
 	close(l.changed)
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -31,6 +31,8 @@
 	// Sequence of the renewal; its promise has the same.
 	Sequence uint64 `msgpack:"s"`
 	Groups   []part `msgpack:"g"`
+	// Leaving: the sender is about to end.
+	Leaving bool `msgpack:"l,omitempty"`
 	// Starved are targets of which a VM gets fewer connections than its share: in a
 	// renewal the sender, in a promise any.
 	Starved []topology.TargetID `msgpack:"t,omitempty"`
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -62,7 +62,7 @@
 		x.sequence++
 		x.sentAt[x.sequence] = now
 		delete(x.sentAt, x.sequence-renewalsKept)
-		m := &message{Kind: renewal, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: x.sequence, Groups: p, Starved: starved}
+		m := &message{Kind: renewal, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: x.sequence, Groups: p, Starved: starved, Leaving: l.leaving}
 		l.sendTo(vm, m)
 	}
 }
@@ -129,8 +129,11 @@
 }
 
 func (l *Lead) handleRenewal(from string, m *message) {
-	answer := &message{Kind: promise, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: m.Sequence}
 	l.mu.Lock()
+	answer := &message{Kind: promise, From: l.self.ID, Incarnation: l.self.Incarnation, Sequence: m.Sequence, Leaving: l.leaving}
+	if m.Leaving {
+		l.gone[m.From] = m.Incarnation
+	}
 	now := l.Clock.Now()
 	l.heard[m.From] = now
 	storeLost := now.Sub(l.storeSeen) > storeLostAfter
@@ -196,6 +199,9 @@
 		return
 	}
 	l.Health.Yield(m.Starved)
+	if m.Leaving {
+		l.gone[m.From] = m.Incarnation
+	}
 	for _, p := range m.Groups {
 		if p.Row != nil {
 			l.adopt(p.Row, string(m.From))
@@ -206,6 +212,9 @@
 			continue
 		}
 		l.coordinatorHeard(m.From, p.StoreLost, now)
+		if !row.Open() && p.Version == row.Version {
+			l.frozen[p.Group] = frozenAt{version: row.Version, heard: sent}
+		}
 		if p.Promised {
 			had := now.Before(l.holder.Until(p.Group))
 			l.holder.Promised(p.Group, p.Version, sent)
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -17,12 +17,15 @@
 const (
 	// silentAfter is when a coordinator that answers nothing is in doubt: two
 	// renewals were lost, and the rights still stand.
-	silentAfter = 900 * time.Millisecond
+	silentAfter = 700 * time.Millisecond
+	// hearsWithin is how lately a coordinator must have answered for a VM to say
+	// that it hears it.
+	hearsWithin = 500 * time.Millisecond
 	// storeLostAfter is when a coordinator says that it does not reach the store:
 	// a watch is answered every 1.8 s at the latest.
 	storeLostAfter = 3500 * time.Millisecond
 	// rankDelay keeps VMs from taking a group over all at once.
-	rankDelay = 200 * time.Millisecond
+	rankDelay = 120 * time.Millisecond
 	// opinionTime is how long opinions are waited for.
 	opinionTime = 150 * time.Millisecond
 	// firstDelay lets the first listing, and the other VMs' registrations, come.
@@ -186,7 +189,7 @@
 func (l *Lead) handleQuestion(from string, m *message) {
 	l.mu.Lock()
 	a, known := l.answers[m.About]
-	hears := known && l.Clock.Now().Sub(a.last) < silentAfter
+	hears := known && l.Clock.Now().Sub(a.last) < hearsWithin
 	l.mu.Unlock()
 	l.reply(from, m.From, &message{Kind: opinion, From: l.self.ID, Incarnation: l.self.Incarnation, About: m.About, Hears: hears})
 }
@@ -283,7 +286,7 @@
 	for _, id := range l.rank() {
 		vm, ok := l.Directory.VM(id)
 		heard := l.heard[id]
-		if ok && id != l.self.ID && !vm.Leaving && heard != 0 && now.Sub(heard) < silentAfter {
+		if ok && id != l.self.ID && l.gone[id] != vm.Incarnation && heard != 0 && now.Sub(heard) < silentAfter {
 			return vm
 		}
 	}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -24,7 +24,7 @@
 	surplusIdle = time.Second
 	// silentAfter is how long the target may leave all commands unanswered before
 	// a new connection is tried: thirty times the usual answer.
-	silentAfter = 300 * time.Millisecond
+	silentAfter = 250 * time.Millisecond
 	// starvedFor is how long a VM counts as short of its share after a refusal, and
 	// yieldFor how long the others keep to theirs: a few rounds of the messages that
 	// tell of it.
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -23,17 +23,17 @@
 
 const (
 	// Duration of a right, from when its source was asked. It bounds the wait for
-	// a VM that can't be reached, and outlives three lost renewals.
-	Duration = 1500 * time.Millisecond
+	// a VM that can't be reached, and outlives two lost renewals.
+	Duration = time.Second
 	// margin by which a coordinator waits longer: clocks of VMs err by well under
 	// 0.1 %.
 	margin = Duration / 100
 	// storeGrace is how long a coordinator promises without having read the row as
-	// its own: a watch of the row is answered every 1.8 s at the latest.
-	storeGrace = 2500 * time.Millisecond
+	// its own: a coordinator's watch of the row is answered twice a second.
+	storeGrace = 1300 * time.Millisecond
 	// contactGrace: longer than that it promises only while it has heard most of
 	// the row's witnesses within this time, which is three renewals.
-	contactGrace = 1200 * time.Millisecond
+	contactGrace = 800 * time.Millisecond
 	// CoordinatorLimit is how long it promises without the store at all. It outlasts
 	// outages of the store of some seconds.
 	CoordinatorLimit = 12 * time.Second
