Router: reads come back to a replica that has caught up

Ruled out: connections (QueueFull was rare), the replica (caught up at 9.2 s). Now it is left alone for 50 ms at a time.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -169,3 +169,22 @@
 	f.rights.mu.Unlock()
 	f.open("bounded").expect("read a", "I ok d")
 }
+
+// A replica lags, and the reads go to the primary. When it has caught up they must come
+// back to it by themselves, or the primary carries the group's whole load for good.
+func TestReadsComeBackToAReplicaThatCaughtUp(t *testing.T) {
+	f := start(t)
+	c := f.open("own")
+	c.expect("write a 1", "I ok d")
+	c.expect("read a", "I ok d")
+	f.databases[replica].mu.Lock()
+	f.databases[replica].position.Index++
+	f.databases[replica].mu.Unlock()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		c.expect("read b", "I ok d")
+		if f.databases[replica].statements() != "" {
+			return
+		}
+	}
+	t.Fatal("all reads stay at the primary")
+}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -91,7 +91,7 @@
 	}
 	if answer.Failure != nil {
 		if answer.Failure.Code == result.ReplicaBehind {
-			r.server.router.behind(r.class.Group, t.ID, answer.Position)
+			r.server.router.lags(r.class.Group, t.ID)
 		}
 		return answer, answer.Failure
 	}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -29,6 +29,9 @@
 	usualService = 9 * time.Millisecond
 	// suspectAfter is how long a target may fail before reads avoid it.
 	suspectAfter = 50 * time.Millisecond
+	// behindPause is how long a replica that lags is left alone. Nothing else tells
+	// when it has caught up, so a read finds out; meanwhile the primary serves them.
+	behindPause = 50 * time.Millisecond
 	// sampleTimeout bounds one request for a position.
 	sampleTimeout = 300 * time.Millisecond
 )
@@ -61,6 +64,8 @@
 	fresh *routing.Freshness
 	// sampling is closed when the request for a position under way has ended.
 	sampling chan struct{}
+	// behind is until when each lagging replica is left alone.
+	behind map[topology.TargetID]mono.Time
 }
 
 func newRouter(d *directory.Directory, pools *target.Pools, rights Rights, clock mono.Clock) *router {
@@ -75,7 +80,7 @@
 func (r *router) view(group topology.GroupID) *groupView {
 	g := r.groups[group]
 	if g == nil {
-		g = &groupView{fresh: routing.NewFreshness(sampleAge, sampleResolution)}
+		g = &groupView{fresh: routing.NewFreshness(sampleAge, sampleResolution), behind: map[topology.TargetID]mono.Time{}}
 		r.groups[group] = g
 	}
 	if row := r.rights.Row(group); row != nil {
@@ -109,7 +114,7 @@
 	g := r.view(c.Group)
 	candidates := make([]routing.Candidate, 0, len(targets))
 	for i := range targets {
-		if !tried[targets[i].ID] {
+		if !tried[targets[i].ID] && !now.Before(g.behind[targets[i].ID]) {
 			candidates = append(candidates, r.candidate(&targets[i], primary))
 		}
 	}
@@ -232,9 +237,9 @@
 	r.view(group).fresh.Learn(id, p, r.clock.Now())
 }
 
-// behind notes that a target refused a read since it lags.
-func (r *router) behind(group topology.GroupID, id topology.TargetID, p position.Position) {
+// lags notes that a target refused a read since it lags.
+func (r *router) lags(group topology.GroupID, id topology.TargetID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.view(group).fresh.MarkBehind(id, p, r.clock.Now())
+	r.view(group).behind[id] = r.clock.Now().Add(behindPause)
 }
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -197,7 +197,7 @@
 	if failure != nil {
 		tried[c.pool.Target().ID] = true
 		if failure.Code == result.ReplicaBehind {
-			r.server.router.behind(r.class.Group, c.pool.Target().ID, position.Position{})
+			r.server.router.lags(r.class.Group, c.pool.Target().ID)
 		}
 	}
 	return failure
