Pool: connections that the load does not need are closed after 2 s

Ruled out: the right (there at once), positions (asked for over those connections). Test with a clock set by hand.

--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -20,8 +20,11 @@
 	fullPause = 150 * time.Millisecond
 	// dialPause is how long no connection is tried after one failed.
 	dialPause = 100 * time.Millisecond
-	// surplusIdle is how long a connection beyond the share stays unused.
-	surplusIdle = time.Second
+	// surplusIdle is how long a connection beyond the first stays unused. The one used
+	// last is used next, so those that the load does not need fall idle. What a VM
+	// holds when it loses power blocks places at the target for three seconds more,
+	// and its successors can't connect: held in stock, all places were blocked.
+	surplusIdle = 2 * time.Second
 	// silentAfter is how long the target may leave all commands unanswered before
 	// a new connection is tried: thirty times the usual answer.
 	silentAfter = 250 * time.Millisecond
@@ -128,7 +131,7 @@
 	if len(p.idle) == 0 {
 		return nil
 	}
-	best := len(p.idle) - 1 // The last one used: others may fall idle and be closed.
+	best := len(p.idle) - 1 // The last one used, so that the others fall idle.
 	for i, l := range p.idle {
 		if sameValues(l.values, values) {
 			best = i
@@ -352,7 +355,7 @@
 }
 
 func (p *Pool) closeSurplus(now mono.Time) {
-	for len(p.links) > p.share && len(p.idle) > 0 && now.Sub(p.idle[0].freed) > surplusIdle {
+	for len(p.links) > 1 && len(p.idle) > 0 && now.Sub(p.idle[0].freed) > surplusIdle {
 		p.drop(p.idle[0])
 		p.idle = p.idle[1:]
 	}
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -261,3 +261,31 @@
 		t.Fatalf("%v after %v", failure, time.Since(begun))
 	}
 }
+
+// A burst opened several connections; the load that is left needs one. The others are
+// closed, so that they block no place at the target if this VM loses power.
+func TestConnectionsThatTheLoadDoesNotNeedAreClosed(t *testing.T) {
+	f, clock := &fakeTarget{}, &mono.Manual{T: 1}
+	p := target.NewPool(topology.Target{ID: "t"}, 4, f, clock, slog.New(slog.DiscardHandler))
+	take := func() *target.Link {
+		l, failure := p.Acquire(context.Background(), 1, clock.T.Add(time.Second), nil)
+		if failure != nil {
+			t.Fatal(failure)
+		}
+		return l
+	}
+	burst := []*target.Link{take(), take(), take()}
+	for _, l := range burst {
+		l.Release()
+	}
+	for range 5 {
+		clock.T = clock.T.Add(time.Second)
+		take().Release()
+		p.Tick()
+	}
+	dialled := f.count()
+	again := []*target.Link{take(), take()}
+	if f.count() != dialled+1 || len(again) != 2 {
+		t.Fatalf("%d connections were kept", dialled+2-f.count())
+	}
+}
