--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -24,7 +24,7 @@
 	// last is used next, so those that the load does not need fall idle. What a VM
 	// holds when it loses power blocks places at the target for three seconds more,
 	// and its successors can't connect: held in stock, all places were blocked.
-	surplusIdle = 2 * time.Second
+	surplusIdle = 250 * time.Millisecond
 	// silentAfter is how long the target may leave all commands unanswered before
 	// a new connection is tried: thirty times the usual answer.
 	silentAfter = 250 * time.Millisecond
