Gateway: a VM that is cut off refuses at once and tells the balancer

Ruled out: serving there: neither the right nor an age can be shown without the coordinator or the store.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -188,3 +188,21 @@
 	}
 	t.Fatal("all reads stay at the primary")
 }
+
+// The VM is cut off from its coordinator and the store. Its callers are told so at once,
+// while they have time to go to another VM, and not when their statement's time is over.
+func TestACutOffVMRefusesAtOnce(t *testing.T) {
+	f := start(t)
+	f.rights.mu.Lock()
+	f.rights.held, f.rights.cut = false, true
+	f.rights.mu.Unlock()
+	begun := time.Now()
+	f.open("newest").expect("write a 1", "I NoRight not run")
+	f.open("bounded").expect("read a", "I AgeNotShown not run")
+	c := f.open("newest")
+	c.expect("begin", "T ok")
+	c.expect("read a", "E NoRight not run")
+	if took := time.Since(begun); took > statementTimeout {
+		t.Fatalf("three refusals took %v", took)
+	}
+}
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -157,6 +157,7 @@
 	mu      sync.Mutex
 	row     lease.Row
 	held    bool
+	cut     bool
 	changed chan struct{}
 }
 
@@ -179,8 +180,8 @@
 		r.mu.Lock()
 		changed := r.changed
 		r.mu.Unlock()
-		if right, ok := r.Right(g); ok {
-			return right, true
+		if right, ok := r.Right(g); ok || r.CutOff() {
+			return right, ok
 		}
 		select {
 		case <-changed:
@@ -195,6 +196,12 @@
 	return ok && got == want
 }
 
+func (r *rights) CutOff() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut
+}
+
 func (r *rights) Frozen(topology.GroupID) (position.Position, mono.Time, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -24,6 +24,9 @@
 			return answer
 		}
 		last = failure
+		if failure.Code == result.NoRight && r.server.Rights.CutOff() {
+			break
+		}
 		if r.writes && failure.Ran != result.NotRun || failure.Code == result.DeadlineExceeded {
 			return statement.Fail(failure, statement.Idle)
 		}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -38,6 +38,9 @@
 		c, failure := r.server.router.chooseRead(&r.class, r.sessionFloor(), tried)
 		if failure != nil {
 			last = failure
+			if r.server.Rights.CutOff() {
+				break
+			}
 			r.beforeNextRead(failure, tried)
 			continue
 		}
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -42,6 +42,8 @@
 	Right(group topology.GroupID) (lease.Right, bool)
 	Confirm(r lease.Right) bool
 	Row(group topology.GroupID) *lease.Row
+	// CutOff reports whether no right can be had, with no end in sight.
+	CutOff() bool
 	// Frozen returns the end of the group's log while nothing can be acknowledged,
 	// and when that was last known.
 	Frozen(group topology.GroupID) (position.Position, mono.Time, bool)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -177,6 +177,9 @@
 			return nil
 		}
 		last = failure
+		if (failure.Code == result.NoRight || failure.Code == result.AgeNotShown) && r.server.Rights.CutOff() {
+			break
+		}
 	}
 	if last == nil {
 		last = result.New(result.DeadlineInQueue, "no target in time")
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -198,6 +198,8 @@
 		return "no configuration"
 	case len(p.Directory.Targets()) == 0:
 		return "no target is registered"
+	case p.Lead.CutOff():
+		return "cut off"
 	}
 	return ""
 }
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -107,8 +107,11 @@
 	storeSeen mono.Time
 	reading   bool
 	lastRead  mono.Time
-	leaving   bool
-	changed   chan struct{}
+	// cutSince is since when no right was held; cutTold: it was logged.
+	cutSince mono.Time
+	cutTold  bool
+	leaving  bool
+	changed  chan struct{}
 }
 
 // exchange is the renewals to one coordinator.
@@ -217,15 +220,16 @@
 	return l.holder.Row(group)
 }
 
-// Await returns the right for the group's primary, waiting for it until ctx ends.
+// Await returns the right for the group's primary, waiting for it until ctx ends. It
+// does not wait while this VM is cut off.
 func (l *Lead) Await(ctx context.Context, group topology.GroupID) (lease.Right, bool) {
 	for {
 		l.mu.Lock()
 		r, ok := l.holder.Right(group, l.Clock.Now())
-		changed := l.changed
+		changed, cut := l.changed, l.isCutOff(l.Clock.Now())
 		l.mu.Unlock()
-		if ok {
-			return r, true
+		if ok || cut {
+			return r, ok
 		}
 		select {
 		case <-changed:
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -182,3 +182,25 @@
 		t.Fatalf("orders %+v", orders)
 	}
 }
+
+// A VM loses the store and the coordinator: it says so, and that it is back.
+func TestAVMKnowsThatItIsCutOff(t *testing.T) {
+	c := startCluster(t, 3)
+	coordinator := c.settle()
+	for _, v := range c.vms {
+		if v.lead.CutOff() {
+			t.Fatalf("%s takes itself for cut off", v.id)
+		}
+		if v.id != coordinator {
+			v.store.shut(true)
+		}
+	}
+	c.stop(coordinator)
+	for _, v := range c.vms {
+		c.eventually(4*time.Second, "it knows that it is cut off", v.lead.CutOff)
+	}
+	for _, v := range c.vms {
+		v.store.shut(false)
+		c.eventually(4*time.Second, "it knows that it is back", func() bool { return !v.lead.CutOff() })
+	}
+}
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -24,6 +24,7 @@
 	l.mu.Lock()
 	now := l.Clock.Now()
 	l.renew(now)
+	l.noteCutOff(now)
 	read := l.needsReading(now)
 	l.mu.Unlock()
 	if read {
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -37,7 +37,9 @@
 
 // Adopt takes over a newer row, whoever told it, and reports whether it was newer.
 // Promises under the older version end with it: once a VM says that it has
-// adopted a version, it holds nothing that an earlier coordinator promised.
+// adopted a version, it holds nothing that an earlier coordinator promised. A reading
+// still counts while the row stays open for the same primary: only closing the row
+// ends it, and that is waited for.
 func (h *Holder) Adopt(row *Row) bool {
 	g := h.groups[row.Group]
 	if g == nil {
@@ -47,8 +49,11 @@
 	if row.Version <= g.row.Version {
 		return false
 	}
+	if !g.row.Open() || !row.Open() || g.row.Term != row.Term || g.row.Primary != row.Primary {
+		g.read = 0
+	}
 	g.row = row
-	g.promised, g.read = 0, 0
+	g.promised = 0
 	return true
 }
 
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -70,6 +70,29 @@
 	}
 }
 
+// Another VM takes the group over. What a VM read itself goes on counting, so that no
+// request has to wait for the new coordinator; what the former one promised does not,
+// nor does either once the row is closed.
+func TestAReadingOutlastsAChangeOfTheCoordinator(t *testing.T) {
+	h := lease.NewHolder()
+	h.Adopt(firstRow())
+	h.Read("g", 1, 10*second)
+	h.Promised("g", 1, 11*second)
+	taken := firstRow().TakenBy("vm-2", 1, "vm-2", nil)
+	h.Adopt(taken)
+	if _, ok := h.Right("g", 10*second+half); !ok {
+		t.Fatal("the reading was dropped")
+	}
+	if _, ok := h.Right("g", 11*second+half); ok {
+		t.Fatal("the former coordinator's promise still counts")
+	}
+	h.Adopt(taken.Closed("x"))
+	h.Adopt(taken.Closed("x").Resumed())
+	if _, ok := h.Right("g", 10*second+half); ok {
+		t.Fatal("a reading from before the row was closed counts")
+	}
+}
+
 // The primary fails while one VM can't be reached. Its rights lapse by time, those
 // of the others end as they adopt the closed row; then alone a promotion is safe.
 func TestPromotionWaitsForEveryVM(t *testing.T) {
