Lead: a VM that was cut off reports no failed primary; the duty goes with a group only

Ruled out: the primary (it stepped down at once, with all it held). Now a failure counts from when the VM itself was in contact.

--- a/internal/lead/cutoff.go
+++ b/internal/lead/cutoff.go
@@ -26,6 +26,9 @@
 			held++
 		}
 	}
+	if open > 0 && held == 0 {
+		l.connected = now
+	}
 	if open == 0 || held > 0 {
 		if l.isCutOff(now) {
 			l.Log.Info("event=cut_off_ended", "lasted", now.Sub(l.cutSince))
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -107,6 +107,8 @@
 	storeSeen mono.Time
 	reading   bool
 	lastRead  mono.Time
+	// connected is since when some right was held without a gap.
+	connected mono.Time
 	// cutSince is since when no right was held; cutTold: it was logged.
 	cutSince mono.Time
 	cutTold  bool
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -87,11 +87,18 @@
 	if !ok {
 		return p
 	}
-	p.FailingMS = load.FailingFor.Milliseconds()
+	p.FailingMS = reportable(load.FailingFor, l.Clock.Now().Sub(l.connected)).Milliseconds()
 	p.Reached = load.LastAnswer != 0 && l.Clock.Now().Sub(load.LastAnswer) < reportAge
 	return p
 }
 
+// reportable is for how long a VM may say that a target fails: not for the time in which
+// the VM itself was cut off. As the cut heals it has not reached the target again yet,
+// and a whole data centre's VMs would have a healthy primary replaced.
+func reportable(failing, connected time.Duration) time.Duration {
+	return min(failing, connected)
+}
+
 // sendTo sends a message to a VM; one to this VM itself is handled at once.
 func (l *Lead) sendTo(id topology.VMID, m *message) {
 	if id == l.self.ID {
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -227,17 +228,23 @@
 }
 
 func (l *Lead) takeOver(ctx context.Context, groups []topology.GroupID, why string) {
-	var taken sync.WaitGroup
+	var done sync.WaitGroup
+	var taken atomic.Int32
 	for _, group := range groups {
-		taken.Add(1)
+		done.Add(1)
 		if !l.start(group, func() {
-			defer taken.Done()
-			l.takeGroup(ctx, group, why)
+			defer done.Done()
+			if l.takeGroup(ctx, group, why) {
+				taken.Add(1)
+			}
 		}) {
-			taken.Done()
+			done.Done()
 		}
 	}
-	taken.Wait()
+	done.Wait()
+	if taken.Load() == 0 {
+		return // Another VM was quicker, and has the duty as well.
+	}
 	// The duty comes along now, so that its waiting time has passed when a primary
 	// fails.
 	if _, err := l.acquireDuty(ctx); err != nil {
@@ -245,14 +252,16 @@
 	}
 }
 
-func (l *Lead) takeGroup(ctx context.Context, group topology.GroupID, why string) {
+// takeGroup makes this VM a group's coordinator and reports whether it did.
+func (l *Lead) takeGroup(ctx context.Context, group topology.GroupID, why string) bool {
 	row := l.Row(group)
 	if row == nil {
-		return
+		return false
 	}
 	next := row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, l.witnesses())
 	err := l.commit(ctx, next)
 	l.Log.Info("event=coordinator_taken_over", "group", group, "from", row.Coordinator, "why", why, "version", next.Version, "error", err)
+	return err == nil
 }
 
 // handOver gives a group to another VM.
