Connections held by a few VMs where a target takes too few for all

First part of the hop: pkg/placement chooses the holders, internal/forward carries typed commands to them; watches wait longer from 20 VMs on.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -222,3 +222,14 @@
 	defer d.mu.RUnlock()
 	return slices.SortedFunc(maps.Values(d.vms), func(a, b topology.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 }
+
+// The waits of watches grow with the number of VMs from this one on, so that the calls of
+// all VMs together do not: the store takes so many a second, whoever sends them.
+const watchersFree = 20
+
+// WatchWait returns the usual wait of a watch, lengthened for many VMs up to the most.
+func (d *Directory) WatchWait(most time.Duration) time.Duration {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return min(most, watchWait*time.Duration(max(len(d.vms), watchersFree))/watchersFree)
+}
--- /dev/null
+++ b/internal/forward/driver.go
@@ -0,0 +1,147 @@
+package forward
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/placement"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// answerSlack is how much longer than its command's time an answer may take: the way
+// between two VMs and back.
+const answerSlack = 20 * time.Millisecond
+
+// Driver connects to a target directly if this VM is one of its holders, and through a
+// holder if not.
+type Driver struct {
+	directory *directory.Directory
+	direct    target.Driver
+	dialer    net.Dialer
+}
+
+// NewDriver makes a driver over the direct one.
+func NewDriver(d *directory.Directory, direct target.Driver) *Driver {
+	return &Driver{directory: d, direct: direct, dialer: target.Dialer()}
+}
+
+// Dial implements target.Driver.
+func (d *Driver) Dial(ctx context.Context, t topology.Target) (target.Conn, error) {
+	holders := holdersOf(d.directory, t)
+	if slices.Contains(holders, d.directory.Self().ID) || len(holders) == 0 {
+		return d.direct.Dial(ctx, t)
+	}
+	// Any holder will do; drawing one spreads the load, and the next try gets another.
+	vm, ok := d.directory.VM(holders[rand.IntN(len(holders))]) //nolint:gosec // Spreads load only.
+	if !ok {
+		return nil, result.New(result.PoolerUnreachable, "no VM holds connections to %s", t.ID)
+	}
+	nc, err := d.dialer.DialContext(ctx, "tcp", vm.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	target.LimitSilence(nc)
+	c := &conn{nc: nc, enc: msgpack.NewEncoder(nc), dec: msgpack.NewDecoder(nc)}
+	if err := c.open(ctx, t.ID); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+func holdersOf(d *directory.Directory, t topology.Target) []topology.VMID {
+	c := d.Configuration()
+	if c == nil {
+		return nil
+	}
+	return placement.Holders(t, d.VMs(), c.Connections[t.Group])
+}
+
+// conn is a connection to a holder. One goroutine uses it at a time.
+type conn struct {
+	nc  net.Conn
+	enc *msgpack.Encoder
+	dec *msgpack.Decoder
+	// owed: the response to the last request has not been read.
+	owed bool
+}
+
+func (c *conn) Close() { c.nc.Close() }
+
+func (c *conn) open(ctx context.Context, id topology.TargetID) error {
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = c.nc.SetDeadline(deadline) // A closed connection shows with the next call.
+	}
+	if err := c.enc.Encode(opening{Target: id}); err != nil {
+		return err
+	}
+	r, err := c.receive()
+	if err != nil {
+		return err
+	}
+	if r.Failure != nil {
+		return r.Failure
+	}
+	return nil
+}
+
+func (c *conn) receive() (*response, error) {
+	r := &response{}
+	if err := c.dec.Decode(r); err != nil {
+		return nil, err
+	}
+	c.owed = false
+	return r, nil
+}
+
+// Run implements target.Conn.
+func (c *conn) Run(deadline time.Time, cmd target.Command) (statement.Answer, error) {
+	if err := c.nc.SetDeadline(deadline.Add(answerSlack)); err != nil {
+		return statement.Answer{}, err
+	}
+	c.owed = true
+	if err := c.enc.Encode(request{Command: cmd, Left: time.Until(deadline)}); err != nil {
+		return statement.Answer{}, err
+	}
+	return c.result()
+}
+
+func (c *conn) result() (statement.Answer, error) {
+	r, err := c.receive()
+	switch {
+	case err != nil:
+		return statement.Answer{}, err
+	case r.Late:
+		return statement.Answer{}, os.ErrDeadlineExceeded
+	case r.Lost != "":
+		return statement.Answer{}, errors.Newf("beyond the holder: %s", r.Lost)
+	}
+	return r.answer(), nil
+}
+
+// Finish implements target.Conn. The holder has given the target's connection back by
+// itself, which rolled a transaction back.
+func (c *conn) Finish(deadline time.Time) (statement.Answer, error) {
+	if !c.owed {
+		return statement.Done(statement.Idle), nil
+	}
+	if err := c.nc.SetDeadline(deadline); err != nil {
+		return statement.Answer{}, err
+	}
+	a, err := c.result()
+	if errors.Is(err, os.ErrDeadlineExceeded) && !c.owed {
+		return statement.Done(statement.Idle), nil
+	}
+	return a, err
+}
--- /dev/null
+++ b/internal/forward/forward_test.go
@@ -0,0 +1,215 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/forward"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// database is the twin of a target that takes one connection a few VMs.
+type database struct {
+	mu     sync.Mutex
+	sent   []string
+	on     []int // the connection of each
+	opened int
+	answer func(target.Command) (statement.Answer, error)
+}
+
+func (d *database) Dial(context.Context, topology.Target) (target.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.opened++
+	return &databaseConn{database: d, state: statement.Idle, number: d.opened}, nil
+}
+
+type databaseConn struct {
+	database *database
+	state    statement.State
+	number   int
+}
+
+func (c *databaseConn) Close() {}
+
+func (c *databaseConn) Finish(time.Time) (statement.Answer, error) {
+	return statement.Done(statement.Idle), nil
+}
+
+func (c *databaseConn) Run(_ time.Time, cmd target.Command) (statement.Answer, error) {
+	c.database.mu.Lock()
+	defer c.database.mu.Unlock()
+	c.database.sent = append(c.database.sent, name(cmd))
+	c.database.on = append(c.database.on, c.number)
+	if c.database.answer != nil {
+		if a, err := c.database.answer(cmd); err != nil || a.Failure != nil {
+			return a, err
+		}
+	}
+	switch cmd.Kind {
+	case target.Begin, target.BeginReadOnly:
+		c.state = statement.Open
+	case target.Rollback:
+		c.state = statement.Idle
+	}
+	if cmd.Text == "commit" {
+		c.state = statement.Idle
+	}
+	return statement.Answer{Rows: []string{"row of " + cmd.Text}, Digest: "d", State: c.state, Position: position.Position{Term: 1, Index: 7}}, nil
+}
+
+func name(c target.Command) string {
+	switch c.Kind {
+	case target.Caller:
+		return c.Text
+	case target.Execute:
+		return "execute " + c.Value
+	case target.Begin:
+		return "begin"
+	case target.BeginReadOnly:
+		return "begin read only"
+	case target.Rollback:
+		return "rollback"
+	case target.Reset:
+		return "reset"
+	case target.Set:
+		return "set " + c.Name + " " + c.Value
+	}
+	return "prepare " + c.Value
+}
+
+func (d *database) statements() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return strings.Join(d.sent, ", ")
+}
+
+// start runs a holder, and returns a pool of a VM that is none.
+func start(t *testing.T) (*database, *target.Pool) {
+	t.Helper()
+	db := &database{}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	tgt := topology.Target{ID: "t", Group: "g", DataCentre: "dc", Address: "x"}
+	holder := topology.VM{ID: "holder", DataCentre: "dc", PeerAddress: l.Addr().String()}
+	other := topology.VM{ID: "other", DataCentre: "far", PeerAddress: "127.0.0.1:1"}
+	log := slog.New(slog.DiscardHandler)
+	directoryOf := func(self topology.VM) *directory.Directory {
+		d := directory.New(self)
+		d.SetConfiguration(&directory.Configuration{Version: 1, Connections: map[topology.GroupID]int{"g": 3}})
+		d.SetVM(holder)
+		d.SetVM(other)
+		d.SetTarget(directory.Target{Target: tgt})
+		return d
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	pools := target.NewPools(directoryOf(holder), forward.NewDriver(directoryOf(holder), db), mono.System{}, log)
+	go pools.Run(ctx)
+	for _, ok := pools.Get("t"); !ok; _, ok = pools.Get("t") {
+		time.Sleep(time.Millisecond)
+	}
+	server := &forward.Server{Directory: directoryOf(holder), Pools: pools, Clock: mono.System{}, Log: log}
+	go server.Serve(ctx, l)
+	return db, target.NewPool(tgt, 4, forward.NewDriver(directoryOf(other), db), mono.System{}, log)
+}
+
+func take(t *testing.T, p *target.Pool) *target.Link {
+	t.Helper()
+	l, failure := p.Acquire(context.Background(), 1, mono.System{}.Now().Add(2*time.Second), nil)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	return l
+}
+
+func soon() time.Time { return time.Now().Add(2 * time.Second) }
+
+func TestAStatementGoesThroughAHolder(t *testing.T) {
+	db, pool := start(t)
+	l := take(t, pool)
+	if err := l.Adapt(soon(), map[string]string{"a": "1"}); err != nil {
+		t.Fatal(err)
+	}
+	a, err := l.Run(soon(), target.Command{ID: "7", Text: "read x"})
+	if err != nil || a.Digest != "d" || a.Rows[0] != "row of read x" || a.Position.Index != 7 {
+		t.Fatalf("%+v %v", a, err)
+	}
+	l.Release()
+	if got := db.statements(); got != "set a 1, read x" {
+		t.Fatalf("at the target: %s", got)
+	}
+}
+
+// A transaction of one session keeps its connection at the holder, so that no statement of
+// another session gets inside, although both go through the same holder.
+func TestATransactionKeepsItsConnection(t *testing.T) {
+	db, pool := start(t)
+	one, two := take(t, pool), take(t, pool)
+	if err := one.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	for _, step := range []struct {
+		link *target.Link
+		text string
+	}{{one, "write a"}, {two, "read b"}, {one, "commit"}} {
+		if a, err := step.link.Run(soon(), target.Command{ID: "1", Text: step.text}); err != nil || a.Failure != nil {
+			t.Fatalf("%s: %+v %v", step.text, a, err)
+		}
+	}
+	if got := db.statements(); got != "begin, write a, read b, commit" {
+		t.Fatalf("at the target: %s", got)
+	}
+	if on := db.on; on[0] != on[1] || on[1] != on[3] || on[2] == on[0] {
+		t.Fatalf("connections %v", on)
+	}
+}
+
+// The VM whose caller has a transaction open dies: the holder rolls it back, or its
+// connection would be lost to everybody.
+func TestAHolderRollsBackForAVMThatIsGone(t *testing.T) {
+	db, pool := start(t)
+	l := take(t, pool)
+	if err := l.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	pool.Close()
+	l.Release()
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if strings.HasSuffix(db.statements(), "rollback") {
+			return
+		}
+	}
+	t.Fatalf("at the target: %s", db.statements())
+}
+
+// The target's connection breaks beyond the holder after a write was sent. That it has
+// not run must not be concluded.
+func TestALossBeyondTheHolderIsNoRefusal(t *testing.T) {
+	db, pool := start(t)
+	l := take(t, pool)
+	db.answer = func(target.Command) (statement.Answer, error) { return statement.Answer{}, errors.New("reset") }
+	if a, err := l.Run(soon(), target.Command{ID: "1", Text: "write a"}); err == nil {
+		t.Fatalf("%+v", a)
+	}
+	l.Release()
+	db.answer = func(target.Command) (statement.Answer, error) { return statement.Answer{}, os.ErrDeadlineExceeded }
+	l = take(t, pool)
+	if _, err := l.Run(soon(), target.Command{ID: "2", Text: "write b"}); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("a late answer: %v", err)
+	}
+}
--- /dev/null
+++ b/internal/forward/server.go
@@ -0,0 +1,195 @@
+package forward
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"net"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/buckthornshore/buckthornshore/internal/contain"
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+)
+
+// Server answers other VMs over the connections that this VM holds.
+type Server struct {
+	Directory *directory.Directory
+	Pools     *target.Pools
+	Clock     mono.Clock
+	Log       *slog.Logger
+}
+
+// acceptRetry after a failure such as too many open files.
+const acceptRetry = 20 * time.Millisecond
+
+// Serve accepts connections until ctx ends.
+func (s *Server) Serve(ctx context.Context, l net.Listener) {
+	stop := context.AfterFunc(ctx, func() { l.Close() })
+	defer stop()
+	for {
+		nc, err := l.Accept()
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			s.Log.Warn("event=forward_accept_failed", "error", err)
+			time.Sleep(acceptRetry)
+			continue
+		}
+		go func() {
+			defer nc.Close()
+			contain.Run(s.Log, "forward", func() { s.handle(nc) })
+		}()
+	}
+}
+
+func (s *Server) handle(nc net.Conn) {
+	target.LimitSilence(nc)
+	enc, dec := msgpack.NewEncoder(nc), msgpack.NewDecoder(nc)
+	var o opening
+	if err := dec.Decode(&o); err != nil {
+		return
+	}
+	pool, failure := s.poolOf(o)
+	if err := enc.Encode(response{Failure: failure, State: statement.Idle}); err != nil || failure != nil {
+		return
+	}
+	sess := &session{server: s, pool: pool, prepared: map[string]statement.Prepared{}}
+	defer sess.release()
+	for {
+		var r request
+		if err := dec.Decode(&r); err != nil {
+			return
+		}
+		if err := enc.Encode(sess.serve(r)); err != nil {
+			return
+		}
+	}
+}
+
+// poolOf refuses what this VM does not hold itself: two VMs whose lists differ would
+// otherwise pass a request back and forth.
+func (s *Server) poolOf(o opening) (*target.Pool, *result.Error) {
+	t, ok := s.Directory.Target(o.Target)
+	if !ok || !slices.Contains(holdersOf(s.Directory, t.Target), s.Directory.Self().ID) {
+		return nil, result.New(result.WrongPooler, "%s is not held here", o.Target)
+	}
+	pool, ok := s.Pools.Get(o.Target)
+	if !ok {
+		return nil, result.New(result.WrongPooler, "%s has just come or gone", o.Target)
+	}
+	return pool, nil
+}
+
+// session is one connection of another VM: what it set up, and the target's connection
+// while it has a transaction open.
+type session struct {
+	server   *Server
+	pool     *target.Pool
+	values   map[string]string
+	prepared map[string]statement.Prepared
+	link     *target.Link
+}
+
+func (s *session) release() {
+	if s.link != nil {
+		s.link.Release() // Rolls an open transaction back.
+		s.link = nil
+	}
+}
+
+func (s *session) state() statement.State {
+	if s.link != nil {
+		return statement.Open
+	}
+	return statement.Idle
+}
+
+func (s *session) serve(r request) response {
+	c := r.Command
+	switch c.Kind {
+	case target.Set:
+		values := maps.Clone(s.values)
+		if values == nil {
+			values = map[string]string{}
+		}
+		values[c.Name] = c.Value
+		s.values = values
+		return response{State: s.state()}
+	case target.PrepareRead, target.PrepareWrite:
+		s.prepared[c.Name] = statement.Prepared{Shape: c.Value, Writes: c.Kind == target.PrepareWrite}
+		return response{State: s.state()}
+	case target.Rollback:
+		s.release()
+		return response{State: statement.Idle}
+	}
+	return s.atTarget(r)
+}
+
+// atTarget runs a command over a connection to the target, which the session keeps while
+// a transaction is open.
+func (s *session) atTarget(r request) response {
+	deadline := time.Now().Add(r.Left)
+	if s.link == nil {
+		ctx, cancel := context.WithDeadline(context.Background(), deadline)
+		defer cancel()
+		link, failure := s.pool.Acquire(ctx, r.Command.Priority, s.server.Clock.Now().Add(r.Left), s.values)
+		if failure != nil {
+			return response{Failure: failure, State: statement.Idle}
+		}
+		s.link = link
+	}
+	answer, err := s.run(deadline, r.Command)
+	if err != nil || !s.link.Open() {
+		s.release()
+	}
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return response{Late: true}
+	case err != nil:
+		return lostOrRefused(err)
+	}
+	return responseOf(answer)
+}
+
+// lostOrRefused passes a refusal of the target on, which proves that nothing ran.
+func lostOrRefused(err error) response {
+	var e *result.Error
+	if errors.As(err, &e) && e.Ran == result.NotRun {
+		return response{Failure: e, State: statement.Idle}
+	}
+	return response{Lost: err.Error()}
+}
+
+func (s *session) run(deadline time.Time, c target.Command) (statement.Answer, error) {
+	if c.Kind == target.Reset {
+		s.values = nil
+		clear(s.prepared)
+		p, err := s.link.Position(deadline)
+		return statement.Answer{State: statement.Idle, Position: p}, err
+	}
+	if err := s.link.Adapt(deadline, s.values); err != nil {
+		return statement.Answer{}, err
+	}
+	switch c.Kind {
+	case target.Begin, target.BeginReadOnly:
+		err := s.link.Begin(deadline, c.Kind == target.BeginReadOnly, c.After)
+		return statement.Answer{State: statement.Open}, err
+	case target.Execute:
+		name, err := s.link.Ensure(deadline, s.prepared[c.Name])
+		if err != nil {
+			return statement.Answer{}, err
+		}
+		c.Name = name
+	}
+	return s.link.Run(deadline, c)
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -13,6 +13,7 @@
 	"go.uber.org/fx"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/forward"
 	"github.com/buckthornshore/buckthornshore/internal/gateway"
 	"github.com/buckthornshore/buckthornshore/internal/lead"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
@@ -72,7 +73,7 @@
 func newDirectory(vm topology.VM) *directory.Directory { return directory.New(vm) }
 
 func newPools(d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger) *target.Pools {
-	return target.NewPools(d, driver, clock, log)
+	return target.NewPools(d, forward.NewDriver(d, driver), clock, log)
 }
 
 type leadParts struct {
@@ -155,6 +156,12 @@
 	if err != nil {
 		return err
 	}
+	peers, err := net.Listen("tcp", p.Settings.PeerAddress)
+	if err != nil {
+		return err
+	}
+	forwarded := &forward.Server{Directory: p.Directory, Pools: p.Pools, Clock: p.Clock, Log: p.Log}
+	go forwarded.Serve(ctx, peers)
 	go p.Server.Serve(ctx, callers)
 	go p.serveHTTP(ready, platform.ReadyHandler(p.ready))
 	if err := p.serveAdmin(); err != nil {
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -23,7 +23,7 @@
 	CallerAddress string `json:"caller_address"`
 	// ReadyAddress is where the balancer asks whether the VM takes connections.
 	ReadyAddress string `json:"ready_address"`
-	// PeerAddress is where other VMs send to, ip:port over UDP.
+	// PeerAddress is where other VMs send to, ip:port over UDP and TCP.
 	PeerAddress string `json:"peer_address"`
 	// AdminAddress serves metrics, ip:port; optional.
 	AdminAddress string `json:"admin_address"`
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -6,6 +6,7 @@
 	"os/signal"
 	"reflect"
 	"syscall"
+	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
@@ -14,6 +15,14 @@
 	"github.com/buckthornshore/buckthornshore/platform"
 )
 
+// The longest waits of watches. One on a connection that has gone silent is noticed that
+// late: a configuration has to be in force within seconds, and a target that leaves gets
+// work for some seconds more without harm.
+const (
+	longestConfigurationWatch = 2500 * time.Millisecond
+	longestTargetWatch        = 4 * time.Second
+)
+
 // configurationWatcher keeps the operators' configuration in force.
 func (p *parts) configurationWatcher() *directory.Watcher {
 	take := func(r metastore.Row, _ mono.Time) {
@@ -23,6 +32,7 @@
 	}
 	return &directory.Watcher{
 		Store: p.Store, Table: platform.OperatorTable, Clock: p.Clock, Log: p.Log, Change: take,
+		Wait: func() time.Duration { return p.Directory.WatchWait(longestConfigurationWatch) },
 		All: func(rows []metastore.Row, began mono.Time) {
 			for _, r := range rows {
 				take(r, began)
@@ -46,6 +56,7 @@
 func (p *parts) targetWatcher() *directory.Watcher {
 	return &directory.Watcher{
 		Store: p.Store, Table: platform.TargetTable, Clock: p.Clock, Log: p.Log,
+		Wait: func() time.Duration { return p.Directory.WatchWait(longestTargetWatch) },
 		All: func(rows []metastore.Row, began mono.Time) {
 			listed := map[topology.TargetID]bool{}
 			for _, r := range rows {
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -107,7 +107,7 @@
 		}
 	case l.missing[group] == 0:
 		l.missing[group] = now
-	case now.Sub(l.missing[group]) > missingAfter && now.Sub(l.storeSeen) < storeLostAfter:
+	case now.Sub(l.missing[group]) > missingAfter && !l.storeLost(now):
 		return "primary_gone"
 	}
 	return ""
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -43,6 +43,8 @@
 	// coordinatorWatch is how long a coordinator's watch of the rows waits: each
 	// answer shows that they are still its own.
 	coordinatorWatch = 500 * time.Millisecond
+	// longestWatch of the rows: changes of them are told by their coordinator as well.
+	longestWatch = 8 * time.Second
 )
 
 // ErrNotPromotable is a platform's refusal to promote: the target does not run.
@@ -168,14 +170,23 @@
 	}
 }
 
-// watchWait shortens the watch of a coordinator; 0 is the usual wait.
+// watchWait shortens the watch of a coordinator.
 func (l *Lead) watchWait() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.coordinator.Groups()) > 0 {
 		return coordinatorWatch
 	}
-	return 0
+	return l.Directory.WatchWait(longestWatch)
+}
+
+// storeLost reports whether the store has not answered for longer than a watch takes.
+func (l *Lead) storeLost(now mono.Time) bool {
+	wait := coordinatorWatch
+	if len(l.coordinator.Groups()) == 0 {
+		wait = l.Directory.WatchWait(longestWatch)
+	}
+	return now.Sub(l.storeSeen) > wait+storeLostSlack
 }
 
 // Leave gives up this VM's part as a coordinator: it answers no renewal's judgement
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -144,7 +144,7 @@
 	}
 	now := l.Clock.Now()
 	l.heard[m.From] = now
-	storeLost := now.Sub(l.storeSeen) > storeLostAfter
+	storeLost := l.storeLost(now)
 	for _, p := range m.Groups {
 		l.noteReport(m.From, p, now)
 		a := part{Group: p.Group, StoreLost: storeLost}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -22,9 +22,9 @@
 	// hearsWithin is how lately a coordinator must have answered for a VM to say
 	// that it hears it.
 	hearsWithin = 500 * time.Millisecond
-	// storeLostAfter is when a coordinator says that it does not reach the store:
-	// a watch is answered every 1.8 s at the latest.
-	storeLostAfter = 3500 * time.Millisecond
+	// storeLostSlack is how much longer than its wait a watch may take before the
+	// store counts as lost: a slow store's answer, and one retry.
+	storeLostSlack = 1700 * time.Millisecond
 	// rankDelay keeps VMs from taking a group over all at once.
 	rankDelay = 120 * time.Millisecond
 	// opinionTime is how long opinions are waited for.
@@ -132,7 +132,7 @@
 // judgeCoordinator decides whether to ask the others about a coordinator, or to take
 // its place.
 func (l *Lead) judgeCoordinator(vm topology.VMID, now mono.Time) (take, ask bool, why string) {
-	if l.leaving || now.Sub(l.storeSeen) > storeLostAfter {
+	if l.leaving || l.storeLost(now) {
 		return false, false, ""
 	}
 	if vm == l.self.ID {
--- a/internal/target/driver.go
+++ b/internal/target/driver.go
@@ -39,6 +39,8 @@
 	Text string
 	// Name and Value are the parts of Execute, Set and the prepares.
 	Name, Value string
+	// Priority of the request, where others decide for the connection.
+	Priority int
 	// After makes the target refuse unless its log holds the position.
 	After position.Position
 }
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -30,6 +30,8 @@
 	broken bool
 	// unfinished: the answer to the last command was not waited for to its end.
 	unfinished bool
+	// priority of the request that holds the link.
+	priority int
 	// taken is when the link was given out.
 	taken mono.Time
 	// sent is when the command under way was sent; 0: none is.
@@ -40,6 +42,7 @@
 
 // Run sends a command and notes what its answer tells of the target.
 func (l *Link) Run(deadline time.Time, c Command) (statement.Answer, error) {
+	c.Priority = l.priority
 	begun := l.pool.begin(l)
 	a, err := l.conn.Run(deadline, c)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -28,6 +28,8 @@
 	// silentAfter is how long the target may leave all commands unanswered before
 	// a new connection is tried: thirty times the usual answer.
 	silentAfter = 250 * time.Millisecond
+	// indirectIdle is the same for connections that go through another VM.
+	indirectIdle = 3 * time.Second
 	// starvedFor is how long a VM counts as short of its share after a refusal, and
 	// yieldFor how long the others keep to theirs: a few rounds of the messages that
 	// tell of it.
@@ -51,8 +53,10 @@
 	clock  mono.Clock
 	log    *slog.Logger
 
-	mu      sync.Mutex
-	share   int // how many connections this VM may hold open as a rule
+	mu    sync.Mutex
+	share int // how many connections this VM may hold open as a rule
+	// idleFor is how long a connection beyond the first stays unused.
+	idleFor time.Duration
 	links   map[*Link]bool
 	idle    []*Link
 	dialing int
@@ -71,17 +75,21 @@
 
 // NewPool makes an empty pool.
 func NewPool(t topology.Target, share int, d Driver, clock mono.Clock, log *slog.Logger) *Pool {
-	return &Pool{target: t, share: share, driver: d, clock: clock, log: log, links: map[*Link]bool{}}
+	return &Pool{target: t, share: share, idleFor: surplusIdle, driver: d, clock: clock, log: log, links: map[*Link]bool{}}
 }
 
 // Target returns the pool's target.
 func (p *Pool) Target() topology.Target { return p.target }
 
-// SetShare changes how many connections this VM may hold.
-func (p *Pool) SetShare(n int) {
+// SetShare changes how many connections this VM may hold. indirect ones go through
+// another VM, take no place at the target, and are kept for longer.
+func (p *Pool) SetShare(n int, indirect bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.share = n
+	p.share, p.idleFor = n, surplusIdle
+	if indirect {
+		p.idleFor = indirectIdle
+	}
 }
 
 // Acquire waits for a connection until the deadline. values are those of the
@@ -93,7 +101,7 @@
 		return nil, result.New(result.TargetUnreachable, "%s is gone", p.target.ID)
 	}
 	if l := p.takeIdle(values); l != nil {
-		l.taken = p.clock.Now()
+		l.taken, l.priority = p.clock.Now(), priority
 		p.mu.Unlock()
 		return l, nil
 	}
@@ -234,7 +242,7 @@
 // hand gives a free link to the first that waits, or keeps it.
 func (p *Pool) hand(l *Link) {
 	if w := p.waiting.next(); w != nil {
-		l.taken = p.clock.Now()
+		l.taken, l.priority = p.clock.Now(), w.priority
 		w.result <- given{link: l}
 		return
 	}
@@ -355,7 +363,7 @@
 }
 
 func (p *Pool) closeSurplus(now mono.Time) {
-	for len(p.links) > 1 && len(p.idle) > 0 && now.Sub(p.idle[0].freed) > surplusIdle {
+	for len(p.links) > 1 && len(p.idle) > 0 && now.Sub(p.idle[0].freed) > p.idleFor {
 		p.drop(p.idle[0])
 		p.idle = p.idle[1:]
 	}
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -3,19 +3,21 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/placement"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
 const (
 	tickPeriod = 50 * time.Millisecond
-	// reserve is how many connections of a target are left for commands to it and
-	// for VMs that start.
-	reserve = 2
+	// indirectShare is how many connections through other VMs a VM may have to one
+	// target: more than it needs, since the target's places are shared out there.
+	indirectShare = 12
 	// warmEvery is how many ticks pass between looks for targets without any
 	// connection.
 	warmEvery = 20
@@ -111,23 +113,22 @@
 	if config == nil {
 		return
 	}
-	vms := len(p.directory.VMs())
 	present := map[topology.TargetID]bool{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, t := range p.directory.Targets() {
 		present[t.ID] = true
-		share := Share(config.Connections[t.Group], vms)
+		share, indirect := p.shareOf(t, config)
 		pool := p.pools[t.ID]
 		if pool != nil && pool.target.Address != t.Address {
 			pool.Close()
 			pool = nil
 		}
 		if pool == nil {
-			p.pools[t.ID] = NewPool(t.Target, share, p.driver, p.clock, p.log)
-			continue
+			pool = NewPool(t.Target, share, p.driver, p.clock, p.log)
+			p.pools[t.ID] = pool
 		}
-		pool.SetShare(share)
+		pool.SetShare(share, indirect)
 	}
 	for id, pool := range p.pools {
 		if !present[id] {
@@ -138,10 +139,13 @@
 	}
 }
 
-// Share is how many of a target's connections one of the VMs may hold as a rule.
-func Share(connections, vms int) int {
-	if vms == 0 {
-		return 1
+// shareOf returns how many connections this VM may have to a target, and whether they
+// go through other VMs.
+func (p *Pools) shareOf(t directory.Target, c *directory.Configuration) (share int, indirect bool) {
+	connections := c.Connections[t.Group]
+	holders := placement.Holders(t.Target, p.directory.VMs(), connections)
+	if !slices.Contains(holders, p.directory.Self().ID) {
+		return indirectShare, true
 	}
-	return max(1, (connections-reserve)/vms)
+	return placement.Share(len(holders), connections), false
 }
