Tidy: one way to wait instead of five; the pool's file split by job

internal/wait replaces pause and pauseFor of five packages; dialling and the sharing of connections have files of their own; a candidate that was given up receives again.

--- a/internal/daemon/leaver.go
+++ b/internal/daemon/leaver.go
@@ -9,6 +9,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/failover"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/internal/view"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -65,7 +66,7 @@
 			defer l.end(part.Group)
 			if _, failure := l.switchOver(ctx, part.Group, ""); failure != nil {
 				l.log.Warn("event=switchover_failed", "group", part.Group, "error", failure)
-				pause(ctx, switchPause)
+				wait.For(ctx, switchPause)
 			}
 		}()
 	}
@@ -184,20 +185,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for !done() {
-		if !pause(ctx, switchPoll) {
+		if !wait.For(ctx, switchPoll) {
 			return false
 		}
 	}
 	return true
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 )
@@ -62,7 +63,7 @@
 			w.Log.Warn("event=store_lost", "table", w.Table, "error", err)
 			lost = true
 		}
-		pause(ctx, watchRetry/2+rand.N(watchRetry))
+		wait.For(ctx, watchRetry/2+rand.N(watchRetry))
 	}
 }
 
@@ -110,12 +111,3 @@
 		w.Seen(began)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/entry/cancel.go
+++ b/internal/entry/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
@@ -70,7 +71,7 @@
 	first := s.markCancelled()
 	for h := first; h != nil && h == first; h = s.currentHop() {
 		resp, err := s.server.o.Peers.Get(h.pooler).Cancel(ctx, h.cancel)
-		if err != nil || resp.Found || !pause(ctx, cancelRetry) {
+		if err != nil || resp.Found || !wait.For(ctx, cancelRetry) {
 			return
 		}
 	}
--- a/internal/entry/history.go
+++ b/internal/entry/history.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
@@ -44,7 +45,7 @@
 		if row := s.server.o.View.Group(group); row != nil && row.Term >= term {
 			return row
 		}
-		if !pause(ctx, rowPoll) {
+		if !wait.For(ctx, rowPoll) {
 			return nil
 		}
 	}
--- a/internal/entry/route.go
+++ b/internal/entry/route.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -90,7 +91,7 @@
 	if req.class.Kind == config.Write && interrupts(failure) {
 		return true
 	}
-	return pause(ctx, d)
+	return wait.For(ctx, d)
 }
 
 // attemptsThatCount leaves out a write's attempts that found nobody to run them:
@@ -132,17 +133,6 @@
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // deadline turns the context's deadline into an instant.
 func (s *Server) deadline(ctx context.Context) mono.Time {
 	at, _ := ctx.Deadline() // route always sets one.
--- a/internal/entry/silent.go
+++ b/internal/entry/silent.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 )
@@ -28,7 +29,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	timer := time.AfterFunc(silentAfter, func() {
 		for s.underWay(ctx, pooler, msg) {
-			if !pause(ctx, silentAfter) {
+			if !wait.For(ctx, silentAfter) {
 				return
 			}
 		}
@@ -48,7 +49,7 @@
 // underWay is false only when the pooler has said twice that it does not know the
 // request.
 func (s *caller) underWay(ctx context.Context, pooler topology.VM, msg *peerpb.ExecuteRequest) bool {
-	if s.ask(ctx, pooler, msg) || !pause(ctx, silentLook) {
+	if s.ask(ctx, pooler, msg) || !wait.For(ctx, silentLook) {
 		return true
 	}
 	return s.ask(ctx, pooler, msg)
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -5,6 +5,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
@@ -69,14 +70,7 @@
 	r.pause(retryPause)
 }
 
-func (r *request) pause(d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-r.ctx.Done():
-	}
-}
+func (r *request) pause(d time.Duration) { wait.For(r.ctx, d) }
 
 // readAt runs the read at one target. The target itself refuses it if its log lacks
 // the floor.
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -56,7 +57,7 @@
 		case ctx.Err() != nil || l.Clock.Now().After(end):
 			return err
 		}
-		pauseFor(ctx, commitRetry)
+		wait.For(ctx, commitRetry)
 	}
 }
 
@@ -96,12 +97,3 @@
 	defer cancel()
 	return l.Control.Status(ctx, t)
 }
-
-func pauseFor(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -78,13 +79,13 @@
 		}
 	}
 	l.mu.Lock()
-	wait := l.duty.usable.Sub(l.Clock.Now())
+	settling := l.duty.usable.Sub(l.Clock.Now())
 	fence = l.duty.Fence
 	l.mu.Unlock()
-	if wait <= 0 {
+	if settling <= 0 {
 		return fence, nil
 	}
-	pauseFor(ctx, wait)
+	wait.For(ctx, settling)
 	if err := l.readDuty(ctx); err != nil {
 		return 0, err
 	}
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -43,7 +44,7 @@
 		case reason != "":
 			l.start(group, func() {
 				l.replace(ctx, group, reason)
-				pauseFor(ctx, retryHandover)
+				wait.For(ctx, retryHandover)
 			})
 		case resume:
 			l.start(group, func() { l.resume(ctx, group) })
@@ -63,7 +64,7 @@
 	err := l.commit(ctx, row.Resumed())
 	l.Log.Info("event=replacement_given_up", "group", group, "error", err)
 	if err != nil {
-		pauseFor(ctx, retryHandover)
+		wait.For(ctx, retryHandover)
 	}
 }
 
--- a/internal/lead/register.go
+++ b/internal/lead/register.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -28,7 +29,7 @@
 			return registered, nil
 		}
 		log.Warn("event=register_failed", "vm", vm.ID, "error", err, "outcome", "tried_again")
-		pauseFor(ctx, registerRetry)
+		wait.For(ctx, registerRetry)
 		if ctx.Err() != nil {
 			return vm, ctx.Err()
 		}
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -138,7 +139,7 @@
 				registered, err = r.registered(ctx)
 			}
 		}
-		pauseFor(ctx, rightsPoll)
+		wait.For(ctx, rightsPoll)
 	}
 }
 
@@ -251,7 +252,7 @@
 		if !stopped || !best.status.Received.Less(last) || time.Now().After(end) {
 			return best, nil
 		}
-		pauseFor(ctx, catchUpPoll)
+		wait.For(ctx, catchUpPoll)
 	}
 }
 
@@ -302,7 +303,7 @@
 		case time.Since(seen) > promotePatience:
 			return 0, r.chooseAgain(ctx, "silent")
 		}
-		pauseFor(ctx, promotedPoll)
+		wait.For(ctx, promotedPoll)
 	}
 }
 
@@ -328,5 +329,20 @@
 	if err := r.change(ctx, r.row.Choosing("", position.Position{})); err != nil {
 		return err
 	}
+	r.resumeReceiving(ctx, failed)
 	return errors.Newf("candidate %s failed: %s", failed, why)
 }
+
+// resumeReceiving lets a replica follow its primary again that was stopped for its
+// promotion. One that does not answer is down, and receives after its restart.
+func (r *replacement) resumeReceiving(ctx context.Context, id topology.TargetID) {
+	t, ok := r.Directory.Target(id)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	if _, err := r.Control.Resume(ctx, t.Target); err != nil {
+		r.Log.Info("event=resume_failed", "target", id, "error", err)
+	}
+}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -336,7 +337,7 @@
 	status, err := l.status(ctx, primary)
 	if err != nil || !status.Primary {
 		l.Log.Info("event=first_row_put_off", "group", group, "primary", primary.ID, "error", err)
-		pauseFor(ctx, firstDelay)
+		wait.For(ctx, firstDelay)
 		return
 	}
 	row := &lease.Row{
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
@@ -61,12 +62,12 @@
 	for ctx.Err() == nil {
 		if f.Directory.IsRelay() {
 			f.pollOrWatch(ctx)
-			pause(ctx, pollPeriod)
+			wait.For(ctx, pollPeriod)
 			continue
 		}
 		if !f.watch(ctx, watchWait) {
 			f.poll(ctx)
-			pause(ctx, retryPause)
+			wait.For(ctx, retryPause)
 		}
 	}
 }
@@ -139,12 +140,3 @@
 	f.Store.Apply(RowsFrom(resp.Rows), resp.Revision, time.Time{})
 	return true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/target/dial.go
@@ -0,0 +1,103 @@
+package target
+
+import (
+	"context"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// grow opens connections for those that wait, within this VM's bounds.
+func (p *Pool) grow() {
+	now := p.clock.Now()
+	for len(p.waiting.items) > p.dialing && len(p.links)+p.dialing < p.bound() && !now.Before(p.noDialUntil) && !p.closed {
+		p.dialing++
+		go p.dial()
+	}
+}
+
+// bound is the share, and more while open transactions hold connections that run
+// nothing: the slots would stand idle although requests wait. While another VM is
+// short of its own share it is the share alone: under load the VMs that came first
+// would otherwise keep all connections, and the others' callers would be refused for
+// as long as the load lasts.
+func (p *Pool) bound() int {
+	if p.clock.Now().Before(p.yieldUntil) {
+		return p.share
+	}
+	resting := 0
+	for l := range p.links {
+		if l.open && l.sent == 0 {
+			resting++
+		}
+	}
+	return p.share + min(resting, extraLinks)
+}
+
+func (p *Pool) dial() {
+	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+	defer cancel()
+	begun := p.clock.Now()
+	conn, err := p.driver.Dial(ctx, p.target)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dialing--
+	now := p.clock.Now()
+	if err != nil {
+		p.dialFailed(begun, now, err)
+		return
+	}
+	p.health.succeeded(now)
+	if p.closed {
+		conn.Close()
+		return
+	}
+	l := &Link{pool: p, conn: conn, freed: now}
+	p.links[l] = true
+	p.hand(l)
+}
+
+// dialFailed answers those that no connection is left for. A new connection that takes
+// too long while others are answered tells of a target that is full, not of one that
+// has failed: taken for failed, a primary would be replaced for its load.
+func (p *Pool) dialFailed(begun, now mono.Time, err error) {
+	e := refusalOf(err, string(p.target.ID))
+	pause := dialPause
+	if e.Code == result.ConnectionsInUse {
+		pause = fullPause
+		if len(p.links) < p.share {
+			p.starvedUntil = now.Add(starvedFor)
+		}
+	} else {
+		if p.health.lastAnswer < begun {
+			p.health.failed(now)
+		}
+		p.log.Info("event=dial_failed", "target", p.target.ID, "address", p.target.Address, "links", len(p.links),
+			"waiting", p.waiting.Len(), "failing_for", p.health.failingFor(now), "error", err)
+	}
+	p.noDialUntil = now.Add(pause)
+	if len(p.links) > 0 || p.dialing > 0 {
+		return
+	}
+	for w := p.waiting.next(); w != nil; w = p.waiting.next() {
+		w.result <- given{err: e}
+	}
+}
+
+// probe finds out by a new connection whether the target lives.
+func (p *Pool) probe() {
+	if p.dialing == 0 && !p.closed {
+		p.dialing++
+		go p.dial()
+	}
+}
+
+// Warm opens a first connection ahead of need: a target that becomes the primary
+// would otherwise make its first requests wait for one.
+func (p *Pool) Warm() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.links) == 0 && !p.clock.Now().Before(p.noDialUntil) {
+		p.probe()
+	}
+}
