--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -72,6 +72,13 @@
 	config  *Configuration
 	targets map[topology.TargetID]Target
 	vms     map[topology.VMID]topology.VM
+	// sorted, byGroup and vmList are made anew with each change: they are read with
+	// every request and many times a second besides.
+	sorted  []Target
+	byGroup map[topology.GroupID][]Target
+	groups  []topology.GroupID
+	vmList  []topology.VM
+	changes uint64
 	// told is closed and replaced when something changes.
 	told chan struct{}
 }
@@ -97,6 +104,14 @@
 }
 
 func (d *Directory) tell() {
+	d.changes++
+	d.sorted = slices.SortedFunc(maps.Values(d.targets), func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	d.byGroup = map[topology.GroupID][]Target{}
+	for _, t := range d.sorted {
+		d.byGroup[t.Group] = append(d.byGroup[t.Group], t)
+	}
+	d.groups = slices.Sorted(maps.Keys(d.byGroup))
+	d.vmList = slices.SortedFunc(maps.Values(d.vms), func(a, b topology.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	close(d.told)
 	d.told = make(chan struct{})
 }
@@ -160,22 +175,34 @@
 	return t, ok
 }
 
-// Targets returns all targets in order of their names.
+// Changes counts the changes so far.
+func (d *Directory) Changes() uint64 {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.changes
+}
+
+// Targets returns all targets in order of their names. The slice must not be changed.
 func (d *Directory) Targets() []Target {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return slices.SortedFunc(maps.Values(d.targets), func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return d.sorted
+}
+
+// Groups returns the groups that have a target, in order of their names. The slice must
+// not be changed.
+func (d *Directory) Groups() []topology.GroupID {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.groups
 }
 
-// TargetsOf returns a group's targets in order of their names.
+// TargetsOf returns a group's targets in order of their names. The slice must not be
+// changed.
 func (d *Directory) TargetsOf(group topology.GroupID) []Target {
-	var of []Target
-	for _, t := range d.Targets() {
-		if t.Group == group {
-			of = append(of, t)
-		}
-	}
-	return of
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.byGroup[group]
 }
 
 // SetVM takes over a VM's registration; an earlier incarnation is passed over.
@@ -216,11 +243,11 @@
 	return vm, ok
 }
 
-// VMs returns the registered VMs in order of their names.
+// VMs returns the registered VMs in order of their names. The slice must not be changed.
 func (d *Directory) VMs() []topology.VM {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return slices.SortedFunc(maps.Values(d.vms), func(a, b topology.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	return d.vmList
 }
 
 // The waits of watches grow with the number of VMs from this one on, so that the calls of
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -68,18 +68,8 @@
 	}
 }
 
-// groups lists the groups that the configuration names and have a known row or target.
-func (l *Lead) groups() []topology.GroupID {
-	seen := map[topology.GroupID]bool{}
-	var ids []topology.GroupID
-	for _, t := range l.Directory.Targets() {
-		if !seen[t.Group] {
-			seen[t.Group] = true
-			ids = append(ids, t.Group)
-		}
-	}
-	return ids
-}
+// groups lists the groups that have a target.
+func (l *Lead) groups() []topology.GroupID { return l.Directory.Groups() }
 
 func (l *Lead) partOf(group topology.GroupID, row *lease.Row) part {
 	p := part{Group: group, Version: row.Version, Target: row.Primary}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -64,7 +64,7 @@
 			primaries[t.DataCentre]++
 		}
 	}
-	vms := l.Directory.VMs()
+	vms := slices.Clone(l.Directory.VMs())
 	slices.SortFunc(vms, func(a, b topology.VM) int {
 		return cmp.Or(
 			cmp.Compare(primaries[a.DataCentre], primaries[b.DataCentre]),
@@ -145,6 +145,9 @@
 		l.answers[vm] = answers{last: now}
 		return false, false, ""
 	}
+	if a.useless == 0 && now.Sub(a.last) < silentAfter {
+		return false, false, "" // The usual case, many times a second.
+	}
 	delay := silentAfter + l.delay()
 	if a.useless != 0 && now.Sub(a.useless) >= delay {
 		l.answers[vm] = answers{last: now}
@@ -277,7 +280,7 @@
 
 // witnesses draws a row's witnesses from all registered VMs.
 func (l *Lead) witnesses() []topology.VMID {
-	vms := l.Directory.VMs()
+	vms := slices.Clone(l.Directory.VMs())
 	slices.SortFunc(vms, func(a, b topology.VM) int {
 		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
 	})
@@ -312,11 +315,13 @@
 			l.firstSeen[group], seen = now, now
 		}
 		known := l.holder.Row(group) != nil || l.leaving || l.storeSeen == 0
-		wait := firstDelay + l.delay()
 		l.mu.Unlock()
 		if known {
 			continue
 		}
+		l.mu.Lock()
+		wait := firstDelay + l.delay()
+		l.mu.Unlock()
 		primary, ok := l.selfStyledPrimary(group)
 		if ok && now.Sub(seen) >= wait {
 			l.start(group, func() { l.firstRow(ctx, group, primary) })
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -32,6 +32,8 @@
 
 	mu    sync.Mutex
 	pools map[topology.TargetID]*Pool
+	// synced is the number of changes of the directory that the pools follow.
+	synced uint64
 }
 
 // NewPools makes pools for the directory's targets.
@@ -109,10 +111,12 @@
 // sync opens pools of new targets, and closes those of targets that have gone or
 // are at another address.
 func (p *Pools) sync() {
+	changes := p.directory.Changes()
 	config := p.directory.Configuration()
-	if config == nil {
+	if config == nil || changes == p.synced {
 		return
 	}
+	p.synced = changes
 	present := map[topology.TargetID]bool{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
