Lease: a second takeover waits for every earlier coordinator; no storm of takeovers

Ruled out: the hop (the acknowledging VM's own right was wrong). Now rows carry all earlier coordinators that may not have stopped, and a new one is listened for from when its row is adopted. Tests that fail without: pkg/lease second takeover; internal/target not cleared.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -131,6 +131,9 @@
 	case target.Rollback:
 		s.release()
 		return response{State: statement.Idle}
+	case target.Reset:
+		s.values = nil
+		clear(s.prepared)
 	}
 	return s.atTarget(r)
 }
@@ -172,8 +175,6 @@
 
 func (s *session) run(deadline time.Time, c target.Command) (statement.Answer, error) {
 	if c.Kind == target.Reset {
-		s.values = nil
-		clear(s.prepared)
 		p, err := s.link.Position(deadline)
 		return statement.Answer{State: statement.Idle, Position: p}, err
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -375,9 +375,15 @@
 
 // adopt takes a newer row over, whoever told it.
 func (l *Lead) adopt(row *lease.Row, from string) {
+	former := l.holder.Row(row.Group)
 	if !l.holder.Adopt(row) {
 		return
 	}
+	if former == nil || former.Coordinator != row.Coordinator {
+		// It is listened for from now on: judged by when it last coordinated, it
+		// would be taken for silent at once, by all VMs.
+		l.answers[row.Coordinator] = answers{last: l.Clock.Now()}
+	}
 	l.Log.Info("event=row_adopted", "group", row.Group, "version", row.Version, "term", row.Term, "primary", row.Primary,
 		"coordinator", row.Coordinator, "incarnation", row.Incarnation, "open", row.Open(), "from", from)
 	if x := l.renewals[row.Coordinator]; x != nil {
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -274,6 +274,11 @@
 	if row == nil || row.Coordinator != l.self.ID || to.ID == "" {
 		return
 	}
+	l.mu.Lock()
+	if l.coordinator.Settled(group, l.Clock.Now()) {
+		row = row.Settled()
+	}
+	l.mu.Unlock()
 	err := l.commit(ctx, row.TakenBy(to.ID, to.Incarnation, l.self.ID, l.witnesses()))
 	l.Log.Info("event=coordinator_handed_over", "group", group, "to", to.ID, "error", err)
 }
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -165,10 +165,11 @@
 	if err != nil {
 		return position.Position{}, err
 	}
-	l.values, l.prepared = nil, nil
 	if a.Failure != nil {
+		l.broken = true // Whether it was cleared is not known.
 		return position.Position{}, a.Failure
 	}
+	l.values, l.prepared = nil, nil
 	return a.Position, nil
 }
 
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -289,3 +289,25 @@
 		t.Fatalf("%d connections were kept", dialled+2-f.count())
 	}
 }
+
+// A target refuses to tell its position, which also clears the connection. Whether it was
+// cleared is not known: the next session must not get it with the former one's values.
+func TestAConnectionThatMayNotBeClearedIsNotUsedAgain(t *testing.T) {
+	f := &fakeTarget{}
+	p := newPool(f, 1)
+	l := acquire(t, p, nil)
+	if err := l.Adapt(soon(), map[string]string{"a": "1"}); err != nil {
+		t.Fatal(err)
+	}
+	f.answer = func(target.Command) (statement.Answer, error) {
+		return statement.Fail(result.New(result.TargetBusy, ""), statement.Idle), nil
+	}
+	if _, err := l.Position(soon()); err == nil {
+		t.Fatal("a refusal was taken for a position")
+	}
+	f.answer = nil
+	l.Release()
+	if again := acquire(t, p, nil); again == l {
+		t.Fatal("the connection is used again")
+	}
+}
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -24,10 +24,10 @@
 	closed mono.Time
 	// inherited is until when promises of an earlier coordinator may stand.
 	inherited mono.Time
-	// takenAt is when this VM took the group over, at a version, while the
-	// coordinator before may go on; 0: it does not.
-	takenAt      mono.Time
-	takenVersion uint64
+	// takenAt is when this VM took the group over, and formers the earlier
+	// coordinators, each with until when its promises may stand.
+	takenAt mono.Time
+	formers []former
 	// contacts are when each witness was heard.
 	contacts map[topology.VMID]mono.Time
 	adopted  map[topology.VMID]adoption
@@ -35,6 +35,14 @@
 	promised map[topology.VMID]mono.Time
 }
 
+// former is an earlier coordinator as this one sees it.
+type former struct {
+	Former
+	// until is when its promises have lapsed; stopped: it is known to have stopped.
+	until   mono.Time
+	stopped bool
+}
+
 // adoption is the newest version that a VM says to have adopted.
 type adoption struct {
 	incarnation topology.Incarnation
@@ -70,44 +78,63 @@
 	g.confirmed = max(g.confirmed, began)
 }
 
-// inherit notes until when promises of the coordinator before may stand: it goes on
+// inherit notes until when promises of the coordinators before may stand: each goes on
 // promising until it learns of the change or reaches its limit.
 func (g *coordinated) inherit(row *Row, now mono.Time) {
-	switch {
-	case row.Fence <= 1:
-	case row.Ended:
-		g.inherited = now.Add(Duration + margin)
-	default:
-		g.inherited = now.Add(CoordinatorLimit + Duration + margin)
-		g.takenAt, g.takenVersion = now, row.Version
+	if row.Fence <= 1 {
+		return
+	}
+	g.takenAt = now
+	g.inherited = now.Add(Duration + margin) // What one that ended promised last.
+	for _, f := range row.Formers {
+		g.formers = append(g.formers, former{Former: f, until: now.Add(CoordinatorLimit + Duration + margin)})
 	}
+	g.inheritLatest()
 }
 
-// shorten ends the wait for the coordinator before once it is known to have stopped:
-// it, or a later start of it, has adopted the change; or most of its witnesses have,
+func (g *coordinated) inheritLatest() {
+	latest := g.takenAt.Add(Duration + margin)
+	for _, f := range g.formers {
+		latest = max(latest, f.until)
+	}
+	g.inherited = latest
+}
+
+// shorten ends the wait for earlier coordinators that are known to have stopped: one that,
+// or a later start of which, has adopted the change; or one most of whose witnesses have,
 // so that it has lost their contact, and its last reading has run out.
 func (g *coordinated) shorten(now mono.Time) {
-	if g.takenAt == 0 {
-		return
+	for i := range g.formers {
+		f := &g.formers[i]
+		if f.stopped {
+			continue
+		}
+		stops, known := g.stops(f, now)
+		if known {
+			f.stopped = true
+			f.until = min(f.until, stops.Add(Duration+margin))
+		}
 	}
-	lapse := now.Add(Duration + margin)
-	if g.adopted[g.row.Former].version >= g.takenVersion {
-		g.inherited = min(g.inherited, lapse)
-		g.takenAt = 0
-		return
+	if g.takenAt != 0 {
+		g.inheritLatest()
+	}
+}
+
+// stops returns by when an earlier coordinator gives its last promise, if that is known.
+func (g *coordinated) stops(f *former, now mono.Time) (mono.Time, bool) {
+	if g.adopted[f.VM].version >= f.Version {
+		return now, true
 	}
 	following := 0
-	for _, vm := range g.row.FormerWitnesses {
-		if g.adopted[vm].version >= g.takenVersion {
+	for _, vm := range f.Witnesses {
+		if g.adopted[vm].version >= f.Version {
 			following++
 		}
 	}
-	if 2*following <= len(g.row.FormerWitnesses) {
-		return
+	if 2*following <= len(f.Witnesses) {
+		return 0, false
 	}
-	stopped := max(g.takenAt.Add(storeGrace), now.Add(contactGrace))
-	g.inherited = min(g.inherited, stopped.Add(Duration+margin))
-	g.takenAt = 0
+	return max(g.takenAt.Add(storeGrace), now.Add(contactGrace)), true
 }
 
 // mayPromise reports whether the coordinator can still be the only one: it has read
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -237,3 +237,34 @@
 	mustEnd(t, c, gone, 13*second, false)
 	mustEnd(t, c, gone, 14*second, true)
 }
+
+// Two takeovers follow each other within a moment. The first coordinator is cut off and
+// knows of neither; that the second one follows says nothing of it.
+func TestASecondTakeoverWaitsForTheFirstCoordinatorToo(t *testing.T) {
+	first := firstRow()
+	first.Witnesses = []topology.VMID{"vm-1", "vm-4", "vm-5"}
+	taken := first.TakenBy("vm-2", 1, "vm-2", []topology.VMID{"vm-2"})
+	third := taken.TakenBy("vm-3", 1, "vm-3", []topology.VMID{"vm-3"})
+	c := lease.NewCoordinator("vm-3", 1)
+	c.Observe(third, 10*second, 10*second)
+	c.Observe(third.Closed("x"), 10*second, 10*second)
+	c.Promise("g", "vm-3", 1, 4, 10*second)
+	c.Promise("g", "vm-2", 1, 4, 10*second)
+	registered := vms("vm-1", "vm-2", "vm-3")
+	mustEnd(t, c, registered, 13*second, false)
+	mustEnd(t, c, registered, 22*second, false)
+	mustEnd(t, c, registered, 24*second, true)
+	c.Promise("g", "vm-1", 1, 4, 14*second)
+	mustEnd(t, c, registered, 14*second, true)
+}
+
+// A coordinator that itself waits for an earlier one hands over: its successor waits, too.
+func TestAHandoverKeepsEarlierCoordinators(t *testing.T) {
+	row := firstRow().TakenBy("vm-2", 1, "vm-2", nil).TakenBy("vm-3", 1, "vm-2", nil)
+	if len(row.Formers) != 1 || row.Formers[0].VM != "vm-1" {
+		t.Fatalf("%+v", row.Formers)
+	}
+	if len(row.Settled().Formers) != 0 {
+		t.Fatal("settled rows keep them")
+	}
+}
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -15,6 +15,7 @@
 package lease
 
 import (
+	"slices"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -64,14 +65,23 @@
 	// Ended: the coordinator before this one had stopped promising when this one was
 	// put in place.
 	Ended bool `json:"ended,omitempty" msgpack:"e,omitempty"`
-	// Former is the VM that was the coordinator before, with its witnesses.
-	Former          topology.VMID   `json:"former,omitempty" msgpack:"o,omitempty"`
-	FormerWitnesses []topology.VMID `json:"former_witnesses,omitempty" msgpack:"u,omitempty"`
+	// Formers are earlier coordinators that may not have stopped. They go from one
+	// coordinator to the next until one has seen them stop: a second takeover soon
+	// after a first must wait for all of them.
+	Formers []Former `json:"formers,omitempty" msgpack:"o,omitempty"`
 	// Handover is set while the primary is being replaced: nobody has a right.
 	Handover *Handover          `json:"handover,omitempty" msgpack:"h,omitempty"`
 	History  []topology.TermEnd `json:"history,omitempty" msgpack:"y,omitempty"`
 }
 
+// Former is an earlier coordinator that may go on promising.
+type Former struct {
+	VM topology.VMID `json:"vm" msgpack:"c"`
+	// Version of the row that took its place.
+	Version   uint64          `json:"version" msgpack:"v"`
+	Witnesses []topology.VMID `json:"witnesses" msgpack:"w"`
+}
+
 // Handover is a change of the primary under way.
 type Handover struct {
 	// ClosedAt is the version that closed the row.
@@ -111,13 +121,23 @@
 func (r *Row) TakenBy(vm topology.VMID, incarnation topology.Incarnation, by topology.VMID, witnesses []topology.VMID) *Row {
 	n := r.next()
 	n.Ended = by == r.Coordinator
-	n.Former = r.Coordinator
+	n.Formers = slices.DeleteFunc(slices.Clone(r.Formers), func(f Former) bool { return f.VM == r.Coordinator })
+	if !n.Ended {
+		n.Formers = append(n.Formers, Former{VM: r.Coordinator, Version: n.Version, Witnesses: r.Witnesses})
+	}
 	n.Coordinator, n.Incarnation = vm, incarnation
 	n.Fence++
-	n.FormerWitnesses, n.Witnesses = r.Witnesses, witnesses
+	n.Witnesses = witnesses
 	return n
 }
 
+// Settled returns the row without earlier coordinators, which are known to have stopped.
+func (r *Row) Settled() *Row {
+	n := *r
+	n.Formers = nil
+	return &n
+}
+
 // Closed returns the row with a handover begun.
 func (r *Row) Closed(reason string) *Row {
 	n := r.next()
@@ -140,6 +160,7 @@
 		n.History = n.History[extra:]
 	}
 	n.Primary, n.Term, n.Handover = r.Handover.Candidate, term, nil
+	n.Formers = nil // Before the promotion every right had ended.
 	return n
 }
 
