Lead: a conflict is this VM's own change only if the row is as it was to be

Found by reading: after a close of unknown outcome, a resume that conflicts with it was taken for done, and a later close could wait for good for rights under an open row.

--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -84,14 +84,20 @@
 	}
 	l.takeAll(rows.Rows, began)
 	present := l.Row(row.Group)
-	if present == nil || present.Version != row.Version || present.Fence != row.Fence ||
-		present.Coordinator != row.Coordinator || present.Incarnation != row.Incarnation {
+	if present == nil || !sameChange(present, row) {
 		return errOvertaken
 	}
 	l.notify(present)
 	return nil
 }
 
+// sameChange reports whether the row in the store is the one that this VM was writing. An
+// earlier change of its own whose outcome it never learnt may have taken effect instead.
+func sameChange(present, row *lease.Row) bool {
+	return present.Version == row.Version && present.Fence == row.Fence && present.Open() == row.Open() &&
+		present.Coordinator == row.Coordinator && present.Incarnation == row.Incarnation
+}
+
 func (l *Lead) status(ctx context.Context, t topology.Target) (target.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
