Link: what was answered too late to be sure of keeps its connection from being used

Ruled out: refused positions (mended before), prepared names (their failures close too). Tests: TestAConnectionWithAnUncertainValueIsNotUsedAgain and the late case of TestAConnectionThatMayNotBeClearedIsNotUsedAgain fail without it.

--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -163,10 +163,11 @@
 func (l *Link) Position(deadline time.Time) (position.Position, error) {
 	a, err := l.Run(deadline, Command{Kind: Reset, ID: statement.OwnID})
 	if err != nil {
+		l.broken = true // Whether it was, or will be, cleared is not known.
 		return position.Position{}, err
 	}
 	if a.Failure != nil {
-		l.broken = true // Whether it was cleared is not known.
+		l.broken = true
 		return position.Position{}, a.Failure
 	}
 	l.values, l.prepared = nil, nil
@@ -184,7 +185,7 @@
 	a, err := l.conn.Finish(time.Now().Add(finishTimeout))
 	l.pool.end(l, l.sent, err)
 	l.unfinished = false
-	l.broken = err != nil
+	l.broken = l.broken || err != nil
 	l.open = err == nil && a.State != statement.Idle
 }
 
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -293,19 +293,46 @@
 // A target refuses to tell its position, which also clears the connection. Whether it was
 // cleared is not known: the next session must not get it with the former one's values.
 func TestAConnectionThatMayNotBeClearedIsNotUsedAgain(t *testing.T) {
-	f := &fakeTarget{}
+	for name, answer := range map[string]func(target.Command) (statement.Answer, error){
+		"refused": func(target.Command) (statement.Answer, error) {
+			return statement.Fail(result.New(result.TargetBusy, ""), statement.Idle), nil
+		},
+		"late": func(target.Command) (statement.Answer, error) { return statement.Answer{}, os.ErrDeadlineExceeded },
+	} {
+		f := &fakeTarget{}
+		p := newPool(f, 1)
+		l := acquire(t, p, nil)
+		if err := l.Adapt(soon(), map[string]string{"a": "1"}); err != nil {
+			t.Fatal(err)
+		}
+		f.answer = answer
+		if _, err := l.Position(soon()); err == nil {
+			t.Fatalf("%s: a position", name)
+		}
+		f.mu.Lock()
+		f.answer = nil
+		f.mu.Unlock()
+		l.Release()
+		if again := acquire(t, p, nil); again == l {
+			t.Fatalf("%s: the connection is used again", name)
+		}
+	}
+}
+
+// A session's value is answered too late to be sure of it. The connection may have it or
+// not: when the late answer has come, the connection must not go to the next session.
+func TestAConnectionWithAnUncertainValueIsNotUsedAgain(t *testing.T) {
+	f := &fakeTarget{answer: func(target.Command) (statement.Answer, error) {
+		return statement.Answer{}, os.ErrDeadlineExceeded
+	}}
 	p := newPool(f, 1)
 	l := acquire(t, p, nil)
-	if err := l.Adapt(soon(), map[string]string{"a": "1"}); err != nil {
-		t.Fatal(err)
-	}
-	f.answer = func(target.Command) (statement.Answer, error) {
-		return statement.Fail(result.New(result.TargetBusy, ""), statement.Idle), nil
-	}
-	if _, err := l.Position(soon()); err == nil {
-		t.Fatal("a refusal was taken for a position")
+	if err := l.Adapt(soon(), map[string]string{"a": "1"}); err == nil {
+		t.Fatal("a late answer was taken for a success")
 	}
+	f.mu.Lock()
 	f.answer = nil
+	f.mu.Unlock()
 	l.Release()
 	if again := acquire(t, p, nil); again == l {
 		t.Fatal("the connection is used again")
