Pooler: a write's wait for replicas ends when the target is handed on

Right now says WrongPooler for the second; the wait ends at once with 1205 (outcome unknown), which the entry settles by the request id. The entry and the retry budget treat 1215 as they treated 1201.

--- a/internal/entry/interrupt.go
+++ b/internal/entry/interrupt.go
@@ -25,7 +25,7 @@
 // interrupts reports whether the failure says that the primary takes no writes.
 func interrupts(failure *result.Error) bool {
 	switch failure.Code {
-	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable,
+	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable, result.WrongPooler,
 		result.TargetUnreachable, result.Leaving, result.NoReplicaForClass:
 		return true
 	}
--- a/internal/pooler/confirm.go
+++ b/internal/pooler/confirm.go
@@ -40,7 +40,7 @@
 	defer leave()
 	for {
 		right, refused := p.rights.Right(req.group, req.Term)
-		if refused != nil && refused.Code == result.TermRefused {
+		if refused != nil && forGood(refused) {
 			return result.New(result.OutcomeUnknown, "%s", refused.Error())
 		}
 		status, changed := tp.watch.latest()
@@ -55,6 +55,13 @@
 	}
 }
 
+// forGood reports whether a refused right does not come back to this VM: another term
+// has begun, or another VM pools the target by now. Waiting on would only keep from the
+// caller for seconds that its outcome is unknown.
+func forGood(refused *result.Error) bool {
+	return refused.Code == result.TermRefused || refused.Code == result.WrongPooler
+}
+
 // replicasHold reports whether the primary knows that the replicas hold the commit.
 func replicasHold(status TargetStatus, replicas []topology.TargetID, at position.Position) bool {
 	if status.Role != RolePrimary || status.Term != at.Term {
--- a/internal/pooler/suite_test.go
+++ b/internal/pooler/suite_test.go
@@ -42,6 +42,8 @@
 	limits  pooler.TargetLimits
 	hop     atomic.Uint64
 	doubts  atomic.Int32
+	// rights, if set, answers in place of a right that always stands.
+	rights func(topology.GroupID, uint64) (authority.Right, *result.Error)
 }
 
 // newBench starts the primary of term 1.
@@ -76,10 +78,15 @@
 }
 
 func (b *bench) Class(_, class string) (pooler.ClassLimits, bool) {
-	return pooler.ClassLimits{Write: class != "read", Repeatable: class != "once", Priority: admission.Normal}, true
+	return pooler.ClassLimits{
+		Write: class != "read", Repeatable: class != "once", WaitsForReplica: class == "replicated", Priority: admission.Normal,
+	}, true
 }
 
 func (b *bench) Right(g topology.GroupID, term uint64) (authority.Right, *result.Error) {
+	if b.rights != nil {
+		return b.rights(g, term)
+	}
 	return authority.Right{Group: g, Term: term}, nil
 }
 func (b *bench) Confirm(authority.Right, bool) *result.Error { return nil }
--- a/pkg/authority/holder.go
+++ b/pkg/authority/holder.go
@@ -234,12 +234,13 @@
 }
 
 // Right tells whether a write of the term may go to the primary now. Errors:
-// TermRefused (another term), NoRight (promises missing), Leaving (a switchover
-// is under way); each means that nothing was sent.
+// WrongPooler (another VM pools the target), TermRefused (another term), NoRight
+// (promises missing), Leaving (a switchover is under way); each means that nothing
+// was sent.
 func (h *Holder) Right(group topology.GroupID, term uint64, now mono.Time) (Right, *result.Error) {
 	g, ok := h.groups[group]
 	if !ok || g.now.row == nil {
-		return Right{}, result.New(result.NoRight, "group %s is not pooled here", group).After(h.opts.Heartbeat)
+		return Right{}, result.New(result.WrongPooler, "group %s is not pooled here", group).After(h.opts.Heartbeat)
 	}
 	if g.now.row.Term != term {
 		return Right{}, result.New(result.TermRefused, "group %s is in term %d, not %d", group, g.now.row.Term, term)
--- a/pkg/retry/codes.go
+++ b/pkg/retry/codes.go
@@ -61,7 +61,7 @@
 // write.
 func costs(err *result.Error) bool {
 	switch err.Code {
-	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable,
+	case result.NoPrimary, result.NoRight, result.TermRefused, result.PoolerUnreachable, result.WrongPooler,
 		result.TargetUnreachable, result.NoReplicaForClass, result.Leaving:
 		return false
 	}
