Lead: groups stay away from a silent coordinator, and coordination away from primaries

Another VM took all groups over after 0.8 s and handed them back to the VM that was cut off 0.3 s later, since the duty was still that one's; they were taken over again 1.2 s after that, and the primary's successor led 4.3 s after the cut. Causes: (1) prune noted VMs that it had never heard as heard, so holderOfDuty took a dead one for living. (2) the coordinator stood in the data centre of primaries; its promises are waited out as well. (3) the step-down of a primary that can't be reached cost 0.4 s after the rights had ended. Now: what was heard and since when is listened are two maps; the duty moves, and with it the groups, to a VM of a data centre with fewer primaries once that has been safer for 3 s and nothing is under way; the step-down runs beside the wait for rights. A VM that finds the duty given to it waits 700 ms before an order, as one that claims it does.

--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -124,6 +125,24 @@
 	metastore.Store
 	mu     sync.Mutex
 	closed bool
+	// slow is how long writes of keys that begin so take.
+	slow       time.Duration
+	slowPrefix string
+}
+
+func (g *gate) slowDown(prefix string, by time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.slowPrefix, g.slow = prefix, by
+}
+
+func (g *gate) slowness(key string) time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.slow == 0 || !strings.HasPrefix(key, g.slowPrefix) {
+		return 0
+	}
+	return g.slow
 }
 
 func (g *gate) shut(closed bool) {
@@ -159,6 +178,7 @@
 	if err := g.err(); err != nil {
 		return 0, err
 	}
+	time.Sleep(g.slowness(key))
 	return g.Store.Put(ctx, table, key, value, expected)
 }
 
--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -60,13 +60,25 @@
 	if r.Version < l.duty.version {
 		return
 	}
+	was := l.dutyIsOurs()
 	l.duty.duty, l.duty.version = d, r.Version
 	l.duty.read = max(l.duty.read, began)
+	if l.dutyIsOurs() && !was {
+		// Its former holder gave it. An order that it sent just before may still be on
+		// its way, and would arrive with a lower fence after one of this VM.
+		l.duty.usable = l.Clock.Now().Add(dutySettle)
+	}
 }
 
 // acquireDuty makes this VM the holder of the duty and returns its fencing token once
 // an order may be sent.
 func (l *Lead) acquireDuty(ctx context.Context) (fence uint64, err error) {
+	l.mu.Lock()
+	moving := l.placing.moving
+	l.mu.Unlock()
+	if moving {
+		return 0, errOvertaken
+	}
 	if err := l.readDuty(ctx); err != nil {
 		return 0, err
 	}
@@ -115,19 +127,32 @@
 	return nil
 }
 
-// giveDuty passes the duty on when this VM leaves: it sends no order any more.
+// giveDuty passes the duty on; nobody's duty is given, too. The caller sees to it that
+// this VM sends no order meanwhile. One after it first reads the duty anew: the answer may
+// be lost after the change took effect.
 func (l *Lead) giveDuty(ctx context.Context, to topology.VM) {
 	l.mu.Lock()
-	held, state := l.dutyIsOurs(), l.duty
+	state := l.duty
+	may := l.dutyIsOurs() || state.Holder == ""
 	l.mu.Unlock()
-	if !held || to.ID == "" {
+	if !may || to.ID == "" {
 		return
 	}
-	raw, err := json.Marshal(duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.Fence + 1})
+	next := duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.Fence + 1}
+	raw, err := json.Marshal(next)
+	var version uint64
 	if err == nil {
-		_, err = l.Store.Put(ctx, Table, dutyKey, raw, state.version)
+		version, err = l.Store.Put(ctx, Table, dutyKey, raw, state.version)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		l.duty.read = 0
+	case version > l.duty.version:
+		l.duty = dutyState{duty: next, version: version}
 	}
-	l.Log.Info("event=duty_given", "to", to.ID, "fence", state.Fence+1, "error", err)
+	l.Log.Info("event=duty_given", "to", to.ID, "data_centre", to.DataCentre, "fence", next.Fence, "error", err)
 }
 
 func (l *Lead) claimDuty(ctx context.Context, former dutyState) error {
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -38,7 +38,7 @@
 		l.mu.Lock()
 		reason := l.reasonToReplace(group, now)
 		resume := reason == "" && !l.working[group] && l.coordinator.Withdrawn(group)
-		better, move := l.betterPlace(group, now)
+		better, move := l.holderOfDuty(group, now)
 		l.mu.Unlock()
 		switch {
 		case reason != "":
@@ -52,6 +52,7 @@
 			l.start(group, func() { l.handOver(ctx, group, better) })
 		}
 	}
+	l.moveToSaferPlace(ctx, now)
 }
 
 // resume lets promises go on after a change to replace the primary whose outcome was
@@ -68,20 +69,6 @@
 	}
 }
 
-// betterPlace returns the holder of the promotion duty if it is another VM that lives:
-// a group coordinated elsewhere would have to fetch the duty from it first.
-func (l *Lead) betterPlace(group topology.GroupID, now mono.Time) (topology.VM, bool) {
-	if l.duty.Holder == "" || l.duty.Holder == l.self.ID || l.leaving || l.working[group] {
-		return topology.VM{}, false
-	}
-	vm, ok := l.Directory.VM(l.duty.Holder)
-	heard := l.heard[l.duty.Holder]
-	if !ok || vm.Incarnation != l.duty.Incarnation || l.gone[vm.ID] == vm.Incarnation || heard == 0 || now.Sub(heard) > silentAfter {
-		return topology.VM{}, false
-	}
-	return vm, true
-}
-
 // reasonToReplace returns why the group's primary is to be replaced, or "".
 func (l *Lead) reasonToReplace(group topology.GroupID, now mono.Time) string {
 	row := l.coordinator.Row(group)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -99,9 +99,12 @@
 	silences    map[topology.VMID]*silence
 	working     map[topology.GroupID]bool // a change of this VM is under way
 	duty        dutyState
+	placing     placing
 	missing     map[topology.GroupID]mono.Time
 	firstSeen   map[topology.GroupID]mono.Time
 	heard       map[topology.VMID]mono.Time // when each VM's last message came
+	// listening is since when a coordinator listens for each VM.
+	listening map[topology.VMID]mono.Time
 	frozen      map[topology.GroupID]frozenAt
 	// gone are the starts of VMs that said that they leave.
 	gone      map[topology.VMID]topology.Incarnation
@@ -114,6 +117,8 @@
 	// cutSince is since when no right was held; cutTold: it was logged.
 	cutSince mono.Time
 	cutTold  bool
+	// outOfTouch: no right has been renewed for long.
+	outOfTouch bool
 	leaving  bool
 	changed  chan struct{}
 }
@@ -143,6 +148,7 @@
 		missing:     map[topology.GroupID]mono.Time{},
 		firstSeen:   map[topology.GroupID]mono.Time{},
 		heard:       map[topology.VMID]mono.Time{},
+		listening:   map[topology.VMID]mono.Time{},
 		frozen:      map[topology.GroupID]frozenAt{},
 		gone:        map[topology.VMID]topology.Incarnation{},
 		starved:     map[topology.TargetID]mono.Time{},
--- /dev/null
+++ b/internal/lead/place_test.go
@@ -0,0 +1,60 @@
+package lead_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// The coordinator, which holds the duty to promote, loses power. Another VM takes its
+// groups over, and the store is slow to give it the duty as well. The groups must not go
+// back to the VM that is gone since the duty is still its own: callers of every group
+// would be refused for another second and more, until it is found silent again.
+func TestAGroupDoesNotGoBackToASilentCoordinator(t *testing.T) {
+	c := startCluster(t, 4)
+	coordinator := c.settle()
+	time.Sleep(time.Second) // It hears the others.
+	c.databases.kill("a")   // It claims the duty, too.
+	c.eventually(4*time.Second, "b leads", func() bool { return c.allRight("b") })
+	for _, v := range c.vms {
+		v.store.slowDown("duty/", 500*time.Millisecond)
+	}
+	c.stop(coordinator)
+	c.eventually(4*time.Second, "another coordinator", func() bool { return c.row().Coordinator != coordinator })
+	for end := time.Now().Add(2 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for _, v := range c.vms {
+			if row := v.lead.Row(group); row.Coordinator == coordinator && row.Version > 3 {
+				t.Fatalf("%s has the group with %s again: version %d", v.id, coordinator, row.Version)
+			}
+		}
+	}
+}
+
+// The primary stands in the coordinator's own data centre, and other data centres hold
+// none. The loss of that one would take both at once, and callers would wait for the
+// rights of both to lapse: the coordination moves before, and no VM loses its right.
+func TestTheCoordinationMovesAwayFromThePrimary(t *testing.T) {
+	c := startCluster(t, 4)
+	coordinator := c.settle()
+	for _, v := range c.vms {
+		v.directory.SetTarget(directory.Target{
+			Target: topology.Target{ID: "a", Group: group, DataCentre: topology.DataCentre("dc-" + string(coordinator))}, SaysPrimary: true,
+		})
+	}
+	moved := func() bool {
+		if !c.allRight("a") {
+			t.Fatal("a VM lost its right")
+		}
+		return c.row().Coordinator != coordinator
+	}
+	c.eventually(8*time.Second, "another coordinator", moved)
+	c.databases.kill("a")
+	c.eventually(4*time.Second, "b leads", func() bool { return c.allRight("b") })
+	for _, o := range c.databases.orders {
+		if o.holder == coordinator || o.fence < 1 {
+			t.Fatalf("orders %+v", c.databases.orders)
+		}
+	}
+}
--- a/internal/lead/register.go
+++ b/internal/lead/register.go
@@ -77,17 +77,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.coordinator.Groups()) == 0 {
-		clear(l.heard)
+		clear(l.listening)
 		return
 	}
 	for _, vm := range vms {
-		heard := l.heard[vm.ID]
+		since := l.listening[vm.ID]
 		switch {
 		case vm.ID == l.self.ID:
-		case heard == 0:
-			l.heard[vm.ID] = now // From now on it is listened for.
-		case now.Sub(heard) > pruneAfter:
-			l.heard[vm.ID] = now // Tried once a period.
+		case since == 0:
+			l.listening[vm.ID] = now
+		case now.Sub(max(since, l.heard[vm.ID])) > pruneAfter:
+			l.listening[vm.ID] = now // Tried once a period.
 			go l.unregister(ctx, vm.ID)
 		}
 	}
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -66,10 +66,13 @@
 		}
 	}
 	if r.row.Handover.Candidate == "" {
+		// Both at once: a primary that is cut off costs a connection's whole timeout.
+		former := make(chan stepped, 1)
+		go func() { former <- r.stepDown(ctx) }()
 		if err := r.awaitRightsEnded(ctx); err != nil {
 			return err
 		}
-		if err := r.choose(ctx); err != nil {
+		if err := r.choose(ctx, <-former); err != nil {
 			return err
 		}
 	}
@@ -201,9 +204,8 @@
 
 // choose picks the replica that received most, keeps it from receiving more, and
 // records it with what it holds.
-func (r *replacement) choose(ctx context.Context) error {
-	last, stopped := r.stepDown(ctx)
-	best, err := r.best(ctx, last, stopped)
+func (r *replacement) choose(ctx context.Context, former stepped) error {
+	best, err := r.best(ctx, former)
 	if err != nil {
 		return err
 	}
@@ -214,29 +216,37 @@
 		return errors.Wrapf(err, "stop %s from receiving", best.target.ID)
 	}
 	r.Log.Info("event=candidate_chosen", "group", r.group, "candidate", best.target.ID, "holds", s.Received,
-		"primary_held", last, "primary_stepped_down", stopped)
+		"primary_held", former.held, "primary_stepped_down", former.answered)
 	return r.change(ctx, r.row.Choosing(best.target.ID, s.Received))
 }
 
-// stepDown asks the old primary to stop writing; then nothing of it needs be lost.
-func (r *replacement) stepDown(ctx context.Context) (position.Position, bool) {
+// stepped is what the old primary answered when it was asked to step down.
+type stepped struct {
+	answered bool
+	// held is what it held then.
+	held position.Position
+}
+
+// stepDown asks the old primary to stop writing; then nothing of it needs be lost. The
+// row is closed, so what it refuses from now on could not be acknowledged anyway.
+func (r *replacement) stepDown(ctx context.Context) stepped {
 	t, ok := r.Directory.Target(r.row.Primary)
 	if !ok {
-		return position.Position{}, false
+		return stepped{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
 	s, err := r.Control.StepDown(ctx, t.Target, r.row.Term+1)
 	if err != nil {
 		r.Log.Info("event=step_down_failed", "target", t.ID, "error", err)
-		return position.Position{}, false
+		return stepped{}
 	}
-	return s.Received, true
+	return stepped{answered: true, held: s.Received}
 }
 
 // best returns the replica that holds most. After an orderly step down it is waited
 // for, until one holds all.
-func (r *replacement) best(ctx context.Context, last position.Position, stopped bool) (found, error) {
+func (r *replacement) best(ctx context.Context, former stepped) (found, error) {
 	end := time.Now().Add(catchUpTime)
 	for {
 		all := r.statuses(ctx, true)
@@ -249,7 +259,7 @@
 				best = f
 			}
 		}
-		if !stopped || !best.status.Received.Less(last) || time.Now().After(end) {
+		if !former.answered || !best.status.Received.Less(former.held) || time.Now().After(end) {
 			return best, nil
 		}
 		wait.For(ctx, catchUpPoll)
@@ -320,6 +330,9 @@
 	if err != nil {
 		return errors.Wrap(err, "the duty")
 	}
+	r.mu.Lock()
+	r.placing.ordered = r.Clock.Now()
+	r.mu.Unlock()
 	return r.Promotions.Promote(ctx, r.group, candidate, r.self.ID, fence)
 }
 
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -55,15 +55,7 @@
 // the fewest primaries come first: its loss takes the coordinator and a primary at
 // once in the fewest groups, and then the change has to wait for promises to lapse.
 func (l *Lead) rank() []topology.VMID {
-	primaries := map[topology.DataCentre]int{}
-	for _, group := range l.groups() {
-		if row := l.holder.Row(group); row != nil {
-			t, _ := l.Directory.Target(row.Primary)
-			primaries[t.DataCentre]++
-		} else if t, ok := l.selfStyledPrimary(group); ok {
-			primaries[t.DataCentre]++
-		}
-	}
+	primaries := l.primaries()
 	vms := slices.Clone(l.Directory.VMs())
 	slices.SortFunc(vms, func(a, b topology.VM) int {
 		return cmp.Or(
@@ -78,6 +70,20 @@
 	return ids
 }
 
+// primaries counts the primaries of each data centre.
+func (l *Lead) primaries() map[topology.DataCentre]int {
+	n := map[topology.DataCentre]int{}
+	for _, group := range l.groups() {
+		if row := l.holder.Row(group); row != nil {
+			t, _ := l.Directory.Target(row.Primary)
+			n[t.DataCentre]++
+		} else if t, ok := l.selfStyledPrimary(group); ok {
+			n[t.DataCentre]++
+		}
+	}
+	return n
+}
+
 // delay is how long this VM waits before it takes a group over.
 func (l *Lead) delay() time.Duration {
 	place := slices.Index(l.rank(), l.self.ID)
@@ -302,9 +308,7 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	for _, id := range l.rank() {
-		vm, ok := l.Directory.VM(id)
-		heard := l.heard[id]
-		if ok && id != l.self.ID && l.gone[id] != vm.Incarnation && heard != 0 && now.Sub(heard) < silentAfter {
+		if vm, ok := l.Directory.VM(id); ok && id != l.self.ID && l.lives(vm, now) {
 			return vm
 		}
 	}
