Lead: scattered groups come together before anything fails

Cause: at a start several VMs write first rows, and the groups stay with several coordinators until one of them needs the duty. After a loss of 53 of 89 VMs two of them claimed it from each other, and groups changed hands up to four times within 0.6 s; VMs waited for new promises each time. Now the coordinator of the first group claims a duty that nobody has held, 3 s after it saw the group, and the others give it their groups; a VM that took groups over does not claim the duty from a living holder. Test: TestScatteredGroupsComeTogether failed before (not within 8 s).

--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -52,6 +52,7 @@
 			l.start(group, func() { l.handOver(ctx, group, better) })
 		}
 	}
+	l.claimFreeDuty(ctx, now)
 	l.moveToSaferPlace(ctx, now)
 }
 
--- a/internal/lead/place_test.go
+++ b/internal/lead/place_test.go
@@ -1,10 +1,14 @@
 package lead_test
 
 import (
+	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/lead"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -63,3 +67,38 @@
 		}
 	}
 }
+
+// Two groups are coordinated by two VMs, as when both wrote a first row at a start. Nothing
+// fails, and yet they come together at one VM, which holds the duty: after a loss of many VMs
+// their groups would change hands several times, and callers wait each time.
+func TestScatteredGroupsComeTogether(t *testing.T) {
+	c := startCluster(t, 3)
+	coordinator := c.settle()
+	other := topology.GroupID("h")
+	for id, v := range c.vms {
+		if id == coordinator {
+			continue
+		}
+		row := &lease.Row{Group: other, Version: 1, Term: 1, Primary: "x", Coordinator: id, Incarnation: v.directory.Self().Incarnation, Fence: 1}
+		raw, err := json.Marshal(row)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.store.Put(context.Background(), lead.Table, "group/h", raw, 0); err != nil {
+			t.Fatal(err)
+		}
+		break
+	}
+	for _, v := range c.vms {
+		v.directory.SetTarget(directory.Target{Target: topology.Target{ID: "x", Group: other}, SaysPrimary: true})
+	}
+	c.eventually(8*time.Second, "one coordinator", func() bool {
+		for _, v := range c.vms {
+			row := v.lead.Row(other)
+			if row == nil || row.Coordinator != c.row().Coordinator {
+				return false
+			}
+		}
+		return true
+	})
+}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -252,8 +252,8 @@
 		}
 	}
 	done.Wait()
-	if taken.Load() == 0 {
-		return // Another VM was quicker, and has the duty as well.
+	if taken.Load() == 0 || l.dutyIsElsewhere() {
+		return // Another VM was quicker, or has the duty; the groups go there.
 	}
 	// The duty comes along now, so that its waiting time has passed when a primary
 	// fails.
