Forward: a message between VMs is written at once; directory lists are made when they are read

Cause: the encoder of messages writes each field by itself: 41 writes, and as many packets, for one statement that goes through another VM. It showed as p50 27 ms direct and 55 to 61 ms through holders, and 0.038 of a core a VM instead of 0.015. Besides, each changed row made all lists of the directory anew, with dozens of rows when many VMs start at once, and the order of a target's holders hashed each VM in each comparison. Now a message is encoded into a buffer, as an array without names, and written once; lists are made when they are read; each VM is hashed once.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -73,8 +73,10 @@
 	config  *Configuration
 	targets map[topology.TargetID]Target
 	vms     map[topology.VMID]topology.VM
-	// sorted, byGroup and vmList are made anew with each change: they are read with
-	// every request and many times a second besides.
+	// sorted, byGroup, groups and vmList are made anew when they are read after a change:
+	// they are read with every request and many times a second besides, and changes come
+	// by the dozen, as when many VMs start at once.
+	stale   bool
 	sorted  []Target
 	byGroup map[topology.GroupID][]Target
 	groups  []topology.GroupID
@@ -118,6 +120,24 @@
 
 func (d *Directory) tell() {
 	d.changes++
+	d.stale = true
+	close(d.told)
+	d.told = make(chan struct{})
+}
+
+// lists returns with the lock held for reading and the lists up to date.
+func (d *Directory) lists() {
+	d.mu.RLock()
+	for d.stale {
+		d.mu.RUnlock()
+		d.mu.Lock()
+		d.makeLists()
+		d.mu.Unlock()
+		d.mu.RLock()
+	}
+}
+
+func (d *Directory) makeLists() {
 	d.sorted = slices.SortedFunc(maps.Values(d.targets), func(a, b Target) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	d.byGroup = map[topology.GroupID][]Target{}
 	for _, t := range d.sorted {
@@ -125,8 +145,7 @@
 	}
 	d.groups = slices.Sorted(maps.Keys(d.byGroup))
 	d.vmList = slices.SortedFunc(maps.Values(d.vms), func(a, b topology.VM) int { return strings.Compare(string(a.ID), string(b.ID)) })
-	close(d.told)
-	d.told = make(chan struct{})
+	d.stale = false
 }
 
 // SetConfiguration takes over a newer configuration. It reports whether it was
@@ -197,7 +216,7 @@
 
 // Targets returns all targets in order of their names. The slice must not be changed.
 func (d *Directory) Targets() []Target {
-	d.mu.RLock()
+	d.lists()
 	defer d.mu.RUnlock()
 	return d.sorted
 }
@@ -205,7 +224,7 @@
 // Groups returns the groups that have a target, in order of their names. The slice must
 // not be changed.
 func (d *Directory) Groups() []topology.GroupID {
-	d.mu.RLock()
+	d.lists()
 	defer d.mu.RUnlock()
 	return d.groups
 }
@@ -213,7 +232,7 @@
 // TargetsOf returns a group's targets in order of their names. The slice must not be
 // changed.
 func (d *Directory) TargetsOf(group topology.GroupID) []Target {
-	d.mu.RLock()
+	d.lists()
 	defer d.mu.RUnlock()
 	return d.byGroup[group]
 }
@@ -222,7 +241,8 @@
 func (d *Directory) SetVM(vm topology.VM) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.vms[vm.ID].Incarnation > vm.Incarnation {
+	known := d.vms[vm.ID]
+	if known.Incarnation > vm.Incarnation || known == vm {
 		return
 	}
 	d.vms[vm.ID] = vm
@@ -258,7 +278,7 @@
 
 // VMs returns the registered VMs in order of their names. The slice must not be changed.
 func (d *Directory) VMs() []topology.VM {
-	d.mu.RLock()
+	d.lists()
 	defer d.mu.RUnlock()
 	return d.vmList
 }
--- a/internal/forward/driver.go
+++ b/internal/forward/driver.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
@@ -52,7 +51,7 @@
 		return nil, err
 	}
 	target.LimitSilence(nc)
-	c := &conn{nc: nc, enc: msgpack.NewEncoder(nc), dec: msgpack.NewDecoder(nc)}
+	c := &conn{nc: nc, stream: newStream(nc)}
 	if err := c.open(ctx, t.ID); err != nil {
 		nc.Close()
 		return nil, err
@@ -70,9 +69,8 @@
 
 // conn is a connection to a holder. One goroutine uses it at a time.
 type conn struct {
-	nc  net.Conn
-	enc *msgpack.Encoder
-	dec *msgpack.Decoder
+	nc     net.Conn
+	stream *stream
 	// owed: the response to the last request has not been read.
 	owed bool
 }
@@ -83,7 +81,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = c.nc.SetDeadline(deadline) // A closed connection shows with the next call.
 	}
-	if err := c.enc.Encode(opening{Target: id}); err != nil {
+	if err := c.stream.send(opening{Target: id}); err != nil {
 		return err
 	}
 	r, err := c.receive()
@@ -98,7 +96,7 @@
 
 func (c *conn) receive() (*response, error) {
 	r := &response{}
-	if err := c.dec.Decode(r); err != nil {
+	if err := c.stream.receive(r); err != nil {
 		return nil, err
 	}
 	c.owed = false
@@ -111,7 +109,7 @@
 		return statement.Answer{}, err
 	}
 	c.owed = true
-	if err := c.enc.Encode(request{Command: cmd, Left: time.Until(deadline)}); err != nil {
+	if err := c.stream.send(request{Command: cmd, Left: time.Until(deadline)}); err != nil {
 		return statement.Answer{}, err
 	}
 	return c.result()
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -4,8 +4,12 @@
 package forward
 
 import (
+	"bufio"
+	"net"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -13,13 +17,43 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
+// stream reads and writes messages on a connection. Each is written at once: the encoder by
+// itself writes every field on its own, and two dozen writes and packets a message cost three
+// times the processor time and 30 ms a statement on VMs of a fifth of a core.
+type stream struct {
+	out *bufio.Writer
+	enc *msgpack.Encoder
+	dec *msgpack.Decoder
+}
+
+func newStream(nc net.Conn) *stream {
+	out := bufio.NewWriterSize(nc, writerSize)
+	return &stream{out: out, enc: msgpack.NewEncoder(out), dec: msgpack.NewDecoder(nc)}
+}
+
+// writerSize of a connection's buffer: a few times the usual message.
+const writerSize = 1024
+
+func (s *stream) send(message any) error {
+	if err := s.enc.Encode(message); err != nil {
+		return err
+	}
+	return s.out.Flush()
+}
+
+func (s *stream) receive(message any) error { return s.dec.Decode(message) }
+
 // opening is the first message of a connection.
 type opening struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Target topology.TargetID `msgpack:"t"`
 }
 
 // request is one command.
 type request struct {
+	_msgpack struct{} `msgpack:",as_array"`
+
 	Command target.Command `msgpack:"c"`
 	// Left is how much time the command has. Clocks of two VMs are not compared.
 	Left time.Duration `msgpack:"l"`
@@ -27,15 +61,17 @@
 
 // response answers an opening or a request.
 type response struct {
-	Rows     []string          `msgpack:"r,omitempty"`
-	Digest   string            `msgpack:"d,omitempty"`
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Rows     []string          `msgpack:"r"`
+	Digest   string            `msgpack:"d"`
 	State    statement.State   `msgpack:"s"`
 	Position position.Position `msgpack:"p"`
-	Failure  *result.Error     `msgpack:"f,omitempty"`
+	Failure  *result.Error     `msgpack:"f"`
 	// Lost: the connection to the target broke, and whether the command ran is not
 	// known. Late: the target did not answer in time.
-	Lost string `msgpack:"x,omitempty"`
-	Late bool   `msgpack:"o,omitempty"`
+	Lost string `msgpack:"x"`
+	Late bool   `msgpack:"o"`
 }
 
 func responseOf(a statement.Answer) response {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/buckthornshore/buckthornshore/internal/contain"
 	"github.com/buckthornshore/buckthornshore/internal/directory"
@@ -54,23 +53,23 @@
 
 func (s *Server) handle(nc net.Conn) {
 	target.LimitSilence(nc)
-	enc, dec := msgpack.NewEncoder(nc), msgpack.NewDecoder(nc)
+	peer := newStream(nc)
 	var o opening
-	if err := dec.Decode(&o); err != nil {
+	if err := peer.receive(&o); err != nil {
 		return
 	}
 	pool, failure := s.poolOf(o)
-	if err := enc.Encode(response{Failure: failure, State: statement.Idle}); err != nil || failure != nil {
+	if err := peer.send(response{Failure: failure, State: statement.Idle}); err != nil || failure != nil {
 		return
 	}
 	sess := &session{server: s, pool: pool, prepared: map[string]statement.Prepared{}}
 	defer sess.release()
 	for {
 		var r request
-		if err := dec.Decode(&r); err != nil {
+		if err := peer.receive(&r); err != nil {
 			return
 		}
-		if err := enc.Encode(sess.serve(r)); err != nil {
+		if err := peer.send(sess.serve(r)); err != nil {
 			return
 		}
 	}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -45,16 +45,28 @@
 // ordered puts the VMs of the target's data centre first, and those by a hash that
 // spreads the targets over them.
 func ordered(t topology.Target, vms []topology.VM) []topology.VM {
-	away := func(vm topology.VM) int {
-		if vm.DataCentre == t.DataCentre {
-			return 0
-		}
-		return 1
+	type weighted struct {
+		vm     topology.VM
+		away   int // 0: in the target's data centre
+		weight uint64
 	}
-	weight := func(vm topology.VM) uint64 { return xxhash.Sum64String(string(t.ID) + "\x00" + string(vm.ID)) }
-	sorted := slices.Clone(vms)
-	slices.SortFunc(sorted, func(a, b topology.VM) int {
-		return cmp.Or(cmp.Compare(away(a), away(b)), cmp.Compare(weight(a), weight(b)))
+	all := make([]weighted, 0, len(vms))
+	for _, vm := range vms {
+		all = append(all, weighted{vm: vm, away: away(t, vm), weight: xxhash.Sum64String(string(t.ID) + "\x00" + string(vm.ID))})
+	}
+	slices.SortFunc(all, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(a.away, b.away), cmp.Compare(a.weight, b.weight))
 	})
+	sorted := make([]topology.VM, 0, len(all))
+	for _, w := range all {
+		sorted = append(sorted, w.vm)
+	}
 	return sorted
 }
+
+func away(t topology.Target, vm topology.VM) int {
+	if vm.DataCentre == t.DataCentre {
+		return 0
+	}
+	return 1
+}
