Watcher: a store that refuses is asked less, and not at all while the coordinator tells of no change

A repeated watch misses nothing as long as the history is kept (410 otherwise), so nothing is listed anew, tries back off to 0.8 s, and a VM that the coordinator tells that nothing changed asks nothing. Test: TestAVMThatIsTurnedAwayLeavesTheStoreAlone: 5 calls in a second before, none after.

--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -115,3 +115,51 @@
 		t.Fatalf("tells %v though its watch is not answered", got)
 	}
 }
+
+// refusing is a store that turns this VM away.
+type refusing struct {
+	*counting
+	refuses bool
+}
+
+func (r *refusing) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+	rows, err := r.counting.Watch(ctx, table, after, wait)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refuses {
+		return metastore.Rows{}, metastore.ErrNotDone
+	}
+	return rows, err
+}
+
+func (r *refusing) List(ctx context.Context, table string) (metastore.Rows, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.refuses {
+		r.watches++
+		return metastore.Rows{}, metastore.ErrNotDone
+	}
+	return r.Store.List(ctx, table)
+}
+
+// The store turns this VM away and serves the coordinator, which tells that nothing has
+// changed: the VM leaves the store alone, instead of asking it several times a second.
+func TestAVMThatIsTurnedAwayLeavesTheStoreAlone(t *testing.T) {
+	store := &refusing{counting: &counting{Store: metastore.NewMemory()}}
+	relay := directory.New(self).Relay()
+	put(t, store.Store, "a")
+	s := follow(t, store, relay)
+	eventually(t, func() bool { return s.has(1) })
+	store.mu.Lock()
+	store.refuses = true
+	store.mu.Unlock()
+	stop := tell(relay, 1)
+	defer stop()
+	put(t, store.Store, heartbeat) // It ends the watch under way.
+	time.Sleep(300 * time.Millisecond)
+	before := store.count()
+	time.Sleep(time.Second)
+	if n := store.count() - before; n > 0 {
+		t.Fatalf("%d calls to a store that refuses", n)
+	}
+}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -19,9 +19,10 @@
 	// connection that has gone silent is noticed that late, and a configuration
 	// has to be in force within three seconds.
 	watchWait = 1800 * time.Millisecond
-	// watchRetry after a failed call; a store that refuses for its load gets
-	// some relief.
-	watchRetry = 200 * time.Millisecond
+	// watchRetry after a second failed call; it doubles up to longestRetry, with which a
+	// store that is back is noticed within 1.2 s.
+	watchRetry   = 200 * time.Millisecond
+	longestRetry = 800 * time.Millisecond
 	// fetchWait is the wait of a watch that only fetches what has changed already.
 	fetchWait = time.Millisecond
 )
@@ -53,73 +54,98 @@
 	Seen func(began mono.Time)
 }
 
+// followed is how far a watcher has come.
+type followed struct {
+	// version up to which everything was seen; matters is the newest change among it that
+	// matters to the VMs.
+	version, matters uint64
+	// failures of calls in a row.
+	failures int
+}
+
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	lost := false
+	f := &followed{}
 	for ctx.Err() == nil {
-		err := w.follow(ctx, func() {
-			if lost {
-				w.Log.Info("event=store_regained", "table", w.Table)
-				lost = false
-			}
-		})
-		if ctx.Err() != nil {
-			return
-		}
-		if errors.Is(err, metastore.ErrHistoryGone) {
-			w.Log.Info("event=store_history_gone", "table", w.Table, "outcome", "listed_again")
+		if err := w.list(ctx, f); err != nil {
+			w.failed(ctx, f, err)
 			continue
 		}
-		if !lost {
-			w.Log.Warn("event=store_lost", "table", w.Table, "error", err)
-			lost = true
+		for ctx.Err() == nil {
+			err := w.watch(ctx, f)
+			if errors.Is(err, metastore.ErrHistoryGone) {
+				w.Log.Info("event=store_history_gone", "table", w.Table, "outcome", "listed_again")
+				break
+			}
+			if err != nil {
+				w.failed(ctx, f, err)
+			}
 		}
-		pause.For(ctx, watchRetry/2+rand.N(watchRetry))
 	}
 }
 
-// follow lists the table and follows its changes until a call fails.
-func (w *Watcher) follow(ctx context.Context, answered func()) error {
+// list reads the whole table.
+func (w *Watcher) list(ctx context.Context, f *followed) error {
 	began := w.Clock.Now()
 	rows, err := w.Store.List(ctx, w.Table)
 	if err != nil {
 		return err
 	}
-	answered()
+	w.answered(f)
 	w.All(rows.Rows, began)
 	w.seen(began)
-	matters := rows.Version
-	w.note(matters)
-	failures := 0
-	for version := rows.Version; ; {
-		wait := w.wait()
-		if w.Relay != nil && failures == 0 && w.Relay.Await(ctx, w.Feed, version, w.Clock) {
-			wait = fetchWait
-		}
-		began = w.Clock.Now()
-		changes, err := w.Store.Watch(ctx, w.Table, version, wait)
-		if err != nil {
-			// A failed watch misses nothing as long as the history is kept, so the
-			// same one is repeated before the whole table is read again.
-			failures++
-			if errors.Is(err, metastore.ErrHistoryGone) || failures > 1 || ctx.Err() != nil {
-				return err
-			}
-			continue
-		}
-		failures = 0
-		for _, row := range changes.Rows {
-			if w.Change(row, began) {
-				matters = max(matters, row.Version)
-			}
-		}
-		w.seen(began)
-		w.note(matters)
-		version = max(version, changes.Version)
-		if w.Rest != nil && len(changes.Rows) > 0 {
-			pause.For(ctx, w.Rest())
+	f.version, f.matters = rows.Version, rows.Version
+	w.note(f.matters)
+	return nil
+}
+
+// watch waits for changes and takes them over. After a failure the same watch may be
+// repeated: it misses nothing as long as the history is kept.
+func (w *Watcher) watch(ctx context.Context, f *followed) error {
+	wait := w.wait()
+	if w.Relay != nil && w.Relay.Await(ctx, w.Feed, f.version, w.Clock) {
+		wait = fetchWait
+	}
+	began := w.Clock.Now()
+	changes, err := w.Store.Watch(ctx, w.Table, f.version, wait)
+	if err != nil {
+		return err
+	}
+	w.answered(f)
+	for _, row := range changes.Rows {
+		if w.Change(row, began) {
+			f.matters = max(f.matters, row.Version)
 		}
 	}
+	w.seen(began)
+	w.note(f.matters)
+	f.version = max(f.version, changes.Version)
+	if w.Rest != nil && len(changes.Rows) > 0 {
+		pause.For(ctx, w.Rest())
+	}
+	return nil
+}
+
+// failed waits before the next call. The first failure is mostly a connection that went
+// silent, and is made up for at once; a store that refuses for its load, or is out, gets
+// relief: 26 VMs that it turned away asked it 390 times a second.
+func (w *Watcher) failed(ctx context.Context, f *followed, err error) {
+	f.failures++
+	if ctx.Err() != nil || f.failures == 1 {
+		return
+	}
+	if f.failures == 2 {
+		w.Log.Warn("event=store_lost", "table", w.Table, "error", err)
+	}
+	rest := min(longestRetry, watchRetry<<min(f.failures-2, 8))
+	pause.For(ctx, rest/2+rand.N(rest))
+}
+
+func (w *Watcher) answered(f *followed) {
+	if f.failures > 1 {
+		w.Log.Info("event=store_regained", "table", w.Table)
+	}
+	f.failures = 0
 }
 
 func (w *Watcher) note(version uint64) {
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -28,7 +28,9 @@
 
 func newStream(nc net.Conn) *stream {
 	out := bufio.NewWriterSize(nc, writerSize)
-	return &stream{out: out, enc: msgpack.NewEncoder(out), dec: msgpack.NewDecoder(nc)}
+	enc := msgpack.NewEncoder(out)
+	enc.UseArrayEncodedStructs(true) // Without the fields' names.
+	return &stream{out: out, enc: enc, dec: msgpack.NewDecoder(nc)}
 }
 
 // writerSize of a connection's buffer: a few times the usual message.
@@ -45,15 +47,11 @@
 
 // opening is the first message of a connection.
 type opening struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Target topology.TargetID `msgpack:"t"`
 }
 
 // request is one command.
 type request struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Command target.Command `msgpack:"c"`
 	// Left is how much time the command has. Clocks of two VMs are not compared.
 	Left time.Duration `msgpack:"l"`
@@ -61,8 +59,6 @@
 
 // response answers an opening or a request.
 type response struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Rows     []string          `msgpack:"r"`
 	Digest   string            `msgpack:"d"`
 	State    statement.State   `msgpack:"s"`
--- a/internal/target/driver.go
+++ b/internal/target/driver.go
@@ -33,9 +33,6 @@
 
 // Command is what a connection runs.
 type Command struct {
-	// Another VM is sent the fields without their names.
-	_msgpack struct{} `msgpack:",as_array"`
-
 	Kind CommandKind
 	// ID is the caller's, or statement.OwnID.
 	ID   string
