Lead: groups stay away from a coordinator that the store turns away; VMs elsewhere rank first

(2) a data centre of 30 VMs was cut off with the coordinator, and nobody took over for 4.5 s: the coordinator stands where the fewest primaries are, so those 30 ranked first, 120 ms each, and then one VM that had just started vouched for the coordinator that it knew from the store only. Now a VM that took groups over gives the former coordinator none back for 10 s and claims the duty from it; VMs beside the former coordinator come last, and after eight VMs the delay grows by 20 ms only; a VM vouches for another only if it has had a message of it within 0.5 s.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -106,6 +106,8 @@
 	// listening is since when a coordinator listens for each VM.
 	listening map[topology.VMID]mono.Time
 	frozen    map[topology.GroupID]frozenAt
+	// takenFrom is when this VM last took groups over from a coordinator.
+	takenFrom map[topology.VMID]mono.Time
 	// gone are the starts of VMs that said that they leave.
 	gone      map[topology.VMID]topology.Incarnation
 	starved   map[topology.TargetID]mono.Time // until when a VM is short of connections
@@ -153,6 +155,7 @@
 		heard:       map[topology.VMID]mono.Time{},
 		listening:   map[topology.VMID]mono.Time{},
 		frozen:      map[topology.GroupID]frozenAt{},
+		takenFrom:   map[topology.VMID]mono.Time{},
 		gone:        map[topology.VMID]topology.Incarnation{},
 		starved:     map[topology.TargetID]mono.Time{},
 		changed:     make(chan struct{}),
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -16,6 +16,9 @@
 	// orderRests is how long no order may have been sent before the duty moves by
 	// itself, so that none of them can still be on its way: twice the longest call.
 	orderRests = 3 * time.Second
+	// takenRests is how long a coordinator whose groups this VM took over gets none back: as
+	// long as most outages of a store last for one VM.
+	takenRests = 10 * time.Second
 )
 
 // placing is how long another VM has been a safer place for the coordination.
@@ -34,8 +37,16 @@
 	if l.duty.Holder == "" || l.duty.Holder == l.self.ID || l.leaving || l.working[group] {
 		return topology.VM{}, false
 	}
+	return l.usefulHolder(now)
+}
+
+// usefulHolder returns the holder of the duty if it lives and was not of no use lately: one
+// that the store turns away goes on talking to the VMs, and its groups would come and go
+// between it and whoever takes them over.
+func (l *Lead) usefulHolder(now mono.Time) (topology.VM, bool) {
 	vm, ok := l.Directory.VM(l.duty.Holder)
-	if !ok || vm.Incarnation != l.duty.Incarnation || !l.lives(vm, now) {
+	taken := l.takenFrom[l.duty.Holder]
+	if !ok || vm.Incarnation != l.duty.Incarnation || !l.lives(vm, now) || taken != 0 && now.Sub(taken) < takenRests {
 		return topology.VM{}, false
 	}
 	return vm, true
@@ -62,12 +73,12 @@
 	}()
 }
 
-// dutyIsElsewhere reports whether another VM that lives holds the duty.
+// dutyIsElsewhere reports whether another VM that is of use holds the duty.
 func (l *Lead) dutyIsElsewhere() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	vm, ok := l.Directory.VM(l.duty.Holder)
-	return ok && vm.ID != l.self.ID && vm.Incarnation == l.duty.Incarnation && l.lives(vm, l.Clock.Now())
+	vm, ok := l.usefulHolder(l.Clock.Now())
+	return ok && vm.ID != l.self.ID
 }
 
 // lives reports whether a VM was heard lately and has not said that it leaves.
@@ -113,7 +124,8 @@
 		if primaries[vm.DataCentre] >= primaries[l.self.DataCentre] {
 			break // The rank begins with the data centres that hold the fewest.
 		}
-		if ok && l.lives(vm, now) {
+		taken := l.takenFrom[id]
+		if ok && l.lives(vm, now) && (taken == 0 || now.Sub(taken) >= takenRests) {
 			return vm, true
 		}
 	}
--- a/internal/lead/place_test.go
+++ b/internal/lead/place_test.go
@@ -102,3 +102,37 @@
 		return true
 	})
 }
+
+// The store turns the coordinator away, which holds the duty and goes on talking to the other
+// VMs. Another VM takes the group over, and the group stays there: it must not go back to the
+// one that can't replace a primary, since that one still holds the duty.
+func TestAGroupDoesNotGoBackToACoordinatorWithoutTheStore(t *testing.T) {
+	c := startCluster(t, 3)
+	coordinator := c.settle()
+	time.Sleep(time.Second) // It hears the others.
+	c.databases.kill("a")   // It claims the duty, too.
+	c.eventually(4*time.Second, "b leads", func() bool { return c.allRight("b") })
+	for id, v := range c.vms {
+		if id != coordinator {
+			v.store.slowDown("duty/", 500*time.Millisecond)
+		}
+	}
+	c.vms[coordinator].store.shut(true)
+	taken := func() (uint64, bool) {
+		for id, v := range c.vms {
+			if row := v.lead.Row(group); id != coordinator && row.Coordinator != coordinator {
+				return row.Version, true
+			}
+		}
+		return 0, false
+	}
+	c.eventually(10*time.Second, "another coordinator", func() bool { _, ok := taken(); return ok })
+	version, _ := taken()
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for id, v := range c.vms {
+			if row := v.lead.Row(group); id != coordinator && row.Coordinator == coordinator && row.Version > version {
+				t.Fatalf("it is back at version %d", row.Version)
+			}
+		}
+	}
+}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -25,8 +25,12 @@
 	// storeLostSlack is how much longer than its wait a watch may take before the
 	// store counts as lost: a slow store's answer, and one retry.
 	storeLostSlack = 1700 * time.Millisecond
-	// rankDelay keeps VMs from taking a group over all at once.
-	rankDelay = 120 * time.Millisecond
+	// rankDelay keeps the first rankedVMs from taking a group over all at once; after them
+	// lateRankDelay does, which is less than a takeover takes: where so many are gone at
+	// once, a few conflicts are better than seconds more without a coordinator.
+	rankDelay     = 120 * time.Millisecond
+	rankedVMs     = 8
+	lateRankDelay = 20 * time.Millisecond
 	// opinionTime is how long opinions are waited for.
 	opinionTime = 150 * time.Millisecond
 	// firstDelay lets the first listing, and the other VMs' registrations, come.
@@ -83,13 +87,22 @@
 	return n
 }
 
-// delay is how long this VM waits before it takes a group over.
-func (l *Lead) delay() time.Duration {
-	place := slices.Index(l.rank(), l.self.ID)
-	if place < 0 {
-		return rankDelay
+// delay is how long this VM waits before it takes groups over from a coordinator; "": they
+// have none. VMs beside the coordinator come last: it stands where the fewest primaries are,
+// so they rank first, and when their data centre is cut off all others would wait for them.
+func (l *Lead) delay(from topology.VMID) time.Duration {
+	ids := l.rank()
+	if former, ok := l.Directory.VM(from); ok {
+		beside := func(id topology.VMID) int {
+			if vm, _ := l.Directory.VM(id); vm.DataCentre == former.DataCentre {
+				return 1
+			}
+			return 0
+		}
+		slices.SortStableFunc(ids, func(a, b topology.VMID) int { return cmp.Compare(beside(a), beside(b)) })
 	}
-	return time.Duration(place) * rankDelay
+	place := max(0, slices.Index(ids, l.self.ID))
+	return time.Duration(min(place, rankedVMs))*rankDelay + time.Duration(max(0, place-rankedVMs))*lateRankDelay
 }
 
 // coordinatorHeard notes an answer of a coordinator.
@@ -117,7 +130,7 @@
 			go l.askOthers(vm)
 		}
 		if take {
-			go l.takeOver(ctx, groups, why)
+			go l.takeOver(ctx, vm, groups, why)
 		}
 	}
 	l.mu.Unlock()
@@ -153,7 +166,7 @@
 	if a.useless == 0 && now.Sub(a.last) < silentAfter {
 		return false, false, "" // The usual case, many times a second.
 	}
-	delay := silentAfter + l.delay()
+	delay := silentAfter + l.delay(vm)
 	if a.useless != 0 && now.Sub(a.useless) >= delay {
 		l.answers[vm] = answers{last: now}
 		return true, false, "store_lost"
@@ -193,10 +206,17 @@
 	l.sendToMany(others, m)
 }
 
+// hears reports whether this VM hears another one. Its messages count, and not when it was
+// adopted as a coordinator: a VM that has just started knows it from the store only, and by
+// its word alone a silent one was kept for seconds.
+func (l *Lead) hears(vm topology.VMID) bool {
+	heard := l.heard[vm]
+	return heard != 0 && l.Clock.Now().Sub(heard) < hearsWithin
+}
+
 func (l *Lead) handleQuestion(from string, m *message) {
 	l.mu.Lock()
-	a, known := l.answers[m.About]
-	hears := known && l.Clock.Now().Sub(a.last) < hearsWithin
+	hears := l.hears(m.About)
 	l.mu.Unlock()
 	l.reply(from, m.From, &message{Kind: opinion, From: l.self.ID, Incarnation: l.self.Incarnation, About: m.About, Hears: hears})
 }
@@ -233,7 +253,12 @@
 	return true
 }
 
-func (l *Lead) takeOver(ctx context.Context, groups []topology.GroupID, why string) {
+func (l *Lead) takeOver(ctx context.Context, from topology.VMID, groups []topology.GroupID, why string) {
+	l.mu.Lock()
+	if from != l.self.ID {
+		l.takenFrom[from] = l.Clock.Now()
+	}
+	l.mu.Unlock()
 	var done sync.WaitGroup
 	var mu sync.Mutex
 	var taken []*lease.Row
@@ -341,7 +366,7 @@
 			continue
 		}
 		l.mu.Lock()
-		wait := firstDelay + l.delay()
+		wait := firstDelay + l.delay("")
 		l.mu.Unlock()
 		primary, ok := l.selfStyledPrimary(group)
 		if ok && now.Sub(seen) >= wait {
