Logs: an event is a key, an error its text; a soak over real processes

Soak: internal/integration 'Faults in any order' runs the proxies, databases and the platform's stand-in as processes and brings about eleven kinds of fault, two at a time: kills, stops in order, pauses, ways between data centres cut, cut one way, slowed, reset or silenced, the platform out. It checks that nothing acknowledged is lost and that every writer is served again.

--- a/internal/gatewayd/logging.go
+++ b/internal/gatewayd/logging.go
@@ -8,6 +8,8 @@
 	"os"
 	"sync"
 	"time"
+
+	kvlog "github.com/buckthornshore/buckthornshore/internal/logging"
 )
 
 const (
@@ -35,7 +37,7 @@
 func newLogging(s Settings) *logging {
 	l := &logging{level: &slog.LevelVar{}, out: os.Stdout, lines: make(chan []byte, linesQueued)}
 	l.setLevel(s.LogLevel)
-	l.log = slog.New(slog.NewTextHandler(l, &slog.HandlerOptions{Level: l.level})).With("vm", s.VM)
+	l.log = slog.New(slog.NewTextHandler(l, kvlog.Options(l.level))).With("vm", s.VM)
 	return l
 }
 
--- a/internal/integration/link_test.go
+++ b/internal/integration/link_test.go
@@ -23,16 +23,20 @@
 	target   string
 	listener net.Listener
 
-	mu    sync.Mutex
-	cut   bool
-	delay time.Duration
-	conns map[net.Conn]net.Conn
+	mu  sync.Mutex
+	cut bool
+	// answersCut: only what comes back is swallowed.
+	answersCut bool
+	// silent are connections that deliver nothing any more, though new ones do.
+	silent map[net.Conn]bool
+	delay  time.Duration
+	conns  map[net.Conn]net.Conn
 }
 
 func newLink(from, to topology.DataCentre, target string) *link {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	l := &link{from: from, to: to, target: target, listener: listener, conns: map[net.Conn]net.Conn{}}
+	l := &link{from: from, to: to, target: target, listener: listener, conns: map[net.Conn]net.Conn{}, silent: map[net.Conn]bool{}}
 	go l.serve()
 	DeferCleanup(l.close)
 	return l
@@ -57,27 +61,35 @@
 	l.mu.Lock()
 	l.conns[c] = out
 	l.mu.Unlock()
-	go l.copy(out, c)
-	l.copy(c, out)
+	go l.copy(out, c, func() bool { return l.swallows(c, false) })
+	l.copy(c, out, func() bool { return l.swallows(c, true) })
 	c.Close()
 	out.Close()
 	l.mu.Lock()
 	delete(l.conns, c)
+	delete(l.silent, c)
 	l.mu.Unlock()
 }
 
-// copy forwards until the end; what arrives while the link is cut is swallowed.
-func (l *link) copy(to io.WriteCloser, from io.Reader) {
+// swallows reports whether what a connection carries, or what is answered on it, is lost.
+func (l *link) swallows(c net.Conn, answers bool) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut || l.silent[c] || answers && l.answersCut
+}
+
+// copy forwards until the end, but for what is to be swallowed.
+func (l *link) copy(to io.WriteCloser, from io.Reader, swallows func() bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
 		if err != nil {
-			if !l.isCut() {
+			if !swallows() {
 				to.Close()
 			}
 			return
 		}
-		if l.isCut() {
+		if swallows() {
 			continue
 		}
 		time.Sleep(l.delayed())
@@ -100,36 +112,56 @@
 	l.delay = delay
 }
 
-func (l *link) isCut() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.cut
-}
-
 // setCut cuts or heals the link. Bytes swallowed while it was cut are missing
 // from their streams, so healing ends the connections of that time.
 func (l *link) setCut(cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.cut && !cut {
-		for in, out := range l.conns {
-			in.Close()
-			out.Close()
-		}
+		l.closeAll()
 	}
 	l.cut = cut
 }
 
-func (l *link) close() {
-	l.listener.Close()
+// setAnswersCut cuts or heals the way back only.
+func (l *link) setAnswersCut(cut bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.answersCut && !cut {
+		l.closeAll()
+	}
+	l.answersCut = cut
+}
+
+// silence has the open connections deliver nothing any more, without a reset.
+func (l *link) silence() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		l.silent[c] = true
+	}
+}
+
+// reset breaks the open connections.
+func (l *link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closeAll()
+}
+
+// closeAll closes the open connections; the caller holds the lock.
+func (l *link) closeAll() {
 	for in, out := range l.conns {
 		in.Close()
 		out.Close()
 	}
 }
 
+func (l *link) close() {
+	l.listener.Close()
+	l.reset()
+}
+
 // linkAll puts a link between each proxy and everything outside its data centre.
 func (d *deployment) linkAll() {
 	places := map[string]topology.DataCentre{}
--- /dev/null
+++ b/internal/integration/soak_test.go
@@ -0,0 +1,223 @@
+package integration_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// The soak's seeds and length; the environment sets others: BTS_SOAK_SEEDS=1000-1049
+// BTS_SOAK_SECONDS=20.
+const (
+	soakSeeds   = "1-1"
+	soakSeconds = 8
+	// soakSettles is how long after the last fault every class has to be served again. A
+	// failed primary is replaced within 2 s and a killed proxy's targets pass on within 3.
+	soakSettles = 20 * time.Second
+)
+
+// failedSeeds showed a fault once, each with its cause. They are played every time.
+var failedSeeds = []uint64{}
+
+// soak plays one seed: faults that come in series and overlap, while writers of each data
+// centre keep their sessions open through them.
+type soak struct {
+	*deployment
+	random *rand.Rand
+	// struck are the processes that a fault is open on.
+	struck map[*process]bool
+	// healing are the ends of the faults that are open.
+	healing []func()
+	log     []string
+}
+
+// fault brings one about and returns what ends it.
+type fault struct {
+	name  string
+	bring func(s *soak) (heal func())
+}
+
+func (s *soak) dataCentre() topology.DataCentre {
+	return s.doc.DataCentres[s.random.IntN(len(s.doc.DataCentres))].Name
+}
+
+// strike brings a fault about on a process, unless it is under one already.
+func (s *soak) strike(p *process, bring func(), end func()) (heal func()) {
+	if s.struck[p] {
+		return func() {}
+	}
+	s.struck[p] = true
+	bring()
+	return func() {
+		end()
+		delete(s.struck, p)
+	}
+}
+
+func (s *soak) proxy() *process   { return s.proxies[s.random.IntN(len(s.proxies))] }
+func (s *soak) primary() *process { return s.databases[s.row().Primary] }
+
+var faults = []fault{
+	{"a proxy is killed", func(s *soak) func() {
+		p := s.proxy()
+		return s.strike(p, p.kill, p.start)
+	}},
+	{"a proxy stops in order", func(s *soak) func() {
+		p := s.proxy()
+		return s.strike(p, func() { p.stop() }, p.start)
+	}},
+	{"a proxy stands still", func(s *soak) func() {
+		p := s.proxy()
+		return s.strike(p, p.freeze, p.thaw)
+	}},
+	{"the primary stands still", func(s *soak) func() {
+		p := s.primary()
+		return s.strike(p, p.freeze, p.thaw)
+	}},
+	{"the primary is killed", func(s *soak) func() {
+		p := s.primary()
+		return s.strike(p, p.kill, p.start)
+	}},
+	{"a data centre is cut off, silently", func(s *soak) func() {
+		dc := s.dataCentre()
+		s.cutBetween(dc, anywhere, true)
+		return func() { s.cutBetween(dc, anywhere, false) }
+	}},
+	{"a data centre hears nothing, and is heard", func(s *soak) func() {
+		dc := s.dataCentre()
+		deafen := func(cut bool) {
+			for _, l := range s.links {
+				if l.from == dc {
+					l.setAnswersCut(cut)
+				}
+			}
+		}
+		deafen(true)
+		return func() { deafen(false) }
+	}},
+	{"connections between data centres are reset", func(s *soak) func() {
+		for _, l := range s.links {
+			if s.random.IntN(2) == 0 {
+				l.reset()
+			}
+		}
+		return func() {}
+	}},
+	{"open connections fall silent, new ones work", func(s *soak) func() {
+		for _, l := range s.links {
+			if s.random.IntN(2) == 0 {
+				l.silence()
+			}
+		}
+		return func() {}
+	}},
+	{"the ways between data centres are slow", func(s *soak) func() {
+		s.delayLinks(time.Duration(20+s.random.IntN(100)) * time.Millisecond)
+		return func() { s.delayLinks(0) }
+	}},
+	{"the platform is out", func(s *soak) func() {
+		s.platformDown(true)
+		return func() { s.platformDown(false) }
+	}},
+}
+
+// soakOpen bounds how many faults are open at once: with more, a group of three databases
+// has none left, and nothing is promised.
+const soakOpen = 2
+
+// play brings faults about for the time, then ends them all.
+func (s *soak) play(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		if len(s.healing) >= soakOpen || len(s.healing) > 0 && s.random.IntN(3) == 0 {
+			s.heal()
+		} else {
+			f := faults[s.random.IntN(len(faults))]
+			s.log = append(s.log, f.name)
+			s.healing = append(s.healing, f.bring(s))
+		}
+		time.Sleep(time.Duration(100+s.random.IntN(1500)) * time.Millisecond)
+	}
+	for len(s.healing) > 0 {
+		s.heal()
+	}
+}
+
+func (s *soak) heal() {
+	end := s.healing[0]
+	s.healing = s.healing[1:]
+	end()
+}
+
+// seeds reads "3" or "3-9".
+func seeds(text string) []uint64 {
+	first, last, ranged := strings.Cut(text, "-")
+	if !ranged {
+		last = first
+	}
+	from, err := strconv.ParseUint(first, 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	to, err := strconv.ParseUint(last, 10, 64)
+	Expect(err).NotTo(HaveOccurred())
+	var all []uint64
+	for seed := from; seed <= to; seed++ {
+		all = append(all, seed)
+	}
+	return append(all, failedSeeds...)
+}
+
+func setting(name, usual string) string {
+	if v := os.Getenv(name); v != "" {
+		return v
+	}
+	return usual
+}
+
+var _ = Describe("Faults in any order", func() {
+	// Callers of every data centre write and keep their sessions while processes are killed,
+	// stopped, paused and started again, and ways between data centres are cut, slowed,
+	// silenced or reset, two faults at a time. Whatever the order: what was acknowledged is
+	// there at the end, and once the faults are over everybody is served again.
+	It("lose nothing that was acknowledged and end with them", func() {
+		seconds, err := strconv.Atoi(setting("BTS_SOAK_SECONDS", fmt.Sprint(soakSeconds)))
+		Expect(err).NotTo(HaveOccurred())
+		for _, seed := range seeds(setting("BTS_SOAK_SEEDS", soakSeeds)) {
+			playSeed(seed, time.Duration(seconds)*time.Second)
+		}
+	})
+})
+
+func playSeed(seed uint64, length time.Duration) {
+	s := &soak{deployment: deploy(shape{groups: 1, proxies: 6, links: true}), random: rand.New(rand.NewPCG(seed, seed)), struck: map[*process]bool{}}
+	s.settledView()
+	var writers []*writer
+	for i := range s.proxies {
+		writers = append(writers, s.startWriter(i, "landing-report", fmt.Sprintf("soak-%d-%d", seed, i)))
+	}
+	s.play(length)
+	over := time.Now()
+	acked := 0
+	for i, w := range writers {
+		before := w.count()
+		Eventually(w.count).WithTimeout(soakSettles).Should(BeNumerically(">", before),
+			"seed %d: the writer at vm-%d is not served after %v", seed, i+1, s.log)
+		w.end()
+		acked += w.count()
+	}
+	fmt.Printf("soak seed %d: %d faults, %d writes acknowledged, all served again after %v\n", seed, len(s.log), acked, time.Since(over).Round(time.Millisecond))
+	for i, w := range writers {
+		By(fmt.Sprintf("seed %d: what vm-%d acknowledged is there after %v", seed, i+1, s.log))
+		s.checkNothingLost(i, w)
+	}
+	s.end()
+	for _, l := range s.links {
+		l.close()
+	}
+}
