--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -336,5 +336,22 @@
 	l.reading = false
 	if err != nil {
 		l.Log.Warn("event=right_not_read", "error", err, "took", l.Clock.Now().Sub(began))
+		return
+	}
+	if l.handedOverUnread() {
+		l.reading = true
+		go l.read(ctx)
 	}
 }
+
+// handedOverUnread reports whether a group was handed over to this VM that it has not read as
+// its own yet: several come one after the other, and a reading shows those before it.
+func (l *Lead) handedOverUnread() bool {
+	for _, group := range l.groups() {
+		row := l.holder.Row(group)
+		if row != nil && row.Coordinator == l.self.ID && row.Incarnation == l.self.Incarnation && l.coordinator.Row(group) == nil {
+			return true
+		}
+	}
+	return false
+}
