Failover: a VM speaks for one replica, and for the one beside it first

(1) Promoter.ObserveReplica took the status of any target of the group, so the dead replica passed for reachable and stayed synced. (2) A list has one entry a VM, and the VM's was for the dead replica. Now the status of another target is passed over, and one that was another replica's is forgotten; of two candidates of one VM the one beside its replica is taken.

--- a/internal/failover/assign.go
+++ b/internal/failover/assign.go
@@ -139,7 +139,33 @@
 		d.o.Doubt.Ask(ctx, p.VM)
 		list = append(list, entriesFor(row, p.Replica)...)
 	}
-	return list
+	return onePerVM(list, d.beside)
+}
+
+// beside reports whether the entry's VM and replica share a data centre.
+func (d *Driver) beside(p topology.Promoter) bool {
+	vm, known := d.o.Directory.VM(p.VM)
+	limits, listed := d.o.Directory.Target(p.Replica)
+	return known && listed && vm.DataCentre == limits.DataCentre
+}
+
+// onePerVM keeps one entry a VM, that for a replica beside it before others.
+//
+// Failure: a data centre is lost, and a VM elsewhere pools the replica there besides the
+// living one of its own. A list has one entry a VM; with the dead replica in it, and not the
+// living one, no replica was synced, and each write of a class that waits took four seconds.
+func onePerVM(list []topology.Promoter, beside func(topology.Promoter) bool) []topology.Promoter {
+	kept := []topology.Promoter{}
+	listed := map[topology.VMID]bool{}
+	for _, wanted := range []bool{true, false} {
+		for _, p := range list {
+			if beside(p) == wanted && !listed[p.VM] {
+				listed[p.VM] = true
+				kept = append(kept, p)
+			}
+		}
+	}
+	return kept
 }
 
 func (d *Driver) known(row *topology.Group, p topology.Promoter) bool {
--- a/internal/failover/status.go
+++ b/internal/failover/status.go
@@ -136,7 +136,7 @@
 			d.observePrimary(row, s, err, began, now)
 			return
 		}
-		d.promoter.ObserveReplica(group, authority.ReplicaStatus{
+		d.promoter.ObserveReplica(group, t, authority.ReplicaStatus{
 			Reachable: err == nil && rewound(s),
 			Term:      s.Term,
 			Primary:   s.Primary,
--- a/pkg/authority/promoter.go
+++ b/pkg/authority/promoter.go
@@ -63,7 +63,11 @@
 // Stand makes this VM speak for a replica of the group. It takes part once the
 // group's list holds its present incarnation.
 func (p *Promoter) Stand(group topology.GroupID, replica topology.TargetID) {
-	p.standing(group).replica = replica
+	s := p.standing(group)
+	if s.replica != replica {
+		s.status = ReplicaStatus{} // It is another one's.
+	}
+	s.replica = replica
 }
 
 func (p *Promoter) standing(group topology.GroupID) *standing {
@@ -128,9 +132,14 @@
 	Position position.Position
 }
 
-// ObserveReplica takes the status of this VM's own replica.
-func (p *Promoter) ObserveReplica(group topology.GroupID, st ReplicaStatus) {
-	p.standing(group).status = st
+// ObserveReplica takes the status of the replica that this VM speaks for; that of another one
+// is passed over. Failure: a data centre is lost, and a VM elsewhere speaks for the replica
+// there while it pools the group's other one as well. Taken for the lost one's, the living
+// one's status kept the lost one synced, and each write waited four seconds for it.
+func (p *Promoter) ObserveReplica(group topology.GroupID, replica topology.TargetID, st ReplicaStatus) {
+	if s := p.standing(group); s.replica == replica {
+		s.status = st
+	}
 }
 
 // follows reports whether the replica follows the row's primary. Failure: an old
--- a/pkg/authority/rules_test.go
+++ b/pkg/authority/rules_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -30,6 +31,26 @@
 		p.HandleHeartbeat(HeartbeatRequest{VM: "vm0", Promises: []PromiseRequest{{Group: testGroup, Version: 3, Health: health}}}, now)
 	}
 
+	// A data centre is lost. This VM speaks for the replica there, which is dead, and pools the
+	// group's living one as well. The holder must hear that the dead one can't be reached: it
+	// would keep it synced by the other's word, and each of a caller's writes would wait four
+	// seconds for it.
+	It("speaks for its own replica only", func() {
+		p := newPromoter()
+		promise := func() Promise {
+			req := HeartbeatRequest{VM: "vm0", Promises: []PromiseRequest{{Group: testGroup, Version: 3, Health: Healthy}}}
+			return p.HandleHeartbeat(req, 2*second).Promises[0]
+		}
+		living := ReplicaStatus{Reachable: true, Term: 2, Primary: "db0", Position: position.Position{Term: 2, Index: 9}}
+		p.ObserveReplica(testGroup, "db1", ReplicaStatus{})
+		p.ObserveReplica(testGroup, "db2", living)
+		Expect(promise().ReplicaReachable).To(BeFalse())
+		p.ObserveReplica(testGroup, "db1", living)
+		Expect(promise().ReplicaReachable).To(BeTrue())
+		p.Stand(testGroup, "db2")
+		Expect(promise().ReplicaReachable).To(BeFalse())
+	})
+
 	// The holder speaks and calls its primary well; this VM reaches it not. That
 	// is a path, and callers elsewhere are served.
 	It("suspects no primary that its holder calls well", func() {
--- a/pkg/authority/world_vm_test.go
+++ b/pkg/authority/world_vm_test.go
@@ -124,7 +124,7 @@
 
 func (v *vm) observeStatus(d *database, st ReplicaStatus, began mono.Time) {
 	if v.index < dcCount {
-		v.promoter.ObserveReplica(testGroup, st)
+		v.promoter.ObserveReplica(testGroup, d.id, st)
 	}
 	row := v.promoter.Row(testGroup)
 	if row == nil || !d.up {
