--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -128,7 +128,8 @@
 
 // failed waits before the next call. The first failure is mostly a connection that went
 // silent, and is made up for at once; a store that refuses for its load, or is out, gets
-// relief: 26 VMs that it turned away asked it 390 times a second.
+// relief: a VM that it turned away asked it some fifteen times a second, worked out from three
+// tables and a pause of 200 ms.
 func (w *Watcher) failed(ctx context.Context, f *followed, err error) {
 	f.failures++
 	if ctx.Err() != nil || f.failures == 1 {
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -25,7 +25,9 @@
 )
 
 // failedSeeds showed a fault once, each with its cause. They are played every time.
-var failedSeeds = []uint64{}
+var failedSeeds = []uint64{
+	225, // Two faults struck one process; the second signalled one that had ended. The soak's own mistake.
+}
 
 // soak plays one seed: faults that come in series and overlap, while writers of each data
 // centre keep their sessions open through them.
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -23,7 +23,7 @@
 	renotify   = 60 * time.Millisecond
 	// longestRenotify is what the time between two reminders doubles up to. Those that
 	// don't confirm are mostly cut off: to 89 VMs and for two groups, one each 60 ms were
-	// 3,000 messages and as many answers a second, under which a coordinator on a fifth
+	// 3,000 messages and as many answers a second (worked out), under which a coordinator on a fifth
 	// of a core fell silent itself and lost its groups.
 	longestRenotify = 250 * time.Millisecond
 	// catchUpTime is how long a candidate may take to receive what the primary,
