Failover: a VM keeps its right at a primary until what it took there is answered

Found by 54 runs of the test, three to eight at once: 1 failed; its log shows three writes executed with code 1205 on vm-1 at 28:00.597 to .602, 10 ms after vm-4 had registered again. Now dropHeld waits for requests under way as it did for open transactions; what begins there is sent to the other VM by entries that know of it, so it ends soon. OpenTransactions had no other use.

--- a/internal/failover/assign.go
+++ b/internal/failover/assign.go
@@ -208,12 +208,16 @@
 	delete(d.parts, id)
 }
 
-// dropHeld ends this VM's part as the primary's pooler, but not while
-// a transaction is open here: its commit would be refused although nothing is
-// wrong. Until then two VMs hold for the same term, which is harmless.
+// dropHeld ends this VM's part as the primary's pooler, but not while a request or a
+// transaction is open here. Until then two VMs hold for the same term, which is harmless;
+// requests end here soon, since entries send new ones to the other VM.
+//
+// Failure: a VM is started again and takes its targets back while writes run on them here.
+// They commit, nothing has failed, and yet their callers heard that the outcome is unknown:
+// 3 writes of one restart, in 1 of 54 restarts of five VMs under load.
 func (d *Driver) dropHeld(id topology.GroupID) {
 	target, ok := d.held[id]
-	if !ok || d.o.Pooler.OpenTransactions(target) > 0 {
+	if !ok || d.o.Pooler.Running(target) > 0 {
 		return
 	}
 	delete(d.held, id)
--- a/internal/pooler/pooler.go
+++ b/internal/pooler/pooler.go
@@ -189,17 +189,6 @@
 	return pools
 }
 
-// OpenTransactions counts the transactions that hold a connection to the target.
-func (p *Pooler) OpenTransactions(id topology.TargetID) int {
-	p.mu.Lock()
-	tp := p.pools[id]
-	p.mu.Unlock()
-	if tp == nil {
-		return 0
-	}
-	return tp.openTransactions()
-}
-
 // Close ends all idle connections.
 func (p *Pooler) Close() {
 	for _, tp := range p.all() {
--- a/internal/pooler/transaction_test.go
+++ b/internal/pooler/transaction_test.go
@@ -28,7 +28,7 @@
 		commit := b.request("write", "commit")
 		commit.Transaction, commit.InTransaction = retry.Transaction, true
 		Expect(b.execute(commit).Failure).To(BeNil())
-		Expect(b.pooler.OpenTransactions(theTarget)).To(BeZero())
+		Expect(b.pooler.Running(theTarget)).To(BeZero())
 	})
 
 	// The session goes while its statement runs. Its connection is closed, and its
