Lead: rights of 800 ms, and coordinators that may promise less long on their own

Now a right lasts 800 ms and a reading counts for 800 ms; a coordinator that hears most witnesses goes on without it, as before. Sessions go after 1.3 s.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -212,10 +212,16 @@
 	return ""
 }
 
+// shedAfter is how long a VM must be out of touch before it sends its sessions away. The
+// balancer takes it out of rotation after one to two seconds; a caller that comes back
+// sooner meets the same refusals as before, and those that come back later are served
+// elsewhere with their next request.
+const shedAfter = 1300 * time.Millisecond
+
 // touchPeriod is how often it is looked whether this VM is in touch.
 const touchPeriod = 100 * time.Millisecond
 
-// shedWhileOutOfTouch sends sessions away once the balancer brings no new ones.
+// shedWhileOutOfTouch sends sessions away about when the balancer brings no new ones.
 func (p *parts) shedWhileOutOfTouch(ctx context.Context) {
 	ticker := time.NewTicker(touchPeriod)
 	defer ticker.Stop()
@@ -232,7 +238,7 @@
 			p.Server.Keep()
 		case since.IsZero():
 			since = time.Now()
-		case time.Since(since) > rotationTime:
+		case time.Since(since) > shedAfter:
 			p.Server.Shed()
 		}
 	}
--- a/internal/lead/cutoff.go
+++ b/internal/lead/cutoff.go
@@ -12,9 +12,9 @@
 const cutOffAfter = 200 * time.Millisecond
 
 // touchLeft is what must be left of some right at least while this VM is in touch. A right
-// of one second is renewed four times a second, and by a reading of the store when half of
-// it is left: with a quarter left, three renewals and a reading have gone unanswered.
-const touchLeft = 250 * time.Millisecond
+// of 800 ms is renewed four times a second, and by a reading of the store when 350 ms of it
+// are left: with 300 ms left, two renewals and a reading have gone unanswered.
+const touchLeft = 300 * time.Millisecond
 
 // noteCutOff finds out whether this VM is cut off: the rows that it knows are open, yet
 // neither their coordinators nor the store renew any right. A row that is closed tells
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -35,12 +35,15 @@
 	renewPeriod = 250 * time.Millisecond
 	// readAhead: a right that ends sooner and was not renewed is kept up by
 	// readings of the store.
-	readAhead = 500 * time.Millisecond
+	readAhead = 350 * time.Millisecond
 	// readPeriod between two such readings.
 	readPeriod = 300 * time.Millisecond
 	// CoordinatorWatch is how long a coordinator's watches wait: each answer shows that
 	// its rows are still its own, and the other VMs rely on what it brings.
 	CoordinatorWatch = 500 * time.Millisecond
+	// coordinatorRest is how long a coordinator's watch rests after a change: with a watch
+	// and a slow store's answer it is less than a coordinator promises by one reading.
+	coordinatorRest = 200 * time.Millisecond
 	// longestWatch of the rows: changes of them are told by their coordinator as well.
 	longestWatch = 8 * time.Second
 )
@@ -165,7 +168,7 @@
 	watcher := &directory.Watcher{
 		Store: l.Store, Table: Table, Clock: l.Clock, Log: l.Log,
 		All: l.takeAll, Change: l.takeChange, Seen: l.storeAnswered, Wait: l.watchWait,
-		Rest: l.Directory.ChangeRest, Feed: directory.OwnRows, Relay: l.Directory.Relay(),
+		Rest: l.watchRest, Feed: directory.OwnRows, Relay: l.Directory.Relay(),
 	}
 	go watcher.Run(ctx)
 	go l.Transport.Serve(ctx, l.handle)
@@ -191,6 +194,16 @@
 	return l.Directory.WatchWait(longestWatch)
 }
 
+// watchRest shortens the rest after a change for a coordinator: its own readings are what
+// its promises rest on while it hears too few witnesses.
+func (l *Lead) watchRest() time.Duration {
+	rest := l.Directory.ChangeRest()
+	if l.Coordinates() {
+		return min(rest, coordinatorRest)
+	}
+	return rest
+}
+
 // Coordinates reports whether this VM coordinates a group.
 func (l *Lead) Coordinates() bool {
 	l.mu.Lock()
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -18,10 +18,10 @@
 const (
 	// silentAfter is when a coordinator that answers nothing is in doubt: two
 	// renewals were lost, and the rights still stand.
-	silentAfter = 700 * time.Millisecond
+	silentAfter = 600 * time.Millisecond
 	// hearsWithin is how lately a coordinator must have answered for a VM to say
 	// that it hears it.
-	hearsWithin = 500 * time.Millisecond
+	hearsWithin = 450 * time.Millisecond
 	// storeLostSlack is how much longer than its wait a watch may take before the
 	// store counts as lost: a slow store's answer, and one retry.
 	storeLostSlack = 1700 * time.Millisecond
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -24,17 +24,18 @@
 
 const (
 	// Duration of a right, from when its source was asked. It bounds the wait for
-	// a VM that can't be reached, and outlives two lost renewals.
-	Duration = time.Second
+	// a VM that can't be reached, and outlives two lost renewals of 250 ms.
+	Duration = 800 * time.Millisecond
 	// margin by which a coordinator waits longer: clocks of VMs err by well under
 	// 0.1 %.
 	margin = Duration / 100
 	// storeGrace is how long a coordinator promises without having read the row as
-	// its own: a coordinator's watch of the row is answered twice a second.
-	storeGrace = 1300 * time.Millisecond
+	// its own: its watch is answered twice a second. A takeover has to wait it out, and
+	// a coordinator that hears most of its witnesses goes on without it.
+	storeGrace = 800 * time.Millisecond
 	// contactGrace: longer than that it promises only while it has heard most of
-	// the row's witnesses within this time, which is three renewals.
-	contactGrace = 800 * time.Millisecond
+	// the row's witnesses within this time, which is two renewals and some.
+	contactGrace = 600 * time.Millisecond
 	// CoordinatorLimit is how long it promises without the store at all. It outlasts
 	// outages of the store of some seconds.
 	CoordinatorLimit = 12 * time.Second
