Forward: a holder's word is no answer of the target

A holder's own answers now say how it finds the target: that it does not reach it, or how long ago it was last answered. Ruled out: a lower share of reports (a target that is cut off from some serves most callers better). Test: TestAHoldersWordIsNoAnswerOfTheTarget, failed before (failing for 0 s, answered 0.5 s after the last answer).

--- a/internal/forward/driver.go
+++ b/internal/forward/driver.go
@@ -73,8 +73,13 @@
 	stream *stream
 	// owed: the response to the last request has not been read.
 	owed bool
+	// shown is what the last response shows of the target.
+	shown target.Evidence
 }
 
+// Evidence implements target.Witness.
+func (c *conn) Evidence() target.Evidence { return c.shown }
+
 func (c *conn) Close() { c.nc.Close() }
 
 func (c *conn) open(ctx context.Context, id topology.TargetID) error {
@@ -99,7 +104,10 @@
 	if err := c.stream.receive(r); err != nil {
 		return nil, err
 	}
-	c.owed = false
+	c.owed, c.shown = false, target.Evidence{Direct: true}
+	if r.Own != nil {
+		c.shown = *r.Own
+	}
 	return r, nil
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -27,11 +27,15 @@
 	on     []int // the connection of each
 	opened int
 	answer func(target.Command) (statement.Answer, error)
+	dark   bool // no connection can be opened
 }
 
 func (d *database) Dial(context.Context, topology.Target) (target.Conn, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.dark {
+		return nil, errDark
+	}
 	d.opened++
 	return &databaseConn{database: d, state: statement.Idle, number: d.opened}, nil
 }
@@ -213,3 +217,44 @@
 		t.Fatalf("a late answer: %v", err)
 	}
 }
+
+// A primary goes dark. A VM that reaches it through a holder is refused by the holder for each
+// request, while the holder keeps the values of its sessions all the same. None of that is an
+// answer of the primary: taken for one, most VMs vouched for it, and callers' writes waited for
+// six seconds until its registration had lapsed.
+func TestAHoldersWordIsNoAnswerOfTheTarget(t *testing.T) {
+	db, pool := start(t)
+	l := take(t, pool)
+	if _, err := l.Run(soon(), target.Command{ID: "1", Text: "read x"}); err != nil {
+		t.Fatal(err)
+	}
+	l.Release()
+	answered := pool.Load().LastAnswer
+	db.mu.Lock()
+	db.dark = true
+	db.answer = func(target.Command) (statement.Answer, error) { return statement.Answer{}, errDark }
+	db.mu.Unlock()
+	for end := time.Now().Add(500 * time.Millisecond); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		l := take(t, pool)
+		if err := l.Adapt(soon(), map[string]string{"a": time.Now().String()}); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = l.Run(time.Now().Add(50*time.Millisecond), target.Command{ID: "2", Text: "read x"}) // It fails, one way or the other.
+		l.Release()
+	}
+	load := pool.Load()
+	if load.FailingFor < 300*time.Millisecond || load.LastAnswer.Sub(answered) > 100*time.Millisecond {
+		t.Fatalf("failing for %v, answered %v after the last answer", load.FailingFor, load.LastAnswer.Sub(answered))
+	}
+	db.mu.Lock()
+	db.dark, db.answer = false, nil
+	db.mu.Unlock()
+	for end := time.Now().Add(5 * time.Second); pool.Load().FailingFor > 0; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("still failing though the target is back")
+		}
+		pool.Tick()
+	}
+}
+
+var errDark = errors.New("dark")
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -68,6 +68,8 @@
 	// known. Late: the target did not answer in time.
 	Lost string `msgpack:"x"`
 	Late bool   `msgpack:"o"`
+	// Own is set if the holder answered by itself: how it finds the target.
+	Own *target.Evidence `msgpack:"w"`
 }
 
 func responseOf(a statement.Answer) response {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -59,7 +59,11 @@
 		return
 	}
 	pool, failure := s.poolOf(o)
-	if err := peer.send(response{Failure: failure, State: statement.Idle}); err != nil || failure != nil {
+	opened := response{Failure: failure, State: statement.Idle}
+	if pool != nil {
+		opened.Own = s.evidence(pool)
+	}
+	if err := peer.send(opened); err != nil || failure != nil {
 		return
 	}
 	sess := &session{server: s, pool: pool, prepared: map[string]statement.Prepared{}}
@@ -113,6 +117,21 @@
 	return statement.Idle
 }
 
+// own is what the holder answers by itself.
+func (s *session) own() response {
+	return response{State: s.state(), Own: s.server.evidence(s.pool)}
+}
+
+// evidence is how this VM finds a target.
+func (s *Server) evidence(pool *target.Pool) *target.Evidence {
+	load := pool.Load()
+	e := &target.Evidence{Failing: load.FailingFor > 0, AnsweredAgo: target.NeverAnswered}
+	if load.LastAnswer != 0 {
+		e.AnsweredAgo = s.Clock.Now().Sub(load.LastAnswer)
+	}
+	return e
+}
+
 func (s *session) serve(r request) response {
 	c := r.Command
 	switch c.Kind {
@@ -123,13 +142,13 @@
 		}
 		values[c.Name] = c.Value
 		s.values = values
-		return response{State: s.state()}
+		return s.own()
 	case target.PrepareRead, target.PrepareWrite:
 		s.prepared[c.Name] = statement.Prepared{Shape: c.Value, Writes: c.Kind == target.PrepareWrite}
-		return response{State: s.state()}
+		return s.own()
 	case target.Rollback:
 		s.release()
-		return response{State: statement.Idle}
+		return s.own()
 	case target.Reset:
 		s.values = nil
 		clear(s.prepared)
@@ -146,7 +165,9 @@
 		defer cancel()
 		link, failure := s.pool.Acquire(ctx, r.Command.Priority, s.server.Clock.Now().Add(r.Left), s.values)
 		if failure != nil {
-			return response{Failure: failure, State: statement.Idle}
+			r := s.own()
+			r.Failure = failure
+			return r
 		}
 		s.link = link
 	}
--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -47,7 +47,11 @@
 		p.dialFailed(begun, now, err)
 		return
 	}
-	p.health.succeeded(now)
+	if shown := evidenceOf(conn); shown.Direct {
+		p.health.succeeded(now)
+	} else {
+		p.health.told(shown, begun, now)
+	}
 	if p.closed {
 		conn.Close()
 		return
--- a/internal/target/driver.go
+++ b/internal/target/driver.go
@@ -59,6 +59,34 @@
 	Close()
 }
 
+// Evidence is what an answer shows of the target.
+type Evidence struct {
+	// Direct: it came from the target. Otherwise a VM between answered by itself, and the
+	// rest is how that one finds the target.
+	Direct bool `msgpack:"d"`
+	// Failing: it does not reach the target.
+	Failing bool `msgpack:"f"`
+	// AnsweredAgo is how long ago the target last answered it, or NeverAnswered.
+	AnsweredAgo time.Duration `msgpack:"a"`
+}
+
+// NeverAnswered stands for a target that has not answered.
+const NeverAnswered time.Duration = -1
+
+// Witness is a Conn that may answer without the target. The answers of others are the
+// target's.
+type Witness interface {
+	// Evidence tells of the last answer, or of the opening.
+	Evidence() Evidence
+}
+
+func evidenceOf(c Conn) Evidence {
+	if w, ok := c.(Witness); ok {
+		return w.Evidence()
+	}
+	return Evidence{Direct: true}
+}
+
 // Driver opens connections by a target's own protocol. Safe for concurrent use.
 type Driver interface {
 	// Dial connects, and fails unless the target at the address is the one named.
--- a/internal/target/health.go
+++ b/internal/target/health.go
@@ -30,6 +30,25 @@
 	h.failingSince = 0
 }
 
+// told notes how a VM between finds the target, in answer to what was sent at begun. Its word
+// that the target answers counts for as old as the target's answer is.
+func (h *health) told(e Evidence, begun, now mono.Time) {
+	if e.Failing {
+		if h.lastAnswer < begun {
+			h.failed(now)
+		}
+		return
+	}
+	if e.AnsweredAgo == NeverAnswered {
+		return
+	}
+	answered := now.Add(-e.AnsweredAgo)
+	h.lastAnswer = max(h.lastAnswer, answered)
+	if answered > h.failingSince {
+		h.failingSince = 0
+	}
+}
+
 func (h *health) failed(now mono.Time) {
 	if h.failingSince == 0 {
 		h.failingSince = now
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -210,6 +210,11 @@
 	return now
 }
 
+// end notes what the end of a command tells of the target.
+//
+// Failure: a primary is dark, and most VMs reach it through its holders. Each refusal of a
+// holder, and each value that a holder kept, passed for an answer of the target, so most VMs
+// vouched for it, and it was replaced after 6 s, when its registration had lapsed.
 func (p *Pool) end(l *Link, begun mono.Time, refusal *result.Error, err error) {
 	now := p.clock.Now()
 	p.mu.Lock()
@@ -223,8 +228,13 @@
 		p.probe()
 		return
 	}
-	p.saturation.note(refusal, now)
-	p.health.answered(now, now.Sub(begun))
+	shown := evidenceOf(l.conn)
+	if shown.Direct {
+		p.saturation.note(refusal, now)
+		p.health.answered(now, now.Sub(begun))
+	} else {
+		p.health.told(shown, begun, now)
+	}
 	if l.open && p.waiting.Len() > 0 {
 		p.grow()
 	}
