Gateway soak: ways between VMs and to databases are cut, delayed, silenced and reset

The links of internal/integration moved to internal/standin/network, with one for datagrams beside them.

--- a/internal/failover/handover_test.go
+++ b/internal/failover/handover_test.go
@@ -38,8 +38,8 @@
 	return topology.VM{ID: "vm-1", Incarnation: 1, DataCentre: "x"}
 }
 
-func (s *surroundings) VM(topology.VMID) (topology.VM, bool) { return topology.VM{}, false }
-func (s *surroundings) Parts() []Part                        { return s.parts }
+func (s *surroundings) VM(topology.VMID) (topology.VM, bool)                 { return topology.VM{}, false }
+func (s *surroundings) Parts() []Part                                        { return s.parts }
 func (s *surroundings) Target(topology.TargetID) (pooler.TargetLimits, bool) { return s.limits, true }
 
 func (s *surroundings) PoolerOf(topology.TargetID) (topology.VM, bool) { return topology.VM{}, false }
--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -98,7 +98,7 @@
 		deafen := func(cut bool) {
 			for _, l := range s.links {
 				if l.from == dc {
-					l.setAnswersCut(cut)
+					l.SetAnswersCut(cut)
 				}
 			}
 		}
@@ -108,7 +108,7 @@
 	{"connections between data centres are reset", func(s *soak) func() {
 		for _, l := range s.links {
 			if s.random.IntN(2) == 0 {
-				l.reset()
+				l.Reset()
 			}
 		}
 		return func() {}
@@ -116,7 +116,7 @@
 	{"open connections fall silent, new ones work", func(s *soak) func() {
 		for _, l := range s.links {
 			if s.random.IntN(2) == 0 {
-				l.silence()
+				l.Silence()
 			}
 		}
 		return func() {}
@@ -220,6 +220,6 @@
 	}
 	s.end()
 	for _, l := range s.links {
-		l.close()
+		l.Close()
 	}
 }
