Gateway: a daemon that can't start says why

The line that bts-proxy writes (event=start_failed) moved to internal/logging and is written by both; the gateway's queue is flushed after it. Test: TestADaemonThatCannotStartSaysWhy, failed before (exit status 1, no output).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 
 	"github.com/buckthornshore/buckthornshore/internal/entry"
 	"github.com/buckthornshore/buckthornshore/internal/failover"
@@ -56,7 +57,7 @@
 		),
 		fx.Invoke(wire, runSystems, serveAdmin, servePeers, serveCallers),
 		fx.StopTimeout(longestStop),
-		fx.WithLogger(newStartLog),
+		fx.WithLogger(func(log *slog.Logger) fxevent.Logger { return logging.StartEvents{Log: log} }),
 	)
 }
 
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -11,11 +11,13 @@
 	"time"
 
 	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/forward"
 	"github.com/buckthornshore/buckthornshore/internal/gateway"
 	"github.com/buckthornshore/buckthornshore/internal/lead"
+	kvlog "github.com/buckthornshore/buckthornshore/internal/logging"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
@@ -34,7 +36,7 @@
 		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryMB<<20)))
 	}
 	return fx.New(
-		fx.NopLogger,
+		fx.WithLogger(func(l *logging) fxevent.Logger { return kvlog.StartEvents{Log: l.log, Flush: l.flush} }),
 		fx.StartTimeout(startTimeout),
 		fx.StopTimeout(s.Grace.Std()),
 		fx.Supply(s, settingsFile(path)),
