Lead: a primary that most VMs find failed is waited for 150 ms to step down

Such a command now has 150 ms if the primary was reported as failing; a leaving one is waited for as before. Ruled out: not asking at all (a primary that lives would go on until it sees the new one, and commits that it had sent off would be rolled back). Test: TestADarkPrimaryIsNotWaitedForLong, 400 ms with the former patience.

--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -35,6 +35,8 @@
 	refused map[topology.TargetID]bool // the platform won't promote it
 	// silent: the platform takes orders, and answers none.
 	silent bool
+	// patience is how long the last command to step down was waited for.
+	patience time.Duration
 }
 
 type order struct {
@@ -71,6 +73,15 @@
 }
 
 func (d *databases) StepDown(ctx context.Context, t topology.Target, _ uint64) (target.Status, error) {
+	begun := time.Now()
+	if d.isDown(t.ID) {
+		<-ctx.Done() // It is dark, and nothing comes back.
+	}
+	defer func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.patience = time.Since(begun)
+	}()
 	s, err := d.Status(ctx, t)
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -70,6 +70,9 @@
 	}
 }
 
+// primaryFailed is why a primary is replaced that most VMs report as failing.
+const primaryFailed = "primary_failed"
+
 // reasonToReplace returns why the group's primary is to be replaced, or "".
 func (l *Lead) reasonToReplace(group topology.GroupID, now mono.Time) string {
 	row := l.coordinator.Row(group)
@@ -82,8 +85,8 @@
 	if l.leaving {
 		return ""
 	}
-	if l.primaryFailed(row, now) {
-		return "primary_failed"
+	if l.hasFailed(row, now) {
+		return primaryFailed
 	}
 	t, ok := l.Directory.Target(row.Primary)
 	switch {
@@ -102,8 +105,8 @@
 	return ""
 }
 
-// primaryFailed weighs the VMs' reports of the primary.
-func (l *Lead) primaryFailed(row *lease.Row, now mono.Time) bool {
+// hasFailed weighs the VMs' reports of the primary.
+func (l *Lead) hasFailed(row *lease.Row, now mono.Time) bool {
 	failing, reaching := 0, 0
 	for _, r := range l.reports[row.Group] {
 		switch {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -210,3 +210,18 @@
 		c.eventually(4*time.Second, "it knows that it is back", func() bool { return !v.lead.CutOff() && !v.lead.OutOfTouch() })
 	}
 }
+
+// A primary goes dark. All VMs confirm at once that they hold no right, and the command to step
+// down is never answered: it must not keep the promotion back for as long as a new connection to
+// a living primary might take, since callers' writes wait meanwhile.
+func TestADarkPrimaryIsNotWaitedForLong(t *testing.T) {
+	c := startCluster(t, 3)
+	c.settle()
+	c.databases.kill("a")
+	c.eventually(5*time.Second, "every VM has the right for b", func() bool { return c.allRight("b") })
+	c.databases.mu.Lock()
+	defer c.databases.mu.Unlock()
+	if waited := c.databases.patience; waited == 0 || waited > 250*time.Millisecond {
+		t.Fatalf("the dark primary was waited for %v", waited)
+	}
+}
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -26,6 +26,10 @@
 	// 3,000 messages and as many answers a second (worked out), under which a coordinator on a fifth
 	// of a core fell silent itself and lost its groups.
 	longestRenotify = 250 * time.Millisecond
+	// failedPatience is how long a primary that most VMs find failed is waited for to step down:
+	// a new connection to one that lives takes about 100 ms behind a full queue. Waited for as
+	// long as any other, a dark one kept the promotion back after all rights had ended.
+	failedPatience = 150 * time.Millisecond
 	// catchUpTime is how long a candidate may take to receive what the primary,
 	// having stepped down, holds.
 	catchUpTime = time.Second
@@ -74,7 +78,7 @@
 	if r.row.Handover.Candidate == "" {
 		// Both at once: a primary that is cut off costs a connection's whole timeout.
 		former := make(chan stepped, 1)
-		go func() { former <- r.stepDown(ctx) }()
+		go func() { former <- r.stepDown(ctx, reason) }()
 		if err := r.awaitRightsEnded(ctx); err != nil {
 			return err
 		}
@@ -243,12 +247,16 @@
 
 // stepDown asks the old primary to stop writing; then nothing of it needs be lost. The
 // row is closed, so what it refuses from now on could not be acknowledged anyway.
-func (r *replacement) stepDown(ctx context.Context) stepped {
+func (r *replacement) stepDown(ctx context.Context, reason string) stepped {
 	t, ok := r.Directory.Target(r.row.Primary)
 	if !ok {
 		return stepped{}
 	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	patience := controlTimeout
+	if reason == primaryFailed {
+		patience = failedPatience
+	}
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	s, err := r.Control.StepDown(ctx, t.Target, r.row.Term+1)
 	if err != nil {
