Lead: a saturated primary whose replicas all lag is handed on to one of them

A replica that is promoted leads with all that it received, and the old primary is a replica that has applied everything. VMs now report a primary that refuses them; if 30% do, the coordinator asks the replicas, and after two looks that find all of them 4 s behind or more it changes the primary: step-down first, the candidate waited for. Ruled out: replicas that had been stopped from receiving and forgotten (stopped=0); a dead replication (received grows).

--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -37,6 +37,9 @@
 	silent bool
 	// patience is how long the last command to step down was waited for.
 	patience time.Duration
+	// lag is how far behind each target is, and saturated those that refuse for their load.
+	lag       map[topology.TargetID]time.Duration
+	saturated map[topology.TargetID]bool
 }
 
 type order struct {
@@ -50,6 +53,7 @@
 func newDatabases() *databases {
 	return &databases{
 		down: map[topology.TargetID]bool{}, refused: map[topology.TargetID]bool{}, term: 1,
+		lag: map[topology.TargetID]time.Duration{}, saturated: map[topology.TargetID]bool{},
 		role:  map[topology.TargetID]bool{"a": true, "b": false, "c": false},
 		index: map[topology.TargetID]uint64{"a": 9, "b": 9, "c": 7},
 	}
@@ -61,7 +65,7 @@
 	if d.down[t.ID] {
 		return target.Status{}, errDown
 	}
-	return target.Status{Primary: d.role[t.ID], Term: d.term, Received: position.Position{Term: 1, Index: d.index[t.ID]}}, nil
+	return target.Status{Primary: d.role[t.ID], Term: d.term, Received: position.Position{Term: 1, Index: d.index[t.ID]}, Lag: d.lag[t.ID]}, nil
 }
 
 func (d *databases) StopReceiving(ctx context.Context, t topology.Target, _ uint64) (target.Status, error) {
@@ -122,6 +126,12 @@
 	return d.down[id]
 }
 
+func (d *databases) isSaturated(id topology.TargetID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.saturated[id]
+}
+
 // vm is one VM of a cluster in this process.
 type vm struct {
 	id        topology.VMID
@@ -205,7 +215,7 @@
 	defer h.mu.Unlock()
 	if !h.databases.isDown(id) {
 		delete(h.since, id)
-		return target.Load{LastAnswer: mono.System{}.Now()}, true
+		return target.Load{LastAnswer: mono.System{}.Now(), Saturated: h.databases.isSaturated(id)}, true
 	}
 	if h.since[id].IsZero() {
 		h.since[id] = time.Now()
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -35,6 +35,7 @@
 	groups := l.coordinator.Groups()
 	l.mu.Unlock()
 	for _, group := range groups {
+		l.lookAtReplicas(ctx, group, now)
 		l.mu.Lock()
 		reason := l.reasonToReplace(group, now)
 		resume := reason == "" && !l.working[group] && l.coordinator.Withdrawn(group)
@@ -88,6 +89,9 @@
 	if l.hasFailed(row, now) {
 		return primaryFailed
 	}
+	if l.replicasLag(group, now) {
+		return replicasLag
+	}
 	t, ok := l.Directory.Target(row.Primary)
 	switch {
 	case ok:
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -102,6 +102,7 @@
 	duty        dutyState
 	placing     placing
 	missing     map[topology.GroupID]mono.Time
+	lagging     map[topology.GroupID]lagging
 	firstSeen   map[topology.GroupID]mono.Time
 	heard       map[topology.VMID]mono.Time // when each VM's last message came
 	// listening is since when a coordinator listens for each VM.
@@ -152,6 +153,7 @@
 		silences:    map[topology.VMID]*silence{},
 		working:     map[topology.GroupID]bool{},
 		missing:     map[topology.GroupID]mono.Time{},
+		lagging:     map[topology.GroupID]lagging{},
 		firstSeen:   map[topology.GroupID]mono.Time{},
 		heard:       map[topology.VMID]mono.Time{},
 		listening:   map[topology.VMID]mono.Time{},
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -58,6 +58,8 @@
 	Target    topology.TargetID `msgpack:"t,omitempty"`
 	Reached   bool              `msgpack:"o,omitempty"`
 	FailingMS int64             `msgpack:"x,omitempty"`
+	// Saturated: the primary refuses the sender's statements for its load.
+	Saturated bool `msgpack:"u,omitempty"`
 	// StoreLost: the coordinator does not reach the store and can't replace the
 	// primary; another VM had better take its place.
 	StoreLost bool `msgpack:"l,omitempty"`
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -19,6 +19,8 @@
 	target  topology.TargetID
 	reached bool
 	failing time.Duration
+	// saturated: it refuses statements for its load.
+	saturated bool
 }
 
 func (l *Lead) tick(ctx context.Context) {
@@ -79,6 +81,7 @@
 		return p
 	}
 	p.FailingMS = reportable(load.FailingFor, l.Clock.Now().Sub(l.connected)).Milliseconds()
+	p.Saturated = load.Saturated
 	p.Reached = load.LastAnswer != 0 && l.Clock.Now().Sub(load.LastAnswer) < reportAge
 	return p
 }
@@ -197,6 +200,7 @@
 	}
 	l.reports[p.Group][vm] = report{
 		at: now, target: p.Target, reached: p.Reached, failing: time.Duration(p.FailingMS) * time.Millisecond,
+		saturated: p.Saturated,
 	}
 }
 
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -30,6 +30,9 @@
 	// a new connection to one that lives takes about 100 ms behind a full queue. Waited for as
 	// long as any other, a dark one kept the promotion back after all rights had ended.
 	failedPatience = 150 * time.Millisecond
+	// stepDownTries is how often one that lives is told: what it holds and the candidate lacks
+	// is lost if the command goes unanswered, and a full target may refuse it.
+	stepDownTries = 3
 	// catchUpTime is how long a candidate may take to receive what the primary,
 	// having stepped down, holds.
 	catchUpTime = time.Second
@@ -252,13 +255,20 @@
 	if !ok {
 		return stepped{}
 	}
-	patience := controlTimeout
+	patience, tries := controlTimeout, stepDownTries
 	if reason == primaryFailed {
-		patience = failedPatience
+		patience, tries = failedPatience, 1
+	}
+	var s target.Status
+	var err error
+	for range tries {
+		ctx, cancel := context.WithTimeout(ctx, patience)
+		s, err = r.Control.StepDown(ctx, t.Target, r.row.Term+1)
+		cancel()
+		if err == nil {
+			break
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
-	s, err := r.Control.StepDown(ctx, t.Target, r.row.Term+1)
 	if err != nil {
 		r.Log.Info("event=step_down_failed", "target", t.ID, "error", err)
 		return stepped{}
@@ -277,7 +287,7 @@
 		}
 		best := all[0]
 		for _, f := range all[1:] {
-			if best.status.Received.Less(f.status.Received) {
+			if order := best.status.Received.Compare(f.status.Received); order < 0 || order == 0 && f.status.Lag < best.status.Lag {
 				best = f
 			}
 		}
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -284,6 +284,8 @@
 	FailingFor time.Duration
 	// LastAnswer is when it last answered; 0: never.
 	LastAnswer mono.Time
+	// Saturated: it refused a statement for its load just now.
+	Saturated bool
 }
 
 // Load returns the pool's present figures.
@@ -302,5 +304,6 @@
 		Latency:    p.health.latency,
 		FailingFor: p.health.failingFor(now),
 		LastAnswer: p.health.lastAnswer,
+		Saturated:  now.Before(p.saturation.until),
 	}
 }
