bts-ctl trace: from a request's id to its cause, in the logs of all daemons

An engineer had to grep each VM's log for the request, and then for the target, the group and the VM around it. The command joins them: the request's lines in the order of time between those that may explain them, one of a kind a VM.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -53,6 +53,8 @@
 		return t.check(a.Check)
 	case a.Diff != nil:
 		return t.diff(a.Diff)
+	case a.Trace != nil:
+		return t.trace(a.Trace)
 	case a.Completion != nil:
 		return t.completion(a.Completion)
 	}
--- /dev/null
+++ b/internal/ctl/trace_test.go
@@ -0,0 +1,40 @@
+package ctl
+
+import (
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("A request's story", func() {
+	const logs = `collector-7 time=2026-01-01T10:00:05.900Z level=INFO event=request_failed vm=a request=q1 group=g target=t1 result=NoRight
+time=2026-01-01T10:00:05.100Z level=INFO event=dial_failed vm=a target=t1 error="dial tcp: i/o timeout"
+time=2026-01-01T10:00:05.200Z level=INFO event=dial_failed vm=a target=t1 error="dial tcp: i/o timeout"
+time=2026-01-01T10:00:05.150Z level=INFO event=dial_failed vm=a target=t2 error="another target"
+time=2026-01-01T10:00:05.160Z level=INFO event=dial_failed vm=b target=t1 error="another VM"
+time=2026-01-01T10:00:05.500Z level=INFO event=rights_ended vm=c group=g took=1s
+time=2026-01-01T10:00:05.600Z level=INFO event=rights_ended vm=c group=h took=1s
+time=2026-01-01T09:59:00.000Z level=WARN event=cut_off vm=a
+panic: not a line of ours
+time=2026-01-01T10:00:05.700Z level=INFO event=request_late vm=a request=q2 group=g
+`
+
+	// An engineer has the id of one request and the logs of three VMs. Of the hundreds of lines
+	// around it those of its VM, target and group remain, one of each kind, in order.
+	It("holds what may explain it, and no more", func() {
+		lines, err := parseLog(strings.NewReader(logs))
+		Expect(err).NotTo(HaveOccurred())
+		var told []string
+		for _, line := range storyOf("q1", lines) {
+			told = append(told, line.VM+" "+line.Event+" "+line.Fields["target"])
+		}
+		Expect(told).To(Equal([]string{"a dial_failed t1", "c rights_ended ", "a request_failed t1"}))
+	})
+
+	It("is empty of a request that no line names", func() {
+		lines, err := parseLog(strings.NewReader(logs))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(storyOf("q3", lines)).To(BeEmpty())
+	})
+})
--- a/internal/standin/network/datagrams.go
+++ b/internal/standin/network/datagrams.go
@@ -30,7 +30,7 @@
 	}
 	out, err := net.DialUDP("udp4", nil, to)
 	if err != nil {
-		in.Close()
+		_ = in.Close()
 		return nil, err
 	}
 	d := &Datagrams{in: in, out: out, done: make(chan struct{})}
@@ -111,6 +111,6 @@
 // Close ends the link.
 func (d *Datagrams) Close() {
 	close(d.done)
-	d.in.Close()
-	d.out.Close()
+	_ = d.in.Close()
+	_ = d.out.Close()
 }
