--- a/internal/integration/soak_test.go
+++ b/internal/integration/soak_test.go
@@ -3,14 +3,13 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	faultsoak "github.com/buckthornshore/buckthornshore/internal/standin/soak"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -36,15 +35,7 @@
 	random *rand.Rand
 	// struck are the processes that a fault is open on.
 	struck map[*process]bool
-	// healing are the ends of the faults that are open.
-	healing []func()
-	log     []string
-}
-
-// fault brings one about and returns what ends it.
-type fault struct {
-	name  string
-	bring func(s *soak) (heal func())
+	log    []string
 }
 
 func (s *soak) dataCentre() topology.DataCentre {
@@ -67,33 +58,33 @@
 func (s *soak) proxy() *process   { return s.proxies[s.random.IntN(len(s.proxies))] }
 func (s *soak) primary() *process { return s.databases[s.row().Primary] }
 
-var faults = []fault{
-	{"a proxy is killed", func(s *soak) func() {
+var faults = []faultsoak.Fault[*soak]{
+	{Name: "a proxy is killed", Bring: func(s *soak) func() {
 		p := s.proxy()
 		return s.strike(p, p.kill, p.start)
 	}},
-	{"a proxy stops in order", func(s *soak) func() {
+	{Name: "a proxy stops in order", Bring: func(s *soak) func() {
 		p := s.proxy()
 		return s.strike(p, func() { p.stop() }, p.start)
 	}},
-	{"a proxy stands still", func(s *soak) func() {
+	{Name: "a proxy stands still", Bring: func(s *soak) func() {
 		p := s.proxy()
 		return s.strike(p, p.freeze, p.thaw)
 	}},
-	{"the primary stands still", func(s *soak) func() {
+	{Name: "the primary stands still", Bring: func(s *soak) func() {
 		p := s.primary()
 		return s.strike(p, p.freeze, p.thaw)
 	}},
-	{"the primary is killed", func(s *soak) func() {
+	{Name: "the primary is killed", Bring: func(s *soak) func() {
 		p := s.primary()
 		return s.strike(p, p.kill, p.start)
 	}},
-	{"a data centre is cut off, silently", func(s *soak) func() {
+	{Name: "a data centre is cut off, silently", Bring: func(s *soak) func() {
 		dc := s.dataCentre()
 		s.cutBetween(dc, anywhere, true)
 		return func() { s.cutBetween(dc, anywhere, false) }
 	}},
-	{"a data centre hears nothing, and is heard", func(s *soak) func() {
+	{Name: "a data centre hears nothing, and is heard", Bring: func(s *soak) func() {
 		dc := s.dataCentre()
 		deafen := func(cut bool) {
 			for _, l := range s.links {
@@ -105,7 +96,7 @@
 		deafen(true)
 		return func() { deafen(false) }
 	}},
-	{"connections between data centres are reset", func(s *soak) func() {
+	{Name: "connections between data centres are reset", Bring: func(s *soak) func() {
 		for _, l := range s.links {
 			if s.random.IntN(2) == 0 {
 				l.Reset()
@@ -113,7 +104,7 @@
 		}
 		return func() {}
 	}},
-	{"open connections fall silent, new ones work", func(s *soak) func() {
+	{Name: "open connections fall silent, new ones work", Bring: func(s *soak) func() {
 		for _, l := range s.links {
 			if s.random.IntN(2) == 0 {
 				l.Silence()
@@ -121,76 +112,27 @@
 		}
 		return func() {}
 	}},
-	{"the ways between data centres are slow", func(s *soak) func() {
+	{Name: "the ways between data centres are slow", Bring: func(s *soak) func() {
 		s.delayLinks(time.Duration(20+s.random.IntN(100)) * time.Millisecond)
 		return func() { s.delayLinks(0) }
 	}},
-	{"the platform is out", func(s *soak) func() {
+	{Name: "the platform is out", Bring: func(s *soak) func() {
 		s.platformDown(true)
 		return func() { s.platformDown(false) }
 	}},
 }
 
-// soakOpen bounds how many faults are open at once: with more, a group of three databases
-// has none left, and nothing is promised.
-const soakOpen = 2
-
-// play brings faults about for the time, then ends them all.
-func (s *soak) play(d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end); {
-		if len(s.healing) >= soakOpen || len(s.healing) > 0 && s.random.IntN(3) == 0 {
-			s.heal()
-		} else {
-			f := faults[s.random.IntN(len(faults))]
-			s.log = append(s.log, f.name)
-			s.healing = append(s.healing, f.bring(s))
-		}
-		time.Sleep(time.Duration(100+s.random.IntN(1500)) * time.Millisecond)
-	}
-	for len(s.healing) > 0 {
-		s.heal()
-	}
-}
-
-func (s *soak) heal() {
-	end := s.healing[0]
-	s.healing = s.healing[1:]
-	end()
-}
-
-// seeds reads "3" or "3-9".
-func seeds(text string) []uint64 {
-	first, last, ranged := strings.Cut(text, "-")
-	if !ranged {
-		last = first
-	}
-	from, err := strconv.ParseUint(first, 10, 64)
-	Expect(err).NotTo(HaveOccurred())
-	to, err := strconv.ParseUint(last, 10, 64)
-	Expect(err).NotTo(HaveOccurred())
-	var all []uint64
-	for seed := from; seed <= to; seed++ {
-		all = append(all, seed)
-	}
-	return append(all, failedSeeds...)
-}
-
-func setting(name, usual string) string {
-	if v := os.Getenv(name); v != "" {
-		return v
-	}
-	return usual
-}
-
 var _ = Describe("Faults in any order", func() {
 	// Callers of every data centre write and keep their sessions while processes are killed,
 	// stopped, paused and started again, and ways between data centres are cut, slowed,
 	// silenced or reset, two faults at a time. Whatever the order: what was acknowledged is
 	// there at the end, and once the faults are over everybody is served again.
 	It("lose nothing that was acknowledged and end with them", func() {
-		seconds, err := strconv.Atoi(setting("BTS_SOAK_SECONDS", fmt.Sprint(soakSeconds)))
+		seconds, err := strconv.Atoi(faultsoak.Setting("BTS_SOAK_SECONDS", fmt.Sprint(soakSeconds)))
+		Expect(err).NotTo(HaveOccurred())
+		seeds, err := faultsoak.Seeds(faultsoak.Setting("BTS_SOAK_SEEDS", soakSeeds))
 		Expect(err).NotTo(HaveOccurred())
-		for _, seed := range seeds(setting("BTS_SOAK_SEEDS", soakSeeds)) {
+		for _, seed := range append(seeds, failedSeeds...) {
 			playSeed(seed, time.Duration(seconds)*time.Second)
 		}
 	})
@@ -203,7 +145,7 @@
 	for i := range s.proxies {
 		writers = append(writers, s.startWriter(i, "landing-report", fmt.Sprintf("soak-%d-%d", seed, i)))
 	}
-	s.play(length)
+	s.log = faultsoak.Play(s, faults, s.random, length)
 	over := time.Now()
 	acked := 0
 	for i, w := range writers {
