--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -14,6 +14,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
@@ -129,7 +130,34 @@
 	sess.run()
 }
 
+// configurationWait is how long a session waits for the first configuration: a store that
+// works brings it within 100 ms of a start, and callers wait two seconds.
+const configurationWait = time.Second
+
+// awaitConfiguration waits for the first configuration, and reports whether there is one.
+//
+// Failure: all VMs have started again, and callers reach one that has not read the configuration
+// yet. It said that their database does not exist: some forty callers of one restart, and each
+// lost one of its few tries by it.
+func (s *Server) awaitConfiguration() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), configurationWait)
+	defer cancel()
+	for {
+		changed := s.Directory.Changed()
+		if s.Directory.Configuration() != nil {
+			return true
+		}
+		if ctx.Err() != nil {
+			return false
+		}
+		wait.Until(ctx, changed, configurationWait)
+	}
+}
+
 func (s *Server) admit(sess *session) *result.Error {
+	if !s.awaitConfiguration() {
+		return result.New(result.Overloaded, "no configuration is in force yet").After(time.Second)
+	}
 	if _, ok := s.Directory.Class(sess.database); !ok {
 		return result.New(result.UnknownService, "database %.40q", sess.database)
 	}
