Target: a VM asks a holder of a failing target four times a second, and keeps no connection by it

Found reading the change that a holder's word is no answer: a new connection to a holder no longer clears the failure, so each tick opened one more, twenty a second at each of 83 VMs, kept for three seconds. Such a connection is closed again if nobody waits for it, and the next comes after 250 ms. Test: TestADarkTargetIsAskedForNowAndThen, failed before.

--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -52,7 +53,7 @@
 	} else {
 		p.health.told(shown, begun, now)
 	}
-	if p.closed {
+	if p.closed || p.onlyAsked(now) {
 		conn.Close()
 		return
 	}
@@ -61,6 +62,21 @@
 	p.hand(l)
 }
 
+// askedPause is how long a VM that was told by a holder that the target fails waits before it
+// asks again: one renewal, with which it tells the coordinator.
+const askedPause = 250 * time.Millisecond
+
+// onlyAsked reports whether a new connection has shown no more than that the target still fails,
+// and nobody waits for it. It leads to a VM between, which may know more in a moment; kept, one
+// came on top each tick for as long as the target failed, at each VM.
+func (p *Pool) onlyAsked(now mono.Time) bool {
+	if !p.health.failing() || p.waiting.Len() > 0 {
+		return false
+	}
+	p.noProbeUntil = now.Add(askedPause)
+	return true
+}
+
 // dialFailed answers those that no connection is left for. A new connection that takes
 // too long while others are answered tells of a target that is full, not of one that
 // has failed: taken for failed, a primary would be replaced for its load.
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -61,8 +61,10 @@
 	idle    []*Link
 	dialing int
 	waiting waitlist
-	// noDialUntil keeps from connecting again at once.
-	noDialUntil mono.Time
+	// noDialUntil keeps from connecting again at once, and noProbeUntil from finding out again
+	// whether the target lives.
+	noDialUntil  mono.Time
+	noProbeUntil mono.Time
 	// starvedUntil: the target had no connection left while this VM held fewer than
 	// its share. yieldUntil: another VM is in this state.
 	starvedUntil mono.Time
@@ -253,7 +255,7 @@
 			break
 		}
 	}
-	if p.health.failing() && !now.Before(p.noDialUntil) {
+	if p.health.failing() && !now.Before(max(p.noDialUntil, p.noProbeUntil)) {
 		p.probe()
 	}
 	p.closeSurplus(now)
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -338,3 +338,48 @@
 		t.Fatal("the connection is used again")
 	}
 }
+
+// between is a connection to a VM between, which does not reach the target.
+type between struct{ fakeConn }
+
+func (*between) Evidence() target.Evidence {
+	return target.Evidence{Failing: true, AnsweredAgo: target.NeverAnswered}
+}
+
+// betweens counts the connections opened to VMs between.
+type betweens struct {
+	mu     sync.Mutex
+	opened int
+}
+
+func (b *betweens) Dial(context.Context, topology.Target) (target.Conn, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opened++
+	return &between{fakeConn{target: &fakeTarget{}}}, nil
+}
+
+func (b *betweens) count() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.opened
+}
+
+// A target is dark for a second, and a VM that reaches it through others looks each tick whether
+// it lives. It asks four times a second, and keeps none of the connections: 83 VMs opened twenty
+// a second each and kept them for three seconds.
+func TestADarkTargetIsAskedForNowAndThen(t *testing.T) {
+	d := &betweens{}
+	p := target.NewPool(topology.Target{ID: "t"}, 4, d, mono.System{}, slog.New(slog.DiscardHandler))
+	l := acquire(t, p, nil)
+	l.Release()
+	for end := time.Now().Add(time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		p.Tick()
+	}
+	if n := d.count(); n < 3 || n > 7 {
+		t.Fatalf("%d connections opened in a second", n)
+	}
+	if p.Load().FailingFor == 0 {
+		t.Fatal("it is not failing")
+	}
+}
