--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -1,15 +1,11 @@
 package lead
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -25,16 +21,8 @@
 	// storeLostSlack is how much longer than its wait a watch may take before the
 	// store counts as lost: a slow store's answer, and one retry.
 	storeLostSlack = 1700 * time.Millisecond
-	// rankDelay keeps the first rankedVMs from taking a group over all at once; after them
-	// lateRankDelay does, which is less than a takeover takes: where so many are gone at
-	// once, a few conflicts are better than seconds more without a coordinator.
-	rankDelay     = 120 * time.Millisecond
-	rankedVMs     = 8
-	lateRankDelay = 20 * time.Millisecond
 	// opinionTime is how long opinions are waited for.
 	opinionTime = 150 * time.Millisecond
-	// firstDelay lets the first listing, and the other VMs' registrations, come.
-	firstDelay = 300 * time.Millisecond
 )
 
 // silence is what is known of a coordinator that is of no use.
@@ -53,58 +41,6 @@
 	useless mono.Time
 }
 
-// rank orders the VMs as coordinators. The order is the same for all groups, so that one
-// VM coordinates them all and holds the duty to promote. VMs of the data centre with
-// the fewest primaries come first: its loss takes the coordinator and a primary at
-// once in the fewest groups, and then the change has to wait for promises to lapse.
-func (l *Lead) rank() []topology.VMID {
-	primaries := l.primaries()
-	vms := slices.Clone(l.Directory.VMs())
-	slices.SortFunc(vms, func(a, b topology.VM) int {
-		return cmp.Or(
-			cmp.Compare(primaries[a.DataCentre], primaries[b.DataCentre]),
-			cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID))),
-		)
-	})
-	ids := make([]topology.VMID, 0, len(vms))
-	for _, vm := range vms {
-		ids = append(ids, vm.ID)
-	}
-	return ids
-}
-
-// primaries counts the primaries of each data centre.
-func (l *Lead) primaries() map[topology.DataCentre]int {
-	n := map[topology.DataCentre]int{}
-	for _, group := range l.groups() {
-		if row := l.holder.Row(group); row != nil {
-			t, _ := l.Directory.Target(row.Primary)
-			n[t.DataCentre]++
-		} else if t, ok := l.selfStyledPrimary(group); ok {
-			n[t.DataCentre]++
-		}
-	}
-	return n
-}
-
-// delay is how long this VM waits before it takes groups over from a coordinator; "": they
-// have none. VMs beside the coordinator come last: it stands where the fewest primaries are,
-// so they rank first, and when their data centre is cut off all others would wait for them.
-func (l *Lead) delay(from topology.VMID) time.Duration {
-	ids := l.rank()
-	if former, ok := l.Directory.VM(from); ok {
-		beside := func(id topology.VMID) int {
-			if vm, _ := l.Directory.VM(id); vm.DataCentre == former.DataCentre {
-				return 1
-			}
-			return 0
-		}
-		slices.SortStableFunc(ids, func(a, b topology.VMID) int { return cmp.Compare(beside(a), beside(b)) })
-	}
-	place := max(0, slices.Index(ids, l.self.ID))
-	return time.Duration(min(place, rankedVMs))*rankDelay + time.Duration(max(0, place-rankedVMs))*lateRankDelay
-}
-
 // coordinatorHeard notes an answer of a coordinator.
 func (l *Lead) coordinatorHeard(vm topology.VMID, storeLost bool, now mono.Time) {
 	a := l.answers[vm]
@@ -341,28 +277,6 @@
 	l.Log.Info("event=coordinator_handed_over", "group", group, "to", to.ID, "error", err)
 }
 
-// witnesses draws a row's witnesses from all registered VMs, from each data centre in turn. Had
-// one data centre most of them, a coordinator there would go on promising while it is cut
-// off with them, for up to its limit, and a failed primary could not be replaced meanwhile.
-func (l *Lead) witnesses() []topology.VMID {
-	vms := slices.Clone(l.Directory.VMs())
-	slices.SortFunc(vms, func(a, b topology.VM) int {
-		return cmp.Compare(xxhash.Sum64String(string(a.ID)), xxhash.Sum64String(string(b.ID)))
-	})
-	turn := map[topology.DataCentre]int{}
-	turns := map[topology.VMID]int{}
-	for _, vm := range vms {
-		turns[vm.ID] = turn[vm.DataCentre]
-		turn[vm.DataCentre]++
-	}
-	slices.SortStableFunc(vms, func(a, b topology.VM) int { return cmp.Compare(turns[a.ID], turns[b.ID]) })
-	var ids []topology.VMID
-	for _, vm := range vms[:min(len(vms), lease.MaxWitnesses)] {
-		ids = append(ids, vm.ID)
-	}
-	return ids
-}
-
 // successor is the first other VM that was heard lately.
 func (l *Lead) successor() topology.VM {
 	l.mu.Lock()
@@ -375,50 +289,3 @@
 	}
 	return topology.VM{}
 }
-
-// firstRows writes the row of a group that has none.
-func (l *Lead) firstRows(ctx context.Context, now mono.Time) {
-	for _, group := range l.groups() {
-		l.mu.Lock()
-		seen := l.firstSeen[group]
-		if seen == 0 {
-			l.firstSeen[group], seen = now, now
-		}
-		known := l.holder.Row(group) != nil || l.leaving || l.storeSeen == 0
-		l.mu.Unlock()
-		if known {
-			continue
-		}
-		l.mu.Lock()
-		wait := firstDelay + l.delay("")
-		l.mu.Unlock()
-		primary, ok := l.selfStyledPrimary(group)
-		if ok && now.Sub(seen) >= wait {
-			l.start(group, func() { l.firstRow(ctx, group, primary) })
-		}
-	}
-}
-
-func (l *Lead) selfStyledPrimary(group topology.GroupID) (topology.Target, bool) {
-	for _, t := range l.Directory.TargetsOf(group) {
-		if t.SaysPrimary {
-			return t.Target, true
-		}
-	}
-	return topology.Target{}, false
-}
-
-func (l *Lead) firstRow(ctx context.Context, group topology.GroupID, primary topology.Target) {
-	status, err := l.status(ctx, primary)
-	if err != nil || !status.Primary {
-		l.Log.Info("event=first_row_put_off", "group", group, "primary", primary.ID, "error", err)
-		wait.For(ctx, firstDelay)
-		return
-	}
-	row := &lease.Row{
-		Group: group, Version: 1, Term: status.Term, Primary: primary.ID,
-		Coordinator: l.self.ID, Incarnation: l.self.Incarnation, Fence: 1, Witnesses: l.witnesses(),
-	}
-	err = l.commit(ctx, row)
-	l.Log.Info("event=first_row", "group", group, "primary", primary.ID, "term", status.Term, "error", err)
-}
