--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -137,8 +137,8 @@
 // awaitConfiguration waits for the first configuration, and reports whether there is one.
 //
 // Failure: all VMs have started again, and callers reach one that has not read the configuration
-// yet. It said that their database does not exist: some forty callers of one restart, and each
-// lost one of its few tries by it.
+// yet. It said that their database does not exist: about thirty callers of one restart, and
+// each lost one of its few tries by it.
 func (s *Server) awaitConfiguration() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), configurationWait)
 	defer cancel()
