Lead: changes of primary for replicas that lag become rarer

Found reading the change: where all replicas lag for good, the old primary soon lags as a replica too, and callers would wait 0.7 s each 20 s. The time between two such changes of a group doubles, up to 20 minutes. Test: TestChangesForALagBecomeRarer.

--- a/internal/lead/lagging.go
+++ b/internal/lead/lagging.go
@@ -22,9 +22,11 @@
 	// find them behind.
 	lagLook  = time.Second
 	lagLooks = 2
-	// lagRests is how long a group is left alone after such a change: if the new replicas lag
-	// as well, another change would not help.
-	lagRests = 20 * time.Second
+	// lagRests is how long a group is left alone after such a change, and twice as long after
+	// each further one, up to longestLagRests: where replicas lag for good, the new ones soon
+	// do as well, and callers would wait for one change after the other.
+	lagRests        = 20 * time.Second
+	longestLagRests = 20 * time.Minute
 )
 
 // lagging is what is known of a group's replicas.
@@ -32,8 +34,9 @@
 	asked mono.Time
 	// looks in a row that found all replicas far behind.
 	looks int
-	// moved is when the primary was last changed for it.
+	// moved is when the primary was last changed for it, and rests for how long it stays.
 	moved mono.Time
+	rests time.Duration
 }
 
 // lookAtReplicas asks the replicas of a group whose primary is saturated how far behind they
@@ -48,7 +51,7 @@
 	if row == nil || !row.Open() || l.working[group] || now.Sub(g.asked) < lagLook {
 		return
 	}
-	if !l.saturated(group, row.Primary, now) || g.moved != 0 && now.Sub(g.moved) < lagRests {
+	if !l.saturated(group, row.Primary, now) || g.moved != 0 && now.Sub(g.moved) < g.rests {
 		g.looks = 0
 		l.lagging[group] = g
 		return
@@ -114,7 +117,7 @@
 	if g.looks < lagLooks || !l.coordinator.Settled(group, now) {
 		return false
 	}
-	g.looks, g.moved = 0, now
+	g.looks, g.moved, g.rests = 0, now, min(longestLagRests, max(lagRests, 2*g.rests))
 	l.lagging[group] = g
 	return true
 }
