--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -122,12 +122,16 @@
 // Relay returns what VMs tell each other of changes in the store.
 func (d *Directory) Relay() *Relay { return d.relay }
 
-// Relays reports whether VMs tell each other of changes in the store: where there are
-// few, each watches it for little.
+// relayFrom is the number of VMs from which one watches the store for all: with two the other
+// one's watches cost no more than the relay's safeguards.
+const relayFrom = 3
+
+// Relays reports whether VMs tell each other of changes in the store. Eight VMs that each
+// watched it made 22 calls a second at rest, mostly for heartbeats of the targets.
 func (d *Directory) Relays() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	return len(d.vms) > watchersFree
+	return len(d.vms) >= relayFrom
 }
 
 // Changed returns a channel that is closed with the next change.
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -98,3 +98,14 @@
 		t.Fatal(got)
 	}
 }
+
+// Eight VMs that each watch the store make eight times its calls for the same news.
+func TestOneVMWatchesForAll(t *testing.T) {
+	d := New(topology.VM{})
+	for i, want := range []bool{false, false, true, true} {
+		d.SetVM(topology.VM{ID: topology.VMID(rune('a' + i)), Incarnation: 1})
+		if d.Relays() != want {
+			t.Errorf("with %d VMs: %v", i+1, d.Relays())
+		}
+	}
+}
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
-	"github.com/buckthornshore/buckthornshore/internal/lead"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -22,6 +21,10 @@
 const (
 	longestConfigurationWatch = 2500 * time.Millisecond
 	longestTargetWatch        = 4 * time.Second
+	// coordinatorWatch is how long a coordinator's watches of what the operators and targets
+	// write wait. A change ends the wait at once; the other VMs believe what it tells for two
+	// seconds after an answer, so one of this length with a slow store's answer is in time.
+	coordinatorWatch = 1200 * time.Millisecond
 )
 
 // configurationWatcher keeps the operators' configuration in force.
@@ -44,7 +47,7 @@
 // watchWait is the wait of a watch. A coordinator's is short: the other VMs rely on it.
 func (p *parts) watchWait(longest time.Duration) time.Duration {
 	if p.Lead.Coordinates() {
-		return min(longest, lead.CoordinatorWatch)
+		return coordinatorWatch
 	}
 	return p.Directory.WatchWait(longest)
 }
