bts-ctl report: when requests were lost, of which class, where and why

It reads the daemons' logs offline and counts failed and late requests by window, class, group, data centre, VM and cause, as tables with bars or JSON.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"time"
 
 	"github.com/alexflint/go-arg"
 )
@@ -12,6 +13,7 @@
 	Check    *checkCommand    `arg:"subcommand:check" help:"check a configuration file, offline"`
 	Diff     *diffCommand     `arg:"subcommand:diff" help:"tell what differs between two configuration files, offline"`
 	Trace    *traceCommand    `arg:"subcommand:trace" help:"tell from daemons' logs why a request failed or was late, offline"`
+	Report   *reportCommand   `arg:"subcommand:report" help:"tell from daemons' logs when requests were lost, of which class and why, offline"`
 	Apply    *applyCommand    `arg:"subcommand:apply" help:"put a configuration file in force"`
 	History  *historyCommand  `arg:"subcommand:history" help:"list the accepted configurations"`
 	Rollback *rollbackCommand `arg:"subcommand:rollback" help:"put the content of an earlier version in force again"`
@@ -48,6 +50,11 @@
 	Files   []string `arg:"positional,required" help:"the logs of all daemons"`
 }
 
+type reportCommand struct {
+	Window time.Duration `arg:"--window" default:"2s" help:"the length of time that is counted together"`
+	Files  []string      `arg:"positional,required" help:"the logs of all daemons"`
+}
+
 type applyCommand struct {
 	File          string `arg:"positional,required" help:"configuration file"`
 	ExpectVersion uint64 `arg:"--expect-version,required" help:"version that the file was made from; 0: the first"`
@@ -141,5 +148,5 @@
 		return (a.Drain.Target == "") != (a.Drain.VM == "")
 	}
 	operators := a.Status != nil || a.Explain != nil || a.Switchover != nil || a.Completion != nil
-	return operators || a.Check != nil || a.Diff != nil || a.Trace != nil || a.Apply != nil || a.History != nil || a.Rollback != nil
+	return operators || a.Check != nil || a.Diff != nil || a.Trace != nil || a.Report != nil || a.Apply != nil || a.History != nil || a.Rollback != nil
 }
--- a/internal/ctl/completion.go
+++ b/internal/ctl/completion.go
@@ -14,8 +14,8 @@
     config) words="status" ;;
     status) words="groups targets vms sessions config" ;;
     completion) words="bash" ;;
-    check|diff|trace|apply) COMPREPLY=($(compgen -f -- "$word")); return ;;
-    *) words="check diff trace apply history rollback preset config status explain switchover drain completion" ;;
+    check|diff|trace|report|apply) COMPREPLY=($(compgen -f -- "$word")); return ;;
+    *) words="check diff trace report apply history rollback preset config status explain switchover drain completion" ;;
   esac
   COMPREPLY=($(compgen -W "$words --json --settings --help" -- "$word"))
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -55,6 +55,8 @@
 		return t.diff(a.Diff)
 	case a.Trace != nil:
 		return t.trace(a.Trace)
+	case a.Report != nil:
+		return t.report(a.Report)
 	case a.Completion != nil:
 		return t.completion(a.Completion)
 	}
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -49,13 +49,9 @@
 
 // trace prints what the logs of several daemons tell of one request.
 func (t *tool) trace(c *traceCommand) error {
-	var lines []logLine
-	for _, file := range c.Files {
-		read, err := readLog(file)
-		if err != nil {
-			return err
-		}
-		lines = append(lines, read...)
+	lines, err := readLogs(c.Files)
+	if err != nil {
+		return err
 	}
 	story := storyOf(c.Request, lines)
 	if len(story) == 0 {
@@ -70,6 +66,18 @@
 	return nil
 }
 
+func readLogs(files []string) ([]logLine, error) {
+	var lines []logLine
+	for _, file := range files {
+		read, err := readLog(file)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, read...)
+	}
+	return lines, nil
+}
+
 func readLog(file string) ([]logLine, error) {
 	raw, err := os.ReadFile(file)
 	if err != nil {
