--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -75,9 +75,10 @@
 	heard mono.Time
 	// noted is what this VM knows of each feed itself.
 	noted map[Feed]*noted
-	// telling: this VM coordinates, and the others rely on what it tells.
-	telling bool
-	changed chan struct{}
+	// telling: this VM coordinates, and the others rely on what it tells. expected: some VM is
+	// known to coordinate, so that this one may hope to be told.
+	telling, expected bool
+	changed           chan struct{}
 }
 
 // noted is what a VM knows of a feed, and could tell.
@@ -187,6 +188,18 @@
 	r.wake()
 }
 
+// Expect notes that some VM is known to coordinate.
+//
+// Failure: VMs start for the first time, one after the other within 50 ms, and each hopes to be
+// told by a coordinator that there is not. The one that wrote the first row knew of no VM that
+// registered after it, so its row had no witnesses: lost for good, it was waited for by its limit
+// of 12 s before a primary could be replaced.
+func (r *Relay) Expect() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expected = true
+}
+
 func (r *Relay) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -232,7 +245,10 @@
 		told, trusted, changed := r.told[f], r.heard.Add(relayTrust), r.changed
 		telling, answered, hoped := r.telling, mono.Time(0), mono.Time(0)
 		if n := r.noted[f]; n != nil {
-			answered, hoped = n.answered, n.listed.Add(relayHope)
+			answered = n.answered
+			if r.expected {
+				hoped = n.listed.Add(relayHope)
+			}
 		}
 		r.mu.Unlock()
 		now := clock.Now()
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -283,3 +283,24 @@
 		t.Fatalf("%+v", told)
 	}
 }
+
+// VMs start for the first time, and nobody coordinates yet. Each watches the store at once: the one
+// that writes the first row must know who is there. With a coordinator known they hope to be told
+// first, and watch when they are not.
+func TestNobodyHopesToBeToldBeforeThereIsACoordinator(t *testing.T) {
+	for _, expected := range []bool{false, true} {
+		store := &counting{Store: metastore.NewMemory()}
+		relay := directory.New(self).Relay()
+		if expected {
+			relay.Expect()
+		}
+		put(t, store.Store, "a")
+		s := follow(t, store, relay)
+		eventually(t, func() bool { return s.has(1) })
+		time.Sleep(200 * time.Millisecond)
+		if watches := store.count() > 0; watches == expected {
+			t.Errorf("a coordinator is known: %v, watches at once: %v", expected, watches)
+		}
+		eventually(t, func() bool { return store.count() > 0 })
+	}
+}
--- a/internal/lead/restart_test.go
+++ b/internal/lead/restart_test.go
@@ -110,3 +110,13 @@
 	c.restart("b", "b2", false, 0)
 	c.eventually(4*time.Second, "every VM has the right for c", func() bool { return c.allRight("c") })
 }
+
+// VMs start for the first time within a moment of each other. The row that one of them writes first
+// names most of them as witnesses, or its coordinator could not be replaced in time once it is lost.
+func TestTheFirstRowHasWitnesses(t *testing.T) {
+	c := startCluster(t, 4)
+	c.settle()
+	if n := len(c.row().Witnesses); n < 3 {
+		t.Fatalf("%d witnesses of 4 VMs", n)
+	}
+}
