--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -56,6 +56,10 @@
 	if got := ids(d.Targets()); len(got) != 2 {
 		t.Fatal(got)
 	}
+	d.SetTarget(started("told@7", "told", "10.0.0.1:1", 7)) // The others may have started later.
+	if got := ids(d.Targets()); len(got) != 3 {
+		t.Fatal(got)
+	}
 }
 
 // The same entry says nothing new and wakes nobody.
--- a/internal/lead/restart_test.go
+++ b/internal/lead/restart_test.go
@@ -108,6 +108,9 @@
 		return !row.Open() && row.Handover.Candidate == "b"
 	})
 	c.restart("b", "b2", false, 0)
+	c.databases.mu.Lock()
+	c.databases.down["b"] = false // Commands for it reach its later start.
+	c.databases.mu.Unlock()
 	c.eventually(4*time.Second, "every VM has the right for c", func() bool { return c.allRight("c") })
 }
 
