--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -58,8 +58,11 @@
 type followed struct {
 	// version up to which everything that matters was seen.
 	version uint64
-	// failures of calls in a row.
+	// told is the version of the newest change that the coordinator last told of; 0: of none.
+	told uint64
+	// failures of calls in a row, the first at failing.
 	failures int
+	failing  mono.Time
 }
 
 // Run watches until ctx ends.
@@ -106,6 +109,7 @@
 	wait := w.wait()
 	if w.Relay != nil {
 		advice, told := w.Relay.Await(ctx, w.Feed, f.version, w.Clock)
+		f.told = told.Matters
 		switch {
 		case advice == Take:
 			w.take(f, told)
@@ -167,20 +171,36 @@
 // relief: a VM that it turned away asked it some fifteen times a second, worked out from three
 // tables and a pause of 200 ms.
 func (w *Watcher) failed(ctx context.Context, f *followed, err error) {
+	if f.failures == 0 {
+		f.failing = w.Clock.Now()
+	}
 	f.failures++
 	if ctx.Err() != nil || f.failures == 1 {
 		return
 	}
-	if f.failures == 2 {
-		w.Log.Warn("event=store_lost", "table", w.Table, "error", err)
-	}
+	w.logFailure(f, err)
 	rest := min(longestRetry, watchRetry<<min(f.failures-2, 8))
 	pause.For(ctx, rest/2+rand.N(rest))
 }
 
+// logFailure tells of each doubling of the failures in a row, so that an outage of any length
+// leaves few lines, and one that lasts does not look like one that ended. A VM whose version is
+// below what it was told serves what is no longer so.
+func (w *Watcher) logFailure(f *followed, err error) {
+	if f.failures&(f.failures-1) != 0 {
+		return
+	}
+	event := "event=store_still_lost"
+	if f.failures == 2 {
+		event = "event=store_lost"
+	}
+	w.Log.Warn(event, "table", w.Table, "failures", f.failures, "lasted", w.Clock.Now().Sub(f.failing),
+		"version", f.version, "told_version", f.told, "error", err)
+}
+
 func (w *Watcher) answered(f *followed) {
 	if f.failures > 1 {
-		w.Log.Info("event=store_regained", "table", w.Table)
+		w.Log.Info("event=store_regained", "table", w.Table, "failures", f.failures, "lasted", w.Clock.Now().Sub(f.failing))
 	}
 	f.failures = 0
 }
--- a/internal/directory/watcher_test.go
+++ b/internal/directory/watcher_test.go
@@ -1,8 +1,11 @@
 package directory_test
 
 import (
+	"bytes"
 	"context"
+	"errors"
 	"log/slog"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -140,3 +143,56 @@
 		t.Fatal("it went back")
 	}
 }
+
+// lostStore has a change that it tells of, and never delivers.
+type lostStore struct{ metastore.Store }
+
+func (lostStore) Watch(context.Context, string, uint64, time.Duration) (metastore.Rows, error) {
+	return metastore.Rows{}, errors.New("no whole reply")
+}
+
+// A VM is told of a change and can't fetch it. Its log must tell, for as long as that lasts, that
+// it serves an older version than others do, in a few lines.
+func TestAWatcherThatStaysBehindSaysSo(t *testing.T) {
+	store := metastore.NewMemory()
+	put(t, store, "a")
+	relay := directory.New(self).Relay()
+	stop := tell(relay, 7)
+	defer stop()
+	var log lockedBuffer
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	s := &seen{keys: map[string]bool{}}
+	w := &directory.Watcher{
+		Store: lostStore{store}, Table: "t", Clock: mono.System{}, Log: slog.New(slog.NewTextHandler(&log, nil)), All: s.all,
+		Change: s.take, Feed: directory.Registrations, Relay: relay,
+	}
+	go w.Run(ctx)
+	eventually(t, func() bool { return strings.Contains(log.String(), "event=store_still_lost") })
+	for _, want := range []string{"event=store_lost", "failures=4", "version=1", "told_version=7", "no whole reply"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("no %s in\n%s", want, log.String())
+		}
+	}
+	if n := strings.Count(log.String(), "\n"); n != 2 {
+		t.Errorf("%d lines for four failures", n)
+	}
+}
+
+// lockedBuffer is a log that is read while it is written.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -46,6 +46,7 @@
 			func() mono.Clock { return mono.System{} },
 			metrics.Provide,
 			metrics.NewEntry,
+			metrics.NewStore,
 			newStore,
 			platform.NewDriver,
 			register,
@@ -65,7 +66,9 @@
 
 type settingsFile string
 
-func newStore(s Settings) metastore.Store { return platform.NewStore(s.StoreAddress) }
+func newStore(s Settings, m *metrics.Store) metastore.Store {
+	return meteredStore{platform.NewStore(s.StoreAddress), m}
+}
 
 // register takes this start's incarnation from the store.
 func register(s Settings, store metastore.Store, log *slog.Logger) (topology.VM, error) {
@@ -138,6 +141,7 @@
 	Log       *slog.Logger
 	Registry  *metrics.Registry
 	Malformed *malformed
+	Metrics   *metrics.Store
 }
 
 func run(p parts) {
--- /dev/null
+++ b/internal/gatewayd/metered.go
@@ -0,0 +1,61 @@
+package gatewayd
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+)
+
+// meteredStore counts the calls to a store by their outcome. A table whose calls fail while those
+// of others succeed shows a reply that can't be had, and not a store that is out.
+type meteredStore struct {
+	metastore.Store
+	metrics *metrics.Store
+}
+
+// List implements metastore.Store.
+func (m meteredStore) List(ctx context.Context, table string) (metastore.Rows, error) {
+	rows, err := m.Store.List(ctx, table)
+	m.metrics.Call(table, "list", outcome(err))
+	return rows, err
+}
+
+// Watch implements metastore.Store.
+func (m meteredStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+	rows, err := m.Store.Watch(ctx, table, after, wait)
+	m.metrics.Call(table, "watch", outcome(err))
+	return rows, err
+}
+
+// Put implements metastore.Store.
+func (m meteredStore) Put(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+	version, err := m.Store.Put(ctx, table, key, value, expected)
+	m.metrics.Call(table, "put", outcome(err))
+	return version, err
+}
+
+// Delete implements metastore.Store.
+func (m meteredStore) Delete(ctx context.Context, table, key string, expected uint64) error {
+	err := m.Store.Delete(ctx, table, key, expected)
+	m.metrics.Call(table, "delete", outcome(err))
+	return err
+}
+
+// outcome names what a call came to.
+func outcome(err error) string {
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.Is(err, metastore.ErrConflict):
+		return "conflict"
+	case errors.Is(err, metastore.ErrHistoryGone):
+		return "history_gone"
+	case errors.Is(err, metastore.ErrNotDone):
+		return "refused"
+	}
+	return "failed"
+}
--- /dev/null
+++ b/internal/gatewayd/metered_test.go
@@ -0,0 +1,49 @@
+package gatewayd
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+)
+
+// oneTableLost answers for all tables but one.
+type oneTableLost struct {
+	metastore.Store
+	lost string
+}
+
+func (s oneTableLost) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+	if table == s.lost {
+		return metastore.Rows{}, errors.New("no whole reply")
+	}
+	return s.Store.Watch(ctx, table, after, wait)
+}
+
+// One table of the store can't be had, and the others can. The metrics tell which, and what the
+// calls that change something came to.
+func TestCallsToTheStoreAreCountedByTableAndOutcome(t *testing.T) {
+	ctx := context.Background()
+	registry := metrics.New()
+	store := meteredStore{oneTableLost{metastore.NewMemory(), "large"}, metrics.NewStore(registry)}
+	_, _ = store.Watch(ctx, "large", 0, time.Millisecond)
+	_, _ = store.Watch(ctx, "small", 0, time.Millisecond)
+	_, _ = store.Put(ctx, "small", "k", nil, 0)
+	_, _ = store.Put(ctx, "small", "k", nil, 0)
+	if err := registry.Close(); err != nil { // Reports what is left.
+		t.Fatal(err)
+	}
+	counted := map[string]int64{}
+	for _, c := range registry.Snapshot().Counters {
+		counted[c.Tags[metrics.TagTable]+" "+c.Tags[metrics.TagOperation]+" "+c.Tags[metrics.TagOutcome]] = c.Value
+	}
+	for _, want := range []string{"large watch failed", "small watch ok", "small put ok", "small put conflict"} {
+		if counted[want] != 1 {
+			t.Errorf("%s: %d in %v", want, counted[want], counted)
+		}
+	}
+}
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -61,7 +61,8 @@
 	}
 	newer := p.Directory.SetConfiguration(c)
 	if newer {
-		p.Log.Info("event=configuration_in_force", "version", c.Version, "row_version", r.Version, "classes", len(c.Classes))
+		p.Metrics.Configuration(c.Version)
+		p.Log.Info("event=configuration_in_force", "version", c.Version, "row_version", r.Version, "classes", len(c.Classes), "bytes", len(r.Value))
 	}
 	return newer
 }
