Watches read what is small: a large change is told, and listed

Callers saw: after several large changes in a row, a database that the last one added was refused for many seconds at VMs with narrow links. Cause: the store's feed returns each version that a row has had. A VM that fell behind received all that was overtaken before what is in force, and fell further behind meanwhile; above 4 MB the reply was cut and could never be read. Class: what has to be transferred grows with the time that the transfer takes. Why it holds: what is read does not grow with what was missed. The coordinator tells of it as it finds it, before its own listing, and from which version on a watch is of use; the others list at once. Cost at the planned size: 9 bytes in a promise; one watch a VM and large change more.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -30,6 +30,9 @@
 	// none if they are old or large.
 	Since uint64          `msgpack:"b,omitempty"`
 	Rows  []metastore.Row `msgpack:"r,omitempty"`
+	// Large is the version up to which a VM must have come for its watch to be of use: from
+	// earlier ones on there are more changes than a watch reads.
+	Large uint64 `msgpack:"l,omitempty"`
 }
 
 // News is what a coordinator tells, by feed.
@@ -86,6 +89,8 @@
 	matters, seen uint64
 	// answered is when this VM's own watch was last answered, and listed when its listing was.
 	answered, listed mono.Time
+	// large is as in Told.
+	large uint64
 	// recent are the newest changes that matter, after the version since.
 	since  uint64
 	recent []recentRow
@@ -104,7 +109,11 @@
 func (r *Relay) NoteListing(f Feed, version uint64, now mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.noted[f] = &noted{matters: version, seen: version, since: version, answered: now, listed: now}
+	n := &noted{matters: version, seen: version, since: version, answered: now, listed: now}
+	if was := r.noted[f]; was != nil {
+		n.large = was.large
+	}
+	r.noted[f] = n
 }
 
 // NoteChanges takes over the changes that matter up to the version seen, as a watch of this VM
@@ -128,6 +137,19 @@
 	}
 }
 
+// NoteLarge takes over that a watch of this VM found more changes after the version seen than it
+// reads. That is told before this VM has listed them itself: at the end of a listing that takes a
+// second, the others would only begin theirs.
+func (r *Relay) NoteLarge(f Feed, seen uint64, now mono.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n := r.noted[f]; n != nil {
+		n.matters = max(n.matters, seen+1)
+		n.since, n.recent = n.matters, nil
+		n.answered, n.large = now, seen+1
+	}
+}
+
 func (n *noted) add(seen uint64, rows []metastore.Row, now mono.Time) {
 	n.seen = max(n.seen, seen)
 	for _, row := range rows {
@@ -163,7 +185,7 @@
 			continue
 		}
 		n.forget(now)
-		t := Told{Matters: n.matters, Seen: n.seen}
+		t := Told{Matters: n.matters, Seen: n.seen, Large: n.large}
 		if len(n.recent) > 0 {
 			t.Since = n.since
 		}
@@ -230,6 +252,8 @@
 	Watch Advice = iota
 	// Fetch: the store has, or may have, a change.
 	Fetch
+	// List: the store has more changes than a watch reads.
+	List
 	// Take: the change is told.
 	Take
 )
@@ -267,6 +291,8 @@
 			return Watch, told
 		case told.Matters > after && len(told.Rows) > 0 && told.Since <= after:
 			return Take, told
+		case told.Matters > after && told.Large > after:
+			return List, told
 		case told.Matters > after || !now.Before(check):
 			return Fetch, told
 		}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -304,3 +305,54 @@
 		eventually(t, func() bool { return store.count() > 0 })
 	}
 }
+
+// heldListing is a store whose watch finds more than it reads, and whose listings take until they
+// are released.
+type heldListing struct {
+	*counting
+	large    atomic.Bool
+	released chan struct{}
+}
+
+func (h *heldListing) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+	rows, err := h.counting.Watch(ctx, table, after, wait)
+	if h.large.Load() && len(rows.Rows) > 0 {
+		return metastore.Rows{}, metastore.ErrHistoryTooLarge
+	}
+	return rows, err
+}
+
+func (h *heldListing) List(ctx context.Context, table string) (metastore.Rows, error) {
+	if h.large.Load() {
+		<-h.released
+	}
+	return h.counting.List(ctx, table)
+}
+
+// A large change comes, which takes the coordinator long to read. The others are told before it
+// has it, and list the table with the one call that brings it; they don't try a watch.
+func TestALargeChangeIsToldBeforeItIsRead(t *testing.T) {
+	store := metastore.NewMemory()
+	put(t, store, "a")
+	held := &heldListing{counting: &counting{Store: store}, released: make(chan struct{})}
+	coordinator, relay := directory.New(self).Relay(), directory.New(self).Relay()
+	c := follow(t, held, coordinator)
+	eventually(t, func() bool { return c.has(1) })
+	tellNews(t, coordinator, relay)
+	time.Sleep(50 * time.Millisecond)
+	asked := &counting{Store: store}
+	s := follow(t, asked, relay)
+	eventually(t, func() bool { return s.has(1) })
+	watches, listings := asked.count(), s.listings()
+	held.large.Store(true)
+	put(t, store, "b")
+	eventually(t, func() bool { return s.has(2) })
+	if c.has(2) {
+		t.Error("the coordinator has read it already")
+	}
+	if w, l := asked.count()-watches, s.listings()-listings; w != 0 || l != 1 {
+		t.Errorf("%d watches and %d listings for one change", w, l)
+	}
+	close(held.released)
+	eventually(t, func() bool { return c.has(2) })
+}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -75,8 +75,11 @@
 		}
 		for ctx.Err() == nil {
 			err := w.watch(ctx, f)
-			if errors.Is(err, metastore.ErrHistoryGone) {
-				w.Log.Info("event=store_history_gone", "table", w.Table, "outcome", "listed_again")
+			if errors.Is(err, metastore.ErrHistoryTooLarge) && w.Relay != nil {
+				w.Relay.NoteLarge(w.Feed, f.version, w.Clock.Now())
+			}
+			if errors.Is(err, metastore.ErrHistoryGone) || errors.Is(err, metastore.ErrHistoryTooLarge) {
+				w.Log.Info("event=store_history_gone", "table", w.Table, "version", f.version, "error", err, "outcome", "listed_again")
 				break
 			}
 			if err != nil {
@@ -114,6 +117,8 @@
 		case advice == Take:
 			w.take(f, told)
 			return nil
+		case advice == List:
+			return w.list(ctx, f)
 		case told.Matters <= f.version:
 			// Nothing matters up to there; the store may have dropped what is older.
 			f.version = max(f.version, told.Seen)
--- a/internal/directory/watcher_test.go
+++ b/internal/directory/watcher_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -118,6 +119,30 @@
 	eventually(t, func() bool { return s.has(2) })
 }
 
+// tooLarge is a store whose first watch has more changes than are read.
+type tooLarge struct {
+	metastore.Store
+	refused atomic.Bool
+}
+
+func (s *tooLarge) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+	if s.refused.CompareAndSwap(false, true) {
+		return metastore.Rows{}, metastore.ErrHistoryTooLarge
+	}
+	return s.Store.Watch(ctx, table, after, wait)
+}
+
+// A watcher has missed more changes than a watch reads: it lists the table, at once, and goes on
+// from there.
+func TestAWatcherListsWhereItMissedTooMuch(t *testing.T) {
+	store := metastore.NewMemory()
+	put(t, store, "a")
+	s := watch(t, &tooLarge{Store: store}, 0)
+	eventually(t, func() bool { return s.listings() == 2 })
+	put(t, store, "b")
+	eventually(t, func() bool { return s.has(2) })
+}
+
 // Many VMs register at once, as after a loss of power. Each watcher brings them in a few
 // calls: one for each row would be the square of their number.
 func TestAWatcherRestsWhileManyRowsChange(t *testing.T) {
--- a/pkg/metastore/metastore.go
+++ b/pkg/metastore/metastore.go
@@ -19,6 +19,9 @@
 	ErrNotDone = errors.New("metastore: refused, nothing was done")
 	// ErrHistoryGone: the changes asked for are no longer kept; list anew.
 	ErrHistoryGone = errors.New("metastore: history is gone")
+	// ErrHistoryTooLarge: there are more changes than a watch reads, of which most are
+	// overtaken; list anew.
+	ErrHistoryTooLarge = errors.New("metastore: history is too large")
 )
 
 // Row is one row of a table.
@@ -44,7 +47,8 @@
 	// List returns all rows of a table as of one moment.
 	List(ctx context.Context, table string) (Rows, error)
 	// Watch returns the rows of a table that changed after the version, as soon
-	// as there is one, or none after the wait.
+	// as there is one, or none after the wait. A store may return each version
+	// that a row has had.
 	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error)
 	// Put writes a row if its version is the expected one (0: if there is none)
 	// and returns its new version. After an unknown outcome the same call may be
