--- a/internal/daemon/configkeeper.go
+++ b/internal/daemon/configkeeper.go
@@ -12,6 +12,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
 	"github.com/buckthornshore/buckthornshore/internal/settings"
+	"github.com/buckthornshore/buckthornshore/internal/stall"
 	"github.com/buckthornshore/buckthornshore/internal/status"
 	"github.com/buckthornshore/buckthornshore/internal/view"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
@@ -196,7 +197,9 @@
 	return b.keeper.blobs.Get(ctx, name)
 }
 
-// blobTimeout of one peer: one that hangs must not hold the change up.
+// blobTimeout is how long a peer may be silent: one that hangs must not hold the change up. The
+// document may take any time to come: given up on the way over a narrow link, it would be begun
+// anew each time, and never be in force here.
 const blobTimeout = 500 * time.Millisecond
 
 func (b blobSource) fromPeers(ctx context.Context, name string) ([]byte, bool) {
@@ -210,8 +213,7 @@
 }
 
 func (b blobSource) fromPeer(ctx context.Context, vm topology.VM, name string) ([]byte, bool) {
-	ctx, cancel := context.WithTimeout(ctx, blobTimeout)
-	defer cancel()
+	ctx = stall.With(ctx, stall.Limits{First: blobTimeout, Next: blobTimeout})
 	resp, err := b.keeper.peers.Get(vm).Blob(ctx, &peerpb.BlobRequest{Name: name})
 	if err != nil || !resp.Found {
 		return nil, false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/peers"
 	"github.com/buckthornshore/buckthornshore/internal/pooler"
 	"github.com/buckthornshore/buckthornshore/internal/relay"
+	"github.com/buckthornshore/buckthornshore/internal/stall"
 	"github.com/buckthornshore/buckthornshore/internal/view"
 	"github.com/buckthornshore/buckthornshore/pkg/authority"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -100,10 +101,11 @@
 }
 
 func newPlatform(s Settings, d platformDialer) platform.Service {
-	client := &http.Client{
-		Transport: &http.Transport{DialContext: d.DialContext},
-		Timeout:   s.PlatformTimeout.Std(),
-	}
+	silence := s.PlatformTimeout.Std()
+	client := &http.Client{Transport: &stall.Transport{
+		Base:    &http.Transport{DialContext: d.DialContext},
+		Default: stall.Limits{First: silence, Next: silence},
+	}}
 	return platform.NewRemote(s.PlatformURL, string(s.VM), client)
 }
 
--- a/internal/daemon/document_test.go
+++ b/internal/daemon/document_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,9 +15,11 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/relay"
 	"github.com/buckthornshore/buckthornshore/internal/settings"
 	"github.com/buckthornshore/buckthornshore/pkg/membership"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
 	"github.com/buckthornshore/buckthornshore/rpc/platformpb"
@@ -88,3 +92,32 @@
 		t.Fatalf("%v after %v", ok, time.Since(began))
 	}
 }
+
+// relayOnly is a VM that reads the platform for its data centre, and knows no other.
+type relayOnly struct{}
+
+func (relayOnly) IsRelay() bool         { return true }
+func (relayOnly) Relays() []topology.VM { return nil }
+
+// A VM starts and reads the rows of all groups, which takes longer over its link than the platform may be
+// silent. Without them it serves nobody.
+func TestAllRowsComeOverANarrowLink(t *testing.T) {
+	rows := &platformpb.ScanResponse{Revision: 7}
+	for i := range 1000 {
+		rows.Rows = append(rows.Rows, &platformpb.Row{Key: fmt.Sprintf("group/%d", i), Value: bytes.Repeat([]byte("x"), 200), Revision: 7})
+	}
+	const timeout = time.Second
+	server := narrow(t, rows, 2*timeout)
+	p := newPlatform(Settings{PlatformURL: server.URL, PlatformTimeout: settings.Duration(timeout)}, &net.Dialer{})
+	store := relay.NewStore(func([]platform.Row, time.Time) {})
+	follower := &relay.Follower{Store: store, Table: p, Directory: relayOnly{}, Log: slog.New(slog.DiscardHandler)}
+	ctx, cancel := context.WithTimeout(context.Background(), 4*timeout)
+	defer cancel()
+	go follower.Run(ctx)
+	for store.Revision() != 7 {
+		if ctx.Err() != nil {
+			t.Fatal("no row came")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/daemon/settings.go
+++ b/internal/daemon/settings.go
@@ -37,7 +37,8 @@
 	// AddressMap replaces addresses before they are dialled, where networks of
 	// two data centres see each other under other numbers.
 	AddressMap map[string]string `json:"address_map"`
-	// PlatformTimeout bounds one call to the platform.
+	// PlatformTimeout is how long the platform may be silent in a call, before its answer and
+	// within it.
 	PlatformTimeout settings.Duration `json:"platform_timeout"`
 	LogLevel        string            `json:"log_level"`
 	// OperatorSecret signs operators' requests; without it none is served.
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/stall"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/rpc/peerpb"
@@ -97,7 +98,7 @@
 
 func (t *Table) client(vm topology.VM, transport *http.Transport) *http.Client {
 	return &http.Client{Transport: &observingTransport{
-		next:     transport,
+		next:     &stall.Transport{Base: transport},
 		vm:       vm.ID,
 		observer: t.observer,
 		clock:    t.clock,
--- a/internal/relay/follower.go
+++ b/internal/relay/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/peers"
+	"github.com/buckthornshore/buckthornshore/internal/stall"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -19,7 +20,8 @@
 	// A longer one slows failovers down where announcements do not get through:
 	// promoters then hear of each change of the list by a poll.
 	pollPeriod = 500 * time.Millisecond
-	// pollTimeout of one read; in an outage it frees the loop for the peers.
+	// pollTimeout is how long the platform may be silent in a read; in an outage it frees the
+	// loop for the peers. All rows, as a start reads them, may take longer to come.
 	pollTimeout = time.Second
 	// watchWait of the others.
 	watchWait = 3 * time.Second
@@ -96,8 +98,7 @@
 }
 
 func (f *Follower) poll(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
-	defer cancel()
+	ctx = stall.With(ctx, stall.Limits{First: pollTimeout, Next: pollTimeout})
 	began := time.Now()
 	rows, revision, err := f.Table.Scan(ctx, "", f.Store.Revision())
 	if err != nil {
@@ -124,8 +125,7 @@
 }
 
 func (f *Follower) watchAt(ctx context.Context, source peerpb.Relay, wait time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
-	defer cancel()
+	ctx = stall.With(ctx, stall.Limits{First: wait + watchSlack, Next: watchSlack})
 	resp, err := source.Watch(ctx, &peerpb.WatchRequest{
 		Vm:          string(f.Self.ID),
 		Incarnation: uint64(f.Self.Incarnation),
