--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -179,16 +179,25 @@
 	}()
 }
 
+// toldBy has a coordinator follow a store with one row, and tell what it knows to the relay of
+// another VM.
+func toldBy(t *testing.T, store metastore.Store) (coordinator *seen, relay *directory.Relay) {
+	t.Helper()
+	tells := directory.New(self).Relay()
+	relay = directory.New(self).Relay()
+	coordinator = follow(t, store, tells)
+	eventually(t, func() bool { return coordinator.has(1) })
+	tellNews(t, tells, relay)
+	time.Sleep(50 * time.Millisecond)
+	return coordinator, relay
+}
+
 // A target registers. The coordinator's watch brings it, and the others have the change with
 // the next promise: 89 VMs that each fetched it made 89 calls of every change.
 func TestSmallChangesAreToldWithoutACallToTheStore(t *testing.T) {
 	store := metastore.NewMemory()
 	put(t, store, "a")
-	coordinator, relay := directory.New(self).Relay(), directory.New(self).Relay()
-	c := follow(t, store, coordinator)
-	eventually(t, func() bool { return c.has(1) })
-	tellNews(t, coordinator, relay)
-	time.Sleep(50 * time.Millisecond)
+	_, relay := toldBy(t, store)
 	asked := &counting{Store: store}
 	s := follow(t, asked, relay)
 	eventually(t, func() bool { return s.has(1) })
@@ -206,11 +215,7 @@
 func TestAVMThatIsTurnedAwayHearsOfChanges(t *testing.T) {
 	store := metastore.NewMemory()
 	put(t, store, "a")
-	coordinator, relay := directory.New(self).Relay(), directory.New(self).Relay()
-	c := follow(t, store, coordinator)
-	eventually(t, func() bool { return c.has(1) })
-	tellNews(t, coordinator, relay)
-	time.Sleep(50 * time.Millisecond)
+	_, relay := toldBy(t, store)
 	refuses := &refusing{counting: &counting{Store: store}}
 	s := follow(t, refuses, relay)
 	eventually(t, func() bool { return s.has(1) })
@@ -335,11 +340,7 @@
 	store := metastore.NewMemory()
 	put(t, store, "a")
 	held := &heldListing{counting: &counting{Store: store}, released: make(chan struct{})}
-	coordinator, relay := directory.New(self).Relay(), directory.New(self).Relay()
-	c := follow(t, held, coordinator)
-	eventually(t, func() bool { return c.has(1) })
-	tellNews(t, coordinator, relay)
-	time.Sleep(50 * time.Millisecond)
+	c, relay := toldBy(t, held)
 	asked := &counting{Store: store}
 	s := follow(t, asked, relay)
 	eventually(t, func() bool { return s.has(1) })
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -75,11 +75,7 @@
 		}
 		for ctx.Err() == nil {
 			err := w.watch(ctx, f)
-			if errors.Is(err, metastore.ErrHistoryTooLarge) && w.Relay != nil {
-				w.Relay.NoteLarge(w.Feed, f.version, w.Clock.Now())
-			}
-			if errors.Is(err, metastore.ErrHistoryGone) || errors.Is(err, metastore.ErrHistoryTooLarge) {
-				w.Log.Info("event=store_history_gone", "table", w.Table, "version", f.version, "error", err, "outcome", "listed_again")
+			if w.mustList(f, err) {
 				break
 			}
 			if err != nil {
@@ -89,6 +85,20 @@
 	}
 }
 
+// mustList reports whether a watch has failed since the changes that it asked for can't be had one
+// by one.
+func (w *Watcher) mustList(f *followed, err error) bool {
+	tooLarge := errors.Is(err, metastore.ErrHistoryTooLarge)
+	if !tooLarge && !errors.Is(err, metastore.ErrHistoryGone) {
+		return false
+	}
+	if tooLarge && w.Relay != nil {
+		w.Relay.NoteLarge(w.Feed, f.version, w.Clock.Now())
+	}
+	w.Log.Info("event=store_history_gone", "table", w.Table, "version", f.version, "error", err, "outcome", "listed_again")
+	return true
+}
+
 // list reads the whole table.
 func (w *Watcher) list(ctx context.Context, f *followed) error {
 	began := w.Clock.Now()
--- a/internal/gatewayd/metered.go
+++ b/internal/gatewayd/metered.go
@@ -54,6 +54,8 @@
 		return "conflict"
 	case errors.Is(err, metastore.ErrHistoryGone):
 		return "history_gone"
+	case errors.Is(err, metastore.ErrHistoryTooLarge):
+		return "history_too_large"
 	case errors.Is(err, metastore.ErrNotDone):
 		return "refused"
 	}
--- a/internal/stall/stall.go
+++ b/internal/stall/stall.go
@@ -2,8 +2,8 @@
 //
 // A limit on the whole call ends one whose answer is large, or whose link is narrow, however well
 // it goes; made again from the start it meets the same limit, and what each try carries fills the
-// link. Silence tells a connection that is dead from one that is slow: a call ends as soon when
-// nothing comes, and goes on as long as something does.
+// link. Silence tells a connection that is dead from one that is slow: a call on the one ends
+// within the limit, and on the other it goes on for as long as something comes.
 package stall
 
 import (
