--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -37,7 +37,20 @@
 func (l *Lead) replace(ctx context.Context, group topology.GroupID, reason string) {
 	r := &replacement{Lead: l, group: group, began: time.Now()}
 	err := r.run(ctx, reason)
-	l.Log.Info("event=primary_replacement", "group", group, "reason", reason, "error", err, "took", time.Since(r.began))
+	registered, staying := l.countTargets(group)
+	l.Log.Info("event=primary_replacement", "group", group, "reason", reason, "targets", registered, "staying", staying,
+		"error", err, "took", time.Since(r.began))
+}
+
+// countTargets counts the group's registered targets, and those of them that have not said that they leave.
+func (l *Lead) countTargets(group topology.GroupID) (registered, staying int) {
+	targets := l.Directory.TargetsOf(group)
+	for i := range targets {
+		if !targets[i].Leaving {
+			staying++
+		}
+	}
+	return len(targets), staying
 }
 
 func (r *replacement) run(ctx context.Context, reason string) error {
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -49,14 +49,20 @@
 	unfinished bool
 	// turn is the request that holds the link.
 	turn waitlist.Request
-	// taken is when the link was given out.
-	taken mono.Time
+	// taken is when the link was given out, after its request had waited for it.
+	taken  mono.Time
+	waited time.Duration
 	// sent is when the command under way was sent; 0: none is.
 	sent mono.Time
 	// freed is when the link was last given back.
 	freed mono.Time
 }
 
+// give hands the link to a request that has waited for it.
+func (l *Link) give(r waitlist.Request, now mono.Time, waited time.Duration) {
+	l.turn, l.taken, l.waited = r, now, waited
+}
+
 // Run sends a command and notes what its answer tells of the target.
 func (l *Link) Run(deadline time.Time, c Command) (statement.Answer, error) {
 	for {
@@ -74,6 +80,9 @@
 
 func (l *Link) runOnce(deadline time.Time, c Command) (statement.Answer, error) {
 	begun := l.pool.begin(l)
+	if l.opensWork(c.Kind) {
+		l.pool.noteUse(l.waited)
+	}
 	c.Priority, c.Useful = l.turn.Priority, max(l.turn.Useful.Sub(begun), 1)
 	c.Customer, c.Anyone = l.turn.Customer, l.turn.Anyone
 	a, err := l.conn.Run(deadline, c)
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -80,6 +80,7 @@
 	starvedUntil mono.Time
 	yieldUntil   mono.Time
 	saturation   saturation
+	departure    departure
 	health       health
 	// hold is the average time for which a request or transaction holds a link.
 	hold   time.Duration
@@ -106,7 +107,7 @@
 		return nil, result.New(result.TargetUnreachable, "%s is gone", p.target.ID)
 	}
 	if l := p.takeIdle(&r, values); l != nil {
-		l.taken, l.turn = p.clock.Now(), r
+		l.give(r, p.clock.Now(), 0)
 		p.mu.Unlock()
 		return l, nil
 	}
@@ -179,7 +180,7 @@
 	now := p.clock.Now()
 	w := p.waiting.NextOf(func(r *waitlist.Request) bool { return p.serves(l, r) }, now, p.health.latency)
 	if w != nil {
-		l.taken, l.turn = now, w.Request
+		l.give(w.Request, now, now.Sub(w.Since))
 		w.Value <- given{link: l}
 		return
 	}
@@ -275,6 +276,7 @@
 		p.probe()
 	}
 	p.closeSurplus(now)
+	p.reportUse(now)
 	p.grow()
 }
 
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -134,6 +134,7 @@
 			p.pools[t.ID] = pool
 		}
 		pool.SetShare(share)
+		pool.SetLeaving(t.Leaving)
 	}
 	for id, pool := range p.pools {
 		if !present[id] {
