A target that leaves is sent new work for its time only

What callers saw: nothing; requests were served by a database seven seconds and more after its word that it leaves, when it may end at any moment and break them off.

Cause: nothing in the data path ends the use of a leaving primary. A VM knows that it leaves (reads avoid it), but writes and reads of the newest go wherever the right points, and the right is moved by a replacement only. Where no replica can be reached there is no replacement, and the use has no end: the setting that bounds it was not even read. Class: an obligation with a time that is met by a remedy alone, and not kept by itself when the remedy fails.

Ruled out, by the logs added before: the word lost or late (all VMs logged it within 0.2 s), requests that waited since before (longest wait 1 ms).

Fix: each VM stops by itself. The directory keeps since when a target leaves, as the last moment at which it was known to stay: the call or the coordinator's word before the one that brought the change. That is never later than the truth; a coordinator tells the age of the rows with them. If it is not known, as at a VM that has just started, no new work is sent. The pool refuses new work `drain` less half a second after that moment, where it is sent, so that what has waited here or at a holder is covered, too; an open transaction goes on, and positions may be asked for. Where no target of the group stays, callers are refused at once (TargetLeaving, not run) instead of at their deadline; where one does, they wait for the replacement as before.

Cost: a field of a few bytes in a promise that carries changed rows, nothing else per message; a moment per target.

--- a/internal/ctl/report.go
+++ b/internal/ctl/report.go
@@ -46,6 +46,7 @@
 	result.WrongTarget:        causeDial,
 	result.TargetBusy:         causeDatabase,
 	result.TargetFailed:       causeDatabase,
+	result.TargetLeaving:      causeDatabase,
 	result.DeadlineExceeded:   causeDatabase,
 	result.OutcomeUnknown:     causeCut,
 	result.TransactionAborted: causeCut,
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/customer"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -73,6 +74,9 @@
 	Registration string
 	// Started is when its process started by its own word, in Unix milliseconds; 0: not told.
 	Started uint64
+	// LeavingSince is, for one that leaves, the last moment at which this VM knew it to stay; 0: it is not
+	// known when it began to leave.
+	LeavingSince mono.Time
 	// Superseded: a later start has registered under its key or at its address, so it has ended.
 	// The lists of targets leave it out.
 	Superseded bool
@@ -222,10 +226,12 @@
 	return class, ok
 }
 
-// SetTarget takes over what is newly known of a target, and reports whether it differs.
+// SetTarget takes over what is newly known of a target, and reports whether it differs. Its LeavingSince is
+// the last moment at which what was known before was up to date.
 func (d *Directory) SetTarget(t Target) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	t.LeavingSince = d.leavingSince(&t)
 	for _, o := range d.targets {
 		t.Superseded = t.Superseded || o.follows(&t)
 	}
@@ -243,6 +249,18 @@
 	return true
 }
 
+// leavingSince returns when a target began to leave. One that was not known until now may have begun at any time.
+func (d *Directory) leavingSince(t *Target) mono.Time {
+	known, ok := d.targets[t.ID]
+	switch {
+	case !t.Leaving || !ok:
+		return 0
+	case known.Leaving:
+		return known.LeavingSince
+	}
+	return t.LeavingSince
+}
+
 // RemoveRegistration forgets the targets that registered under a key, and returns their names.
 func (d *Directory) RemoveRegistration(key string) []topology.TargetID {
 	d.mu.Lock()
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -131,3 +132,35 @@
 		t.Fatalf("%v, %v, %v, %v", few, some, many, most)
 	}
 }
+
+// Guards against a departure that seems to begin anew, or later than it did, with each word of it.
+func TestADepartureBeginsWhenTheTargetWasLastKnownToStay(t *testing.T) {
+	d := New(topology.VM{})
+	say := func(leaving bool, current mono.Time) {
+		target := started("a", "a", "10.0.0.1:1", 1)
+		target.Leaving, target.LeavingSince = leaving, current
+		d.SetTarget(target)
+	}
+	expect := func(what string, want mono.Time) {
+		t.Helper()
+		if got, _ := d.Target("a"); got.LeavingSince != want {
+			t.Fatalf("%s: since %d, want %d", what, got.LeavingSince, want)
+		}
+	}
+	say(true, 50)
+	expect("first heard of as it leaves", 0)
+	say(false, 60)
+	say(true, 70)
+	expect("it stayed before", 70)
+	before := d.Changes()
+	say(true, 80)
+	expect("the same again", 70)
+	if d.Changes() != before {
+		t.Fatal("the same entry told something")
+	}
+	say(false, 90)
+	expect("it stays", 0)
+	d.RemoveRegistration("a")
+	say(true, 100)
+	expect("its entry had lapsed", 0)
+}
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -31,6 +31,10 @@
 	// none if they are old or large.
 	Since uint64          `msgpack:"b,omitempty"`
 	Rows  []metastore.Row `msgpack:"r,omitempty"`
+	// Age is how long ago the oldest of Rows was written at most.
+	Age time.Duration `msgpack:"a,omitempty"`
+	// after is a moment before Rows were written, by the clock of the VM that was told.
+	after mono.Time
 	// Large is the version up to which a VM must have come for its watch to be of use: from
 	// earlier ones on there are more changes than a watch reads.
 	Large uint64 `msgpack:"l,omitempty"`
@@ -74,6 +78,8 @@
 	// told is what a coordinator told of each feed, last at heard.
 	told  News
 	heard map[Feed]mono.Time
+	// before is what was told before the newest change that matters.
+	before map[Feed]quiet
 	// noted is what this VM knows of each feed itself.
 	noted map[Feed]*noted
 	// telling: this VM coordinates, and the others rely on what it tells. expected: some VM is
@@ -100,11 +106,19 @@
 
 type recentRow struct {
 	metastore.Row
-	at mono.Time
+	// at is when the row was taken over, and after a moment before it was written.
+	at, after mono.Time
+}
+
+// quiet is what was told of a feed until something new was: up to which version something matters, and when
+// that was last heard.
+type quiet struct {
+	matters uint64
+	heard   mono.Time
 }
 
 func newRelay() *Relay {
-	return &Relay{told: News{}, heard: map[Feed]mono.Time{}, noted: map[Feed]*noted{}, changed: make(chan struct{}), begun: make(chan struct{}), kept: map[Feed]Kept{}}
+	return &Relay{told: News{}, heard: map[Feed]mono.Time{}, before: map[Feed]quiet{}, noted: map[Feed]*noted{}, changed: make(chan struct{}), begun: make(chan struct{}), kept: map[Feed]Kept{}}
 }
 
 // NoteListing takes over that this VM has listed all rows of a feed as of a version, and whether that
@@ -124,23 +138,23 @@
 }
 
 // NoteChanges takes over the changes that matter up to the version seen, as a watch of this VM
-// that was answered at now has brought them.
-func (r *Relay) NoteChanges(f Feed, seen uint64, rows []metastore.Row, now mono.Time) {
+// that was answered at now has brought them. They were written after the given moment.
+func (r *Relay) NoteChanges(f Feed, seen uint64, rows []metastore.Row, after, now mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n := r.noted[f]; n != nil {
-		n.add(seen, rows, now)
+		n.add(seen, rows, after, now)
 		n.answered = now
 	}
 }
 
 // NoteTold takes over the same as another VM has told it. This VM does not tell of a feed by
 // that alone, but knows the changes if it comes to coordinate.
-func (r *Relay) NoteTold(f Feed, seen uint64, rows []metastore.Row, now mono.Time) {
+func (r *Relay) NoteTold(f Feed, seen uint64, rows []metastore.Row, after, now mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n := r.noted[f]; n != nil {
-		n.add(seen, rows, now)
+		n.add(seen, rows, after, now)
 	}
 }
 
@@ -157,14 +171,14 @@
 	}
 }
 
-func (n *noted) add(seen uint64, rows []metastore.Row, now mono.Time) {
+func (n *noted) add(seen uint64, rows []metastore.Row, after, now mono.Time) {
 	n.seen = max(n.seen, seen)
 	for _, row := range rows {
 		if row.Version > n.matters {
 			n.matters = row.Version
 			// Only the newest version of a row is of use.
 			n.recent = slices.DeleteFunc(n.recent, func(r recentRow) bool { return r.Key == row.Key })
-			n.recent = append(n.recent, recentRow{Row: row, at: now})
+			n.recent = append(n.recent, recentRow{Row: row, at: now, after: after})
 		}
 	}
 	n.forget(now)
@@ -216,6 +230,7 @@
 		for _, row := range n.recent {
 			if row.Version > followed[f] {
 				t.Rows = append(t.Rows, row.Row)
+				t.Age = max(t.Age, now.Sub(row.after))
 			}
 		}
 		news[f] = t
@@ -281,7 +296,11 @@
 	defer r.mu.Unlock()
 	news := false
 	for f, t := range told {
-		news = news || t.Matters > r.told[f].Matters
+		if was := r.told[f].Matters; t.Matters > was {
+			news = true
+			r.before[f] = quiet{matters: was, heard: r.heard[f]}
+		}
+		t.after = sent.Add(-t.Age)
 		r.told[f], r.heard[f] = t, max(r.heard[f], sent)
 	}
 	if news {
@@ -304,6 +323,21 @@
 	Take
 )
 
+// currentAt returns the last moment at which, by what was told, a VM that follows a feed up to a version had
+// all that matters; 0: nothing tells.
+func (r *Relay) currentAt(f Feed, version uint64) mono.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := quiet{matters: r.told[f].Matters, heard: r.heard[f]}
+	if last.matters > version {
+		last = r.before[f]
+	}
+	if last.matters == 0 || last.matters > version {
+		return 0
+	}
+	return last.heard.Add(-relayFresh)
+}
+
 // Await returns what to do once there is, or may be, a change of the feed after the version,
 // and at once when nobody can tell. Besides comes what was told last, which with Take has
 // all changes after the version, and otherwise shows that there is none up to its Seen if
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -46,21 +46,31 @@
 	// Neighbours are asked for changes before the store is; nil: nobody is. The watcher keeps its rows for
 	// them then.
 	Neighbours Neighbours
-	// All is called with the rows of a listing that was sent at began: rows that
-	// are not among them are gone. It reports whether that says something new that matters to the VMs.
-	All func(rows []metastore.Row, began mono.Time) bool
+	// All is called with the rows of a listing: rows that are not among them are gone. It reports whether
+	// that says something new that matters to the VMs.
+	All func(rows []metastore.Row, at Timing) bool
 	// Change is called for each row that changed after, and reports whether the change
 	// matters to the VMs.
-	Change func(row metastore.Row, began mono.Time) bool
+	Change func(row metastore.Row, at Timing) bool
 	// Seen is called after each answer of a call that was sent at began; nil:
 	// nobody asks.
 	Seen func(began mono.Time)
 }
 
+// Timing is when rows were read, and when those that are new were written.
+type Timing struct {
+	// Began is when the call that brought them was sent.
+	Began mono.Time
+	// After is the last moment at which what the watcher had was up to date; 0: it had nothing.
+	After mono.Time
+}
+
 // followed is how far a watcher has come.
 type followed struct {
 	// version up to which everything that matters was seen.
 	version uint64
+	// current is the last moment at which that was known to be all that matters; 0: nothing was seen yet.
+	current mono.Time
 	// told is the version of the newest change that the coordinator last told of; 0: of none.
 	told uint64
 	// failures of calls in a row, the first at failing.
@@ -110,9 +120,9 @@
 		return err
 	}
 	w.answered(f)
-	news := w.All(rows.Rows, began)
+	news := w.All(rows.Rows, Timing{Began: began, After: f.current})
 	w.seen(began)
-	f.version = rows.Version
+	f.version, f.current = rows.Version, max(f.current, began)
 	if w.Neighbours != nil {
 		w.Relay.Keep(w.Feed, rows.Rows, f.version)
 	}
@@ -129,6 +139,7 @@
 	if w.Relay != nil {
 		advice, told := w.Relay.Await(ctx, w.Feed, f.version, w.Clock)
 		f.told = told.Matters
+		f.current = max(f.current, w.Relay.currentAt(w.Feed, f.version))
 		switch {
 		case advice == Take:
 			w.take(f, told)
@@ -157,14 +168,15 @@
 		return err
 	}
 	w.answered(f)
-	matter := w.changed(changes.Rows, began)
+	at := Timing{Began: began, After: f.current}
+	matter := w.changed(changes.Rows, at)
 	w.seen(began)
-	f.version = max(f.version, changes.Version)
+	f.version, f.current = max(f.version, changes.Version), max(f.current, began)
 	if w.Neighbours != nil {
 		w.Relay.KeepChanges(w.Feed, changes.Rows, f.version)
 	}
 	if w.Relay != nil {
-		w.Relay.NoteChanges(w.Feed, f.version, matter, w.Clock.Now())
+		w.Relay.NoteChanges(w.Feed, f.version, matter, at.After, w.Clock.Now())
 	}
 	if w.Rest != nil && len(changes.Rows) > 0 {
 		pause.For(ctx, w.Rest())
@@ -194,10 +206,10 @@
 }
 
 // changed takes rows over and returns those that matter to the VMs.
-func (w *Watcher) changed(rows []metastore.Row, began mono.Time) []metastore.Row {
+func (w *Watcher) changed(rows []metastore.Row, at Timing) []metastore.Row {
 	var matter []metastore.Row
 	for _, row := range rows {
-		if w.Change(row, began) {
+		if w.Change(row, at) {
 			matter = append(matter, row)
 		}
 	}
@@ -215,10 +227,11 @@
 	}
 	now := w.Clock.Now()
 	later := slices.DeleteFunc(slices.Clone(kept.Rows), func(r metastore.Row) bool { return r.Version <= f.version })
-	w.changed(later, now)
+	at := Timing{Began: now, After: f.current}
+	w.changed(later, at)
 	f.version = max(f.version, kept.Version)
 	w.Relay.Keep(w.Feed, kept.Rows, kept.Version)
-	w.Relay.NoteTold(w.Feed, f.version, later, now)
+	w.Relay.NoteTold(w.Feed, f.version, later, at.After, now)
 	w.Log.Info("event=store_changes_told", "table", w.Table, "rows", len(later), "version", f.version, "by", "neighbour")
 	return true
 }
@@ -232,12 +245,13 @@
 		}
 	}
 	now := w.Clock.Now()
-	w.changed(later, now)
+	at := Timing{Began: now, After: max(f.current, told.after)}
+	w.changed(later, at)
 	f.version = max(f.version, told.Seen)
 	if w.Neighbours != nil {
 		w.Relay.KeepChanges(w.Feed, later, f.version)
 	}
-	w.Relay.NoteTold(w.Feed, f.version, later, now)
+	w.Relay.NoteTold(w.Feed, f.version, later, at.After, now)
 	w.Log.Info("event=store_changes_told", "table", w.Table, "rows", len(later), "version", f.version)
 }
 
--- a/internal/directory/watcher_test.go
+++ b/internal/directory/watcher_test.go
@@ -42,19 +42,24 @@
 	mu     sync.Mutex
 	keys   map[string]bool
 	listed int
+	// after is a moment before each row was written, and at when it was taken over.
+	after, at map[string]mono.Time
 }
 
-func (s *seen) take(r metastore.Row, _ mono.Time) bool {
+func (s *seen) take(r metastore.Row, at directory.Timing) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.keys[r.Key] = !r.Deleted
+	if s.after != nil {
+		s.after[r.Key], s.at[r.Key] = at.After, mono.System{}.Now()
+	}
 	return r.Key != heartbeat
 }
 
 // heartbeat is the key of a row whose changes matter to nobody.
 const heartbeat = "heartbeat"
 
-func (s *seen) all(rows []metastore.Row, began mono.Time) bool {
+func (s *seen) all(rows []metastore.Row, at directory.Timing) bool {
 	s.mu.Lock()
 	s.listed++
 	s.mu.Unlock()
@@ -63,7 +68,7 @@
 		s.mu.Lock()
 		known := s.keys[r.Key]
 		s.mu.Unlock()
-		news = s.take(r, began) && !known || news
+		news = s.take(r, at) && !known || news
 	}
 	return news
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -125,6 +125,13 @@
 // startAmong runs a holder among other VMs of a target with so many connections, and returns the
 // driver of a VM that holds none.
 func startAmong(t *testing.T, others []topology.VM, connections int) (*database, target.Driver) {
+	t.Helper()
+	db, driver, _ := startHolder(t, others, connections)
+	return db, driver
+}
+
+// startHolder is startAmong with what the holder knows.
+func startHolder(t *testing.T, others []topology.VM, connections int) (*database, target.Driver, *directory.Directory) {
 	t.Helper()
 	db := &database{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -148,14 +155,15 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
-	pools := target.NewPools(directoryOf(holder), forward.NewDriver(directoryOf(holder), db), mono.System{}, log)
+	known := directoryOf(holder)
+	pools := target.NewPools(known, forward.NewDriver(known, db), mono.System{}, log)
 	go pools.Run(ctx)
 	for _, ok := pools.Get("t"); !ok; _, ok = pools.Get("t") {
 		time.Sleep(time.Millisecond)
 	}
-	server := &forward.Server{Directory: directoryOf(holder), Pools: pools, Clock: mono.System{}, Log: log}
+	server := &forward.Server{Directory: known, Pools: pools, Clock: mono.System{}, Log: log}
 	go server.Serve(ctx, l)
-	return db, forward.NewDriver(directoryOf(other), db)
+	return db, forward.NewDriver(directoryOf(other), db), known
 }
 
 func take(t *testing.T, p *target.Pool) *target.Link {
--- /dev/null
+++ b/internal/gateway/leaving_test.go
@@ -0,0 +1,72 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// leave has a target say that it leaves, a while after it was last known to stay.
+func (f *fixture) leave(id topology.TargetID, ago time.Duration) {
+	t, _ := f.directory.Target(id)
+	t.Leaving, t.LeavingSince = true, mono.System{}.Now().Add(-ago)
+	f.directory.SetTarget(t)
+	time.Sleep(3 * poolsFollow)
+}
+
+const (
+	// poolsFollow is how long it takes until the pools know what the directory does.
+	poolsFollow = 50 * time.Millisecond
+	// longAgo is longer than a target that leaves serves.
+	longAgo = time.Minute
+)
+
+// Guards against requests that are held until their deadline though all targets of their group have left.
+func TestAGroupWhoseTargetsHaveAllLeftRefusesAtOnce(t *testing.T) {
+	f := start(t)
+	f.leave(replica, longAgo)
+	f.leave(primary, longAgo)
+	c := f.open("newest")
+	for _, text := range []string{"write a 1", "read a"} {
+		began := time.Now()
+		c.expect(text, "I TargetLeaving not run")
+		if waited := time.Since(began); waited > statementTimeout/4 {
+			t.Fatalf("%s was held for %v", text, waited)
+		}
+	}
+	c.expect("begin", "T ok")
+	began := time.Now()
+	c.expect("write a 1", "E TargetLeaving not run")
+	if waited := time.Since(began); waited > statementTimeout/4 {
+		t.Fatalf("a transaction was held for %v", waited)
+	}
+	if ran := f.databases[primary].statements(); ran != "" {
+		t.Fatalf("at the primary: %s", ran)
+	}
+}
+
+// Guards against writes that are refused while the primary that leaves is about to be replaced.
+func TestAWriteWaitsForTheSuccessorOfAPrimaryThatHasLeft(t *testing.T) {
+	f := start(t)
+	f.leave(primary, longAgo)
+	time.AfterFunc(statementTimeout/4, func() {
+		f.rights.mu.Lock()
+		f.rights.row.Primary, f.rights.row.Term = replica, 2
+		f.rights.mu.Unlock()
+		f.rights.set(true)
+	})
+	f.open("newest").expect("write a 1", "I ok d")
+	if ran := f.databases[replica].statements(); ran != "write a 1" {
+		t.Fatalf("at the successor: %s", ran)
+	}
+}
+
+// Guards against a primary without a successor that is given up before its time is over.
+func TestAPrimaryThatLeavesServesUntilItsTimeIsOver(t *testing.T) {
+	f := start(t)
+	f.leave(replica, longAgo)
+	f.leave(primary, time.Second)
+	f.open("newest").expect("write a 1", "I ok d")
+}
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -48,3 +51,12 @@
 	defer r.mu.Unlock()
 	r.view(group).outages[n].over()
 }
+
+// hasNoTargetLeft reports whether a failure shows that no target of the group takes new work: the one asked leaves,
+// and so do all others. Nothing tells when one comes.
+func (r *router) hasNoTargetLeft(c *directory.Class, failure *result.Error) bool {
+	if failure.Code != result.TargetLeaving {
+		return false
+	}
+	return !slices.ContainsFunc(r.directory.TargetsOf(c.Group), func(t directory.Target) bool { return !t.Leaving })
+}
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -211,6 +211,9 @@
 		if failure.Code == result.NoRight && r.server.router.lacks(r.class.Group, needRight) || r.ageLacksForLong(failure) {
 			break
 		}
+		if r.server.router.hasNoTargetLeft(&r.class, failure) {
+			break
+		}
 	}
 	return notBegun(last)
 }
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -83,8 +83,10 @@
 
 func newDirectory(vm topology.VM) *directory.Directory { return directory.New(vm) }
 
-func newPools(d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger) *target.Pools {
-	return target.NewPools(d, forward.NewDriver(d, driver), clock, log)
+func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger) *target.Pools {
+	pools := target.NewPools(d, forward.NewDriver(d, driver), clock, log)
+	pools.Drain = s.Drain.Std()
+	return pools
 }
 
 type leadParts struct {
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/settings"
+	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -39,6 +40,8 @@
 	QuotaWindow settings.Duration `json:"quota_window"`
 	QuotaExcess float64           `json:"quota_excess"`
 	QuotaSlack  float64           `json:"quota_slack"`
+	// Drain is for how long after it was announced a target that leaves may be sent new work.
+	Drain settings.Duration `json:"drain"`
 	// Grace is how long the daemon may take to stop.
 	Grace settings.Duration `json:"grace"`
 	// MemoryMB is the process's limit; the garbage collector keeps below.
@@ -50,6 +53,7 @@
 
 // Defaults and bounds of the settings.
 const (
+	defaultDrain       = settings.Duration(target.DefaultDrain)
 	defaultGrace       = settings.Duration(6 * time.Second)
 	minGrace           = settings.Duration(time.Second)
 	defaultMaxSessions = 3000
@@ -59,7 +63,7 @@
 
 // LoadSettings reads and checks a settings file.
 func LoadSettings(path string) (Settings, error) {
-	s := Settings{CPUShare: 1, CPUSpeed: 1, Grace: defaultGrace, MaxSessions: defaultMaxSessions, QuotaWindow: defaultQuotaWindow, LogLevel: "info"}
+	s := Settings{CPUShare: 1, CPUSpeed: 1, Drain: defaultDrain, Grace: defaultGrace, MaxSessions: defaultMaxSessions, QuotaWindow: defaultQuotaWindow, LogLevel: "info"}
 	if err := settings.Load(path, &s); err != nil {
 		return s, err
 	}
@@ -86,6 +90,9 @@
 			wrong = append(wrong, fmt.Sprintf("%s: %v; ip:port is wanted", name, err))
 		}
 	}
+	if s.Drain < 0 {
+		wrong = append(wrong, "drain must be 0 or more")
+	}
 	if s.Grace < minGrace {
 		wrong = append(wrong, fmt.Sprintf("grace is %v; %v or more is wanted", s.Grace.Std(), minGrace.Std()))
 	}
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -12,7 +12,6 @@
 	"github.com/buckthornshore/buckthornshore/internal/forward"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
-	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/platform"
 )
@@ -34,7 +33,7 @@
 
 // configurationWatcher keeps the operators' configuration in force.
 func (p *parts) configurationWatcher() *directory.Watcher {
-	take := func(r metastore.Row, _ mono.Time) bool {
+	take := func(r metastore.Row, _ directory.Timing) bool {
 		return r.Key == platform.ConfigurationKey && !r.Deleted && p.takeConfiguration(r)
 	}
 	return &directory.Watcher{
@@ -43,10 +42,10 @@
 		Feed: directory.Configurations, Relay: p.Directory.Relay(),
 		Neighbours: forward.Neighbours{Directory: p.Directory},
 		Rest:       func() time.Duration { return min(p.Lead.WatchRest(), longestConfigurationRest) },
-		All: func(rows []metastore.Row, began mono.Time) bool {
+		All: func(rows []metastore.Row, at directory.Timing) bool {
 			news := false
 			for _, r := range rows {
-				news = take(r, began) || news
+				news = take(r, at) || news
 			}
 			return news
 		},
@@ -84,12 +83,12 @@
 		Wait: func() time.Duration { return p.watchWait(longestTargetWatch) },
 		Feed: directory.Registrations, Relay: p.Directory.Relay(),
 		Rest: p.Lead.WatchRest,
-		All: func(rows []metastore.Row, began mono.Time) bool {
+		All: func(rows []metastore.Row, at directory.Timing) bool {
 			news := false
 			listed := map[string]bool{}
 			for _, r := range rows {
 				listed[r.Key] = true
-				news = p.takeTarget(r, began) || news
+				news = p.takeTarget(r, at) || news
 			}
 			gone := p.Directory.KeepRegistrations(listed)
 			p.logUnregistered(gone)
@@ -107,7 +106,7 @@
 
 // takeTarget reports whether the registration says something new: most changes are
 // heartbeats.
-func (p *parts) takeTarget(r metastore.Row, _ mono.Time) bool {
+func (p *parts) takeTarget(r metastore.Row, at directory.Timing) bool {
 	if r.Deleted {
 		p.logUnregistered(p.Directory.RemoveRegistration(r.Key))
 		return true
@@ -120,6 +119,7 @@
 		return p.Malformed.note(p.Log, r.Key, err) || len(gone) > 0 // The other VMs look for themselves.
 	}
 	p.Malformed.forget(r.Key)
+	t.LeavingSince = at.After
 	known, ok := p.Directory.Target(t.ID)
 	changed := p.Directory.SetTarget(t)
 	if changed {
@@ -128,7 +128,7 @@
 	}
 	// Which one says that it leads concerns the VM alone that writes a group's first row, and that one
 	// watches the store itself.
-	known.SaysPrimary = t.SaysPrimary
+	known.SaysPrimary, known.LeavingSince = t.SaysPrimary, t.LeavingSince
 	return changed && (!ok || known != t)
 }
 
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"strings"
 
+	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -25,7 +26,7 @@
 
 // takeAll takes a whole listing over, and reports whether VMs have changed by it: of the other rows the
 // VMs learn otherwise.
-func (l *Lead) takeAll(rows []metastore.Row, began mono.Time) bool {
+func (l *Lead) takeAll(rows []metastore.Row, at directory.Timing) bool {
 	var vms []topology.VM
 	listed := false
 	for _, r := range rows {
@@ -50,7 +51,7 @@
 		l.registered = max(l.registered, lastRemoval(rows), 1)
 		l.mu.Unlock()
 	}
-	l.takeDecisions(rows, began, listed)
+	l.takeDecisions(rows, at.Began, listed)
 	return news
 }
 
@@ -69,16 +70,16 @@
 
 // takeChange takes one changed row over. Those of VMs matter to all VMs: groups' rows are
 // told by notices and with promises, and the duty is read by whoever needs it.
-func (l *Lead) takeChange(r metastore.Row, began mono.Time) bool {
+func (l *Lead) takeChange(r metastore.Row, at directory.Timing) bool {
 	id, ofVM := strings.CutPrefix(r.Key, vmPrefix)
 	switch {
 	case ofVM:
 		l.takeVM(topology.VMID(id), r)
 	case r.Deleted:
 	case r.Key == dutyKey:
-		l.takeDuty(r, began)
+		l.takeDuty(r, at.Began)
 	case strings.HasPrefix(r.Key, groupPrefix):
-		l.takeRow(r, began, false)
+		l.takeRow(r, at.Began, false)
 	}
 	return ofVM
 }
--- /dev/null
+++ b/internal/target/departure_test.go
@@ -0,0 +1,147 @@
+package target_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
+)
+
+// leavingPool is a pool whose clock a test sets, with the target's time over a second after it began.
+func leavingPool(f *fakeTarget, share int) (*target.Pool, *mono.Manual) {
+	clock := &mono.Manual{T: 1}
+	p := target.NewPool(topology.Target{ID: "t"}, share, f, clock, slog.New(slog.DiscardHandler))
+	p.Leave(clock.T.Add(time.Second))
+	return p, clock
+}
+
+func acquireAt(p *target.Pool, clock *mono.Manual) (*target.Link, *result.Error) {
+	return p.Acquire(context.Background(), until(clock.T.Add(5*time.Second)), nil)
+}
+
+// Guards against work that is sent to a target after its time, over a connection that was free before.
+func TestATargetThatLeavesTakesNoNewWorkAfterItsTime(t *testing.T) {
+	for name, work := range map[string]func(*target.Link) *result.Error{
+		"a statement": func(l *target.Link) *result.Error {
+			a, err := l.Run(soon(), target.Command{Text: "read x"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return a.Failure
+		},
+		"a transaction": func(l *target.Link) *result.Error {
+			if err := l.Begin(soon(), false, position.Position{}); err != nil {
+				return result.From(err)
+			}
+			return nil
+		},
+	} {
+		f := &fakeTarget{}
+		p, clock := leavingPool(f, 2)
+		early, failure := acquireAt(p, clock)
+		if failure != nil {
+			t.Fatalf("%s: %v", name, failure)
+		}
+		if failure := work(early); failure != nil {
+			t.Fatalf("%s in time: %v", name, failure)
+		}
+		late, failure := acquireAt(p, clock)
+		if failure != nil {
+			t.Fatalf("%s: %v", name, failure)
+		}
+		sent := len(f.sent)
+		clock.T = clock.T.Add(time.Second)
+		if failure := work(late); failure == nil || failure.Code != result.TargetLeaving || failure.Ran != result.NotRun {
+			t.Fatalf("%s after its time: %v", name, failure)
+		}
+		if n := len(f.sent) - sent; n != 0 {
+			t.Fatalf("%s: %d commands were sent", name, n)
+		}
+		if _, failure := acquireAt(p, clock); failure == nil || failure.Code != result.TargetLeaving {
+			t.Fatalf("%s: a connection was given out: %v", name, failure)
+		}
+	}
+}
+
+// Guards against transactions that are cut off though the target still serves them.
+func TestAnOpenTransactionGoesOnAtATargetThatLeaves(t *testing.T) {
+	f := &fakeTarget{}
+	p, clock := leavingPool(f, 1)
+	l, failure := acquireAt(p, clock)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	if err := l.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	clock.T = clock.T.Add(2 * time.Second)
+	if a, err := l.Run(soon(), target.Command{Text: "write x"}); err != nil || a.Failure != nil {
+		t.Fatalf("%+v %v", a, err)
+	}
+}
+
+// Guards against requests that wait at a target until their deadline though it takes nothing more.
+func TestThoseThatWaitAreToldWhenATargetsTimeIsOver(t *testing.T) {
+	f := &fakeTarget{}
+	p, clock := leavingPool(f, 1)
+	if _, failure := acquireAt(p, clock); failure != nil { // It holds the only connection.
+		t.Fatal(failure)
+	}
+	told := make(chan *result.Error, 1)
+	go func() {
+		_, failure := acquireAt(p, clock)
+		told <- failure
+	}()
+	for p.Load().InFlight == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	clock.T = clock.T.Add(time.Second)
+	p.Tick()
+	select {
+	case failure := <-told:
+		if failure == nil || failure.Code != result.TargetLeaving || failure.Ran != result.NotRun {
+			t.Fatal(failure)
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("it waits on")
+	}
+}
+
+// Guards against a VM that has just started and takes a target's departure for one that has just begun.
+func TestATargetThatLeavesSinceAnUnknownTimeTakesNoWork(t *testing.T) {
+	f, clock := &fakeTarget{}, &mono.Manual{T: 1}
+	p := target.NewPool(topology.Target{ID: "t"}, 1, f, clock, slog.New(slog.DiscardHandler))
+	p.Leave(0)
+	if _, failure := acquireAt(p, clock); failure == nil || failure.Code != result.TargetLeaving {
+		t.Fatal(failure)
+	}
+	p.Stay()
+	if _, failure := acquireAt(p, clock); failure != nil {
+		t.Fatalf("it stays: %v", failure)
+	}
+}
+
+// Guards against reads that are refused everywhere, as no position of the primary can be asked for any more.
+func TestAPositionIsAskedForAfterATargetsTime(t *testing.T) {
+	f := &fakeTarget{answer: func(target.Command) (statement.Answer, error) {
+		return statement.Answer{State: statement.Idle, Position: position.Position{Term: 1, Index: 4}}, nil
+	}}
+	p, clock := leavingPool(f, 1)
+	clock.T = clock.T.Add(2 * time.Second)
+	end := clock.T.Add(time.Second)
+	l, failure := p.Acquire(context.Background(), waitlist.Request{Useful: end, Deadline: end, Anyone: true}, nil)
+	if failure != nil {
+		t.Fatal(failure)
+	}
+	if got, err := l.Position(soon()); err != nil || got.Index != 4 {
+		t.Fatal(got, err)
+	}
+}
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -79,10 +79,12 @@
 }
 
 func (l *Link) runOnce(deadline time.Time, c Command) (statement.Answer, error) {
-	begun := l.pool.begin(l)
 	if l.opensWork(c.Kind) {
-		l.pool.noteUse(l.waited)
+		if refusal := l.pool.admit(l.waited); refusal != nil {
+			return statement.Answer{Failure: refusal, State: statement.Idle}, nil
+		}
 	}
+	begun := l.pool.begin(l)
 	c.Priority, c.Useful = l.turn.Priority, max(l.turn.Useful.Sub(begun), 1)
 	c.Customer, c.Anyone = l.turn.Customer, l.turn.Anyone
 	a, err := l.conn.Run(deadline, c)
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -106,6 +106,10 @@
 		p.mu.Unlock()
 		return nil, result.New(result.TargetUnreachable, "%s is gone", p.target.ID)
 	}
+	if p.hasLeft(p.clock.Now()) && !r.Anyone {
+		p.mu.Unlock()
+		return nil, p.left()
+	}
 	if l := p.takeIdle(&r, values); l != nil {
 		l.give(r, p.clock.Now(), 0)
 		p.mu.Unlock()
@@ -276,7 +280,7 @@
 		p.probe()
 	}
 	p.closeSurplus(now)
-	p.reportUse(now)
+	p.followDeparture(now)
 	p.grow()
 }
 
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -25,6 +25,9 @@
 
 // Pools holds the pools of all targets. Safe for concurrent use.
 type Pools struct {
+	// Drain is for how long a target that leaves is sent new work. It is set before Run.
+	Drain time.Duration
+
 	directory *directory.Directory
 	driver    Driver
 	clock     mono.Clock
@@ -38,7 +41,7 @@
 
 // NewPools makes pools for the directory's targets.
 func NewPools(d *directory.Directory, driver Driver, clock mono.Clock, log *slog.Logger) *Pools {
-	return &Pools{directory: d, driver: driver, clock: clock, log: log, pools: map[topology.TargetID]*Pool{}}
+	return &Pools{Drain: DefaultDrain, directory: d, driver: driver, clock: clock, log: log, pools: map[topology.TargetID]*Pool{}}
 }
 
 // Get returns a target's pool.
@@ -134,7 +137,7 @@
 			p.pools[t.ID] = pool
 		}
 		pool.SetShare(share)
-		pool.SetLeaving(t.Leaving)
+		pool.follow(t, p.Drain)
 	}
 	for id, pool := range p.pools {
 		if !present[id] {
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -57,6 +57,7 @@
 	WrongTarget        Code = 1217
 	TargetFailed       Code = 1218
 	TargetBusy         Code = 1219
+	TargetLeaving      Code = 1220
 )
 
 // Codes 1300 to 1399: configuration, presets and operators.
@@ -132,6 +133,7 @@
 	WrongTarget:        {"WrongTarget", "another target answers at this address", NotRun},
 	TargetFailed:       {"TargetFailed", "the target ran the request and failed", Unknown},
 	TargetBusy:         {"TargetBusy", "the target refused for its load, before the run", NotRun},
+	TargetLeaving:      {"TargetLeaving", "the target leaves and is sent no new work", NotRun},
 
 	ConfigInvalid:       {"ConfigInvalid", "the configuration is not valid", NotRun},
 	ConfigConflict:      {"ConfigConflict", "another operator's change came first", NotRun},
