A primary that leaves serves the reads that no replica can

What callers saw: from the word of a group's last database that it leaves on, every read of its replica classes was refused after 0.7 to 1.1 s (NoPrimary), while writes went on at the same database: a quarter of all requests until it ended.

Cause: bts-gateway takes any target that leaves out of the choice for reads, the primary as well. bts-proxy does not: there a leaving primary is a last resort. Class: the same rule written twice, differently.

Fix: as in bts-proxy, a leaving primary counts as suspect, which comes after all replicas, until it takes no new work; leaving replicas stay out.

Before: TestReadsAreServedByThePrimaryThatLeavesLast failed with NoPrimary, and of TestTheLastDatabaseThatLeavesServesAllClassesForItsTime two classes were served 4 and 0 times in a second. After: three runs of both passed, and of TestReadsAvoidAPrimaryThatLeaves, which holds that replicas still come first.

--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -63,6 +63,36 @@
 	}
 }
 
+// Guards against reads that are refused though the primary that leaves still serves, and no replica is left.
+func TestReadsAreServedByThePrimaryThatLeavesLast(t *testing.T) {
+	f := start(t)
+	f.leave(replica, time.Second)
+	f.leave(primary, time.Second)
+	for _, class := range []string{"own", "bounded"} {
+		c := f.open(class)
+		c.expect("read a", "I ok d")
+		c.expect("begin_read_only", "T ok")
+		c.expect("read b", "T ok d")
+		c.expect("commit", "I ok d")
+	}
+	if ran := f.databases[replica].statements(); ran != "" {
+		t.Fatalf("at the replica that leaves: %s", ran)
+	}
+}
+
+// Guards against reads that go to a primary that leaves though a replica stays.
+func TestReadsAvoidAPrimaryThatLeaves(t *testing.T) {
+	f := start(t)
+	f.leave(primary, time.Second)
+	c := f.open("bounded")
+	for range 20 {
+		c.expect("read a", "I ok d")
+	}
+	if ran := f.databases[primary].statements(); ran != "" {
+		t.Fatalf("at the primary: %s", ran)
+	}
+}
+
 // Guards against a primary without a successor that is given up before its time is over.
 func TestAPrimaryThatLeavesServesUntilItsTimeIsOver(t *testing.T) {
 	f := start(t)
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -147,10 +147,10 @@
 	switch {
 	case !ok:
 		c.State = routing.Dead
-	case t.Leaving:
+	case t.Leaving && (!c.Primary || load.Left):
 		c.State = routing.Leaving
-	case load.FailingFor > suspectAfter:
-		c.State = routing.Suspect
+	case t.Leaving, load.FailingFor > suspectAfter:
+		c.State = routing.Suspect // A primary that leaves serves what no replica can.
 	}
 	c.Latency, c.InFlight = load.Latency+load.Queue, load.Busy
 	return c
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -318,6 +318,8 @@
 	LastAnswer mono.Time
 	// Saturated: it refused a statement for its load just now.
 	Saturated bool
+	// Left: it leaves, and is sent no new work any more.
+	Left bool
 }
 
 // queue is how long a request behind all others would wait for a connection.
@@ -347,5 +349,6 @@
 		FailingFor: p.health.failingFor(now),
 		LastAnswer: p.health.lastAnswer,
 		Saturated:  p.saturated(math.MaxInt, now),
+		Left:       p.hasLeft(now),
 	}
 }
