A watch without changes shows that there were none until its end

Since when a target leaves counts from the call before the one that brought the change. The store holds a watch until its wait is over or there is a change, so an empty answer counts from the end of the wait. With changes it counts from its start, as before.

Test: a change after two empty watches is taken for written up to one wait before, not two.

--- a/internal/directory/timing_test.go
+++ b/internal/directory/timing_test.go
@@ -14,6 +14,9 @@
 // timed is what a watcher took over, with the moments before it was written.
 type timed struct{ *seen }
 
+// timedWait is how long its watches wait.
+const timedWait = 400 * time.Millisecond
+
 // followTimed runs a watcher that may be told by a relay.
 func followTimed(t *testing.T, store metastore.Store, relay *directory.Relay) timed {
 	t.Helper()
@@ -22,7 +25,7 @@
 	t.Cleanup(cancel)
 	w := &directory.Watcher{
 		Store: store, Table: "t", Clock: mono.System{}, Log: slog.New(slog.DiscardHandler), All: s.all, Change: s.take,
-		Feed: directory.Registrations, Relay: relay, Wait: func() time.Duration { return 100 * time.Millisecond },
+		Feed: directory.Registrations, Relay: relay, Wait: func() time.Duration { return timedWait },
 	}
 	go w.Run(ctx)
 	return s
@@ -55,10 +58,10 @@
 	if first != 0 {
 		t.Fatalf("a row of the first listing is taken for written after %d", first)
 	}
-	time.Sleep(400 * time.Millisecond)
+	time.Sleep(2*timedWait + timedWait/2)
 	written := mono.System{}.Now()
 	put(t, store, "second")
-	s.expect(t, "second", written, 300*time.Millisecond)
+	s.expect(t, "second", written, timedWait+timedWait/2)
 }
 
 // Guards against changes that are taken for written when a coordinator told of them, as they are told for a while.
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -171,7 +171,7 @@
 	at := Timing{Began: began, After: f.current}
 	matter := w.changed(changes.Rows, at)
 	w.seen(began)
-	f.version, f.current = max(f.version, changes.Version), max(f.current, began)
+	f.version, f.current = max(f.version, changes.Version), max(f.current, w.currentAfter(changes, began, wait))
 	if w.Neighbours != nil {
 		w.Relay.KeepChanges(w.Feed, changes.Rows, f.version)
 	}
@@ -184,6 +184,15 @@
 	return nil
 }
 
+// currentAfter returns a moment at which what a watch brought was all. The store answers one without changes when its
+// wait is over, others at any time since it was sent.
+func (w *Watcher) currentAfter(changes metastore.Rows, began mono.Time, wait time.Duration) mono.Time {
+	if len(changes.Rows) > 0 {
+		return began
+	}
+	return min(began.Add(wait), w.Clock.Now())
+}
+
 // untilTelling returns a context for a call that ends as the other VMs begin to rely on this one.
 //
 // Failure: a VM takes a coordinator's place while its watch waits, for as long as watches of many VMs
