Writes of a primary that has left for long are refused at once

What callers saw: with a primary whose time is over and that is not replaced, though a replica is registered (it can't be reached, or no change can be written), every write waited until its deadline, for as long as that lasts.

Cause: as for groups without a target; a missing right is told at once after three seconds, a primary that takes nothing is not.

Fix: what a request needs of targets is told apart, a primary that takes new work and a target that may run a read, so that reads that are served at replicas do not hide that writes have no primary. After three seconds without one, requests are refused at once.

--- a/internal/gateway/leaving_test.go
+++ b/internal/gateway/leaving_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// Guards against writes that are held until their deadline for as long as a primary that has left is not replaced.
+func TestAPrimaryThatHasLeftForLongIsNotWaitedFor(t *testing.T) {
+	f := start(t)
+	f.leave(primary, longAgo)
+	newest, bounded := f.open("newest"), f.open("bounded")
+	for began := time.Now(); time.Since(began) < 3200*time.Millisecond; {
+		newest.expect("write a 1", "I TargetLeaving not run")
+		bounded.expect("read a", "I ok d")
+	}
+	began := time.Now()
+	newest.expect("write a 1", "I TargetLeaving not run")
+	if waited := time.Since(began); waited > statementTimeout/4 {
+		t.Fatalf("held for %v", waited)
+	}
+}
+
 // Guards against a primary without a successor that is given up before its time is over.
 func TestAPrimaryThatLeavesServesUntilItsTimeIsOver(t *testing.T) {
 	f := start(t)
--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -32,9 +32,10 @@
 type need int
 
 const (
-	needRight  need = iota // to acknowledge at the primary
-	needAge                // to be shown for reads
-	needTarget             // that may run them
+	needRight   need = iota // to acknowledge at the primary
+	needAge                 // to be shown for reads
+	needPrimary             // that takes new work
+	needTarget              // that may run a read
 	needs
 )
 
@@ -53,21 +54,19 @@
 	r.view(group).outages[n].over()
 }
 
-// hasNoTargetLeft reports whether a failure shows that no target of the group takes new work: the one asked leaves,
-// and so do all others. Nothing tells when one comes.
-func (r *router) hasNoTargetLeft(c *directory.Class, failure *result.Error) bool {
-	return failure.Code == result.TargetLeaving && allLeave(r.directory.TargetsOf(c.Group))
-}
-
 func allLeave(targets []directory.Target) bool {
 	return len(targets) > 0 && !slices.ContainsFunc(targets, func(t directory.Target) bool { return !t.Leaving })
 }
 
-// isHopeless reports whether a request had better be refused now: no target of its group is left, or there has been
-// none for longer than a change of primary takes.
-func (r *router) isHopeless(c *directory.Class, failure *result.Error) bool {
-	if failure.Code == result.NoPrimary {
-		return r.lacks(c.Group, needTarget)
+// isHopeless reports whether a request that failed for want of a target had better be refused now: all targets of its
+// group leave, and nothing tells when one comes, or what it needs has been missing for longer than a change of primary
+// takes.
+func (r *router) isHopeless(c *directory.Class, failure *result.Error, n need) bool {
+	switch failure.Code {
+	case result.TargetLeaving:
+		return allLeave(r.directory.TargetsOf(c.Group)) || r.lacks(c.Group, n)
+	case result.NoPrimary:
+		return r.lacks(c.Group, n)
 	}
-	return r.hasNoTargetLeft(c, failure)
+	return false
 }
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -27,7 +27,7 @@
 		if failure.Code == result.NoRight && (r.server.Rights.CutOff() || r.server.router.lacks(r.class.Group, needRight)) {
 			break
 		}
-		if overloaded(failure) && r.hopeless() || r.server.router.isHopeless(&r.class, failure) {
+		if overloaded(failure) && r.hopeless() || r.server.router.isHopeless(&r.class, failure, needPrimary) {
 			break
 		}
 		if r.writes && failure.Ran != result.NotRun || failure.Code == result.DeadlineExceeded {
@@ -48,6 +48,7 @@
 		return statement.Answer{}, failure
 	}
 	defer link.Release()
+	r.server.router.has(r.class.Group, needPrimary)
 	if !r.server.Rights.Confirm(right) {
 		return statement.Answer{}, noRight(right)
 	}
@@ -79,7 +80,6 @@
 	if !ok {
 		return right, nil, result.New(result.NoPrimary, "%s is not registered", right.Primary).After(comeBack)
 	}
-	r.server.router.has(r.class.Group, needTarget)
 	return right, pool, nil
 }
 
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -189,9 +189,9 @@
 	tried := map[topology.TargetID]bool{}
 	for r.left(sendReserve) && r.ctx.Err() == nil {
 		var failure *result.Error
-		anywhere := r.tx.readOnly && r.class.Reads != directory.Newest
+		anywhere, lacked := r.tx.readOnly && r.class.Reads != directory.Newest, needPrimary
 		if anywhere {
-			failure = r.attachAnywhere(tried)
+			failure, lacked = r.attachAnywhere(tried), needTarget
 		} else {
 			failure = r.attachPrimary()
 		}
@@ -211,7 +211,7 @@
 		if failure.Code == result.NoRight && r.server.router.lacks(r.class.Group, needRight) || r.ageLacksForLong(failure) {
 			break
 		}
-		if r.server.router.isHopeless(&r.class, failure) {
+		if r.server.router.isHopeless(&r.class, failure, lacked) {
 			break
 		}
 	}
@@ -253,6 +253,7 @@
 		r.pause(retryPause)
 		return failure
 	}
+	r.server.router.has(r.class.Group, needPrimary)
 	r.tx.right, r.tx.guarded = right, true
 	return nil
 }
