A row that is told without its age counts from the last word before it

Found while reading the fix: during a rolling restart a coordinator of the earlier version tells rows without their age, and a VM of this one took them for written when it was told, up to a second or two too late for the time of a leaving target. Without an age the last word that there was nothing new counts, as for rows that are fetched.

Test: failed before (the row taken for written after it was), passes after.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -31,9 +31,9 @@
 	// none if they are old or large.
 	Since uint64          `msgpack:"b,omitempty"`
 	Rows  []metastore.Row `msgpack:"r,omitempty"`
-	// Age is how long ago the oldest of Rows was written at most.
+	// Age is how long ago the oldest of Rows was written at most; 0: the teller does not say.
 	Age time.Duration `msgpack:"a,omitempty"`
-	// after is a moment before Rows were written, by the clock of the VM that was told.
+	// after is a moment before Rows were written, by the clock of the VM that was told; 0: not known.
 	after mono.Time
 	// Large is the version up to which a VM must have come for its watch to be of use: from
 	// earlier ones on there are more changes than a watch reads.
@@ -300,7 +300,9 @@
 			news = true
 			r.before[f] = quiet{matters: was, heard: r.heard[f]}
 		}
-		t.after = sent.Add(-t.Age)
+		if t.Age > 0 {
+			t.after = sent.Add(-t.Age)
+		}
 		r.told[f], r.heard[f] = t, max(r.heard[f], sent)
 	}
 	if news {
--- a/internal/directory/timing_test.go
+++ b/internal/directory/timing_test.go
@@ -83,6 +83,23 @@
 	s.expect(t, "second", after, 50*time.Millisecond)
 }
 
+// Guards against a row of a VM of an earlier version, which does not say its age, that is taken for just written.
+func TestAToldChangeWithoutAnAgeIsNoYoungerThanTheLastWordThatThereWasNone(t *testing.T) {
+	store := metastore.NewMemory()
+	put(t, store, "first")
+	relay := directory.New(self).Relay()
+	stop := tell(relay, 1)
+	s := followTimed(t, store, relay)
+	eventually(t, func() bool { return s.has(1) })
+	stop()
+	written := mono.System{}.Now()
+	time.Sleep(200 * time.Millisecond)
+	relay.Tell(directory.News{directory.Registrations: {
+		Matters: 2, Seen: 2, Since: 1, Rows: []metastore.Row{{Key: "second", Version: 2}},
+	}}, mono.System{}.Now())
+	s.expect(t, "second", written, 3*time.Second)
+}
+
 // Guards against a change that a VM reads from the store by itself, as it is told that there is one, and takes for
 // younger than the last word that there was none, or for as old as its own last call.
 func TestAFetchedChangeIsNoYoungerThanTheLastWordThatThereWasNone(t *testing.T) {
