--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -239,8 +239,7 @@
 }
 
 // SetTelling says whether the other VMs rely on this one. As they begin to, it asks the store at
-// once, so that it can tell: waiting for its next watch to end, it told nothing for more than a
-// second, and all others watched by themselves.
+// once, so that it can tell: the others watch by themselves until it does.
 func (r *Relay) SetTelling(telling bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -271,12 +270,8 @@
 	return r.telling
 }
 
-// Expect notes that some VM is known to coordinate.
-//
-// Failure: VMs start for the first time, one soon after the other, and each hopes to be
-// told by a coordinator that there is not. The one that wrote the first row knew of no VM that
-// registered after it, so its row had no witnesses: lost for good, it was waited for by its limit
-// before a primary could be replaced.
+// Expect notes that some VM is known to coordinate. Before that a VM watches by itself: as VMs start for the
+// first time nobody tells of those that register, and a first row needs them as witnesses.
 func (r *Relay) Expect() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -193,11 +193,8 @@
 	return min(began.Add(wait), w.Clock.Now())
 }
 
-// untilTelling returns a context for a call that ends as the other VMs begin to rely on this one.
-//
-// Failure: a VM takes a coordinator's place while its watch waits, for as long as watches of many VMs
-// do. Until that was over it had heard nothing of the store, said so, and was replaced by the next VM,
-// to which the same happened.
+// untilTelling returns a context for a call that ends as the other VMs begin to rely on this one: a coordinator
+// whose watch still waits has heard nothing of the store, and would be replaced for that.
 func (w *Watcher) untilTelling(ctx context.Context) (context.Context, func()) {
 	if w.Relay == nil || w.Relay.Telling() {
 		return ctx, func() {}
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -104,11 +104,9 @@
 // lostLog is the failure of a request whose primary holds less than it did before the request was
 // sent.
 //
-// Failure: a database starts again under its id, without its log, and new connections to it
-// succeed before its registration tells of the start. A read at the primary is not checked
-// against a position, so the caller would be shown nothing of what it was acknowledged. Positions
-// of one term only rise, so a lower one proves it; the coordinator replaces the primary as soon
-// as its registration has changed.
+// A database that starts again under its id without its log takes connections before its registration tells
+// of the start, and reads at the primary carry no position to check. Positions of one term only rise, so a
+// lower one proves the loss.
 func (r *request) lostLog(right lease.Right, holds, held position.Position) *result.Error {
 	r.server.Log.Warn("event=primary_lost_log", "request", r.st.ID, "group", right.Group, "target", right.Primary,
 		"holds", holds, "held", held)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -157,8 +157,7 @@
 
 // awaitConfiguration waits for the first configuration, and reports whether there is one.
 //
-// Failure: all VMs have started again, and callers reach one that has not read the configuration
-// yet. It said that their database does not exist.
+// Without one, callers of a VM that has just started would be told that their database does not exist.
 func (s *Server) awaitConfiguration() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), configurationWait)
 	defer cancel()
--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -153,10 +153,8 @@
 
 // leadsAlready reports whether a target other than the row's primary leads the row's term.
 //
-// Failure: a primary crashes and comes back at once, with its log and under another name. It
-// had received most, so it was chosen; the platform answers an order to promote the present
-// primary with a success that changes nothing, and the next term, which the coordinator
-// waited for, never came: callers' writes were refused until the coordinator ended.
+// A primary that crashes may come back at once, with its log and under another name. An order to promote it
+// succeeds and changes nothing, so no next term is to be waited for.
 func (r *replacement) leadsAlready(s target.Status) bool {
 	return s.Primary && s.Term == r.row.Term
 }
--- a/internal/lead/firstrow.go
+++ b/internal/lead/firstrow.go
@@ -79,10 +79,8 @@
 	return firstDelay + l.delay("")
 }
 
-// writeFirstRows writes rows under the duty to promote, so that one VM writes them all.
-//
-// Failure: VMs that had just started knew of few others, and each wrote some of the rows. Groups went
-// from coordinator to coordinator for seconds, and every VM read the store for its rights.
+// writeFirstRows writes rows under the duty to promote, so that one VM writes them all: groups of several
+// coordinators would go from one to the other until all are at one.
 func (l *Lead) writeFirstRows(ctx context.Context, groups []topology.GroupID, fence uint64) {
 	if !l.takeDutyForFirstRows(ctx, fence) {
 		wait.For(ctx, firstDelay)
@@ -119,8 +117,7 @@
 // takeDutyForFirstRows reports whether this VM has the duty, and takes it if it is still as it was when
 // this VM's turn came: nobody's, or of a VM that has left the first rows unwritten.
 //
-// Failure: the holder of the duty had ended before it wrote a row. Each VM claimed the duty from the one
-// that had just got it, for good, and no group ever had a row.
+// A holder that has just got it is left alone, or the VMs would claim the duty from each other for good.
 func (l *Lead) takeDutyForFirstRows(ctx context.Context, fence uint64) bool {
 	if err := l.readDecisions(ctx); err != nil {
 		l.Log.Info("event=duty_not_claimed", "error", err)
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -255,9 +255,8 @@
 
 // stillCoordinates reads from the store whether a VM coordinates a group.
 //
-// Failure: a data centre was cut off with the coordinator, and the others have replaced it. As
-// the cut heals, each VM there has heard for seconds that its coordinator has no store, and
-// all tried to take its groups over at the same moment, each refused by its condition.
+// The rows known here may be old: VMs that come out of a cut with a coordinator that was replaced
+// meanwhile would all try to take its groups over.
 func (l *Lead) stillCoordinates(ctx context.Context, vm topology.VMID) bool {
 	if err := l.readDecisions(ctx); err != nil {
 		l.Log.Info("event=takeover_put_off", "coordinator", vm, "error", err)
@@ -270,9 +269,6 @@
 
 // takeFirst takes one group. It fails if the store takes no change, and if another VM has taken the
 // group: that one takes the others as well, and two that go on would scatter them.
-//
-// Failure: the store resets connections, and the coordinator of several groups is lost. Each VM went
-// on trying to take all of them over, and none of the changes was made.
 func (l *Lead) takeFirst(ctx context.Context, from topology.VMID, group topology.GroupID, why string) ([]*lease.Row, error) {
 	var row *lease.Row
 	var err error
@@ -314,8 +310,7 @@
 
 // takeGroup makes this VM a group's coordinator in place of another and returns the row.
 //
-// Failure: two VMs had decided to take a coordinator's place. The second one had adopted the rows of the
-// first meanwhile, and took the groups from that one.
+// Another VM may have taken the group since the takeover was decided; it is not taken from that one.
 func (l *Lead) takeGroup(ctx context.Context, from topology.VMID, group topology.GroupID, why string) (*lease.Row, error) {
 	row := l.Row(group)
 	if row == nil || row.Coordinator != from {
--- a/internal/target/lane.go
+++ b/internal/target/lane.go
@@ -35,8 +35,7 @@
 
 // serves reports whether a link may run a request.
 //
-// Failure: a VM that has just started takes itself for one that reaches a target through others, and has
-// become a holder as it connects. The direct connection that it opens is one customer's, whatever its lane.
+// The kind of the link counts, not that of the pool: a VM may become a holder while it connects.
 func (p *Pool) serves(l *Link, r *waitlist.Request) bool {
 	switch {
 	case r.Anyone:
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -233,11 +233,8 @@
 	return now
 }
 
-// end notes what the end of a command tells of the target.
-//
-// Failure: a primary is dark, and most VMs reach it through its holders. Each refusal of a
-// holder, and each value that a holder kept, passed for an answer of the target, so most VMs
-// vouched for it, and it was replaced only when its registration had lapsed.
+// end notes what the end of a command tells of the target. What a holder answers by itself is no answer of the
+// target: VMs that reach a dark primary through holders would vouch for it.
 func (p *Pool) end(l *Link, begun mono.Time, refusal *result.Error, err error) {
 	now := p.clock.Now()
 	p.mu.Lock()
--- a/internal/target/saturation.go
+++ b/internal/target/saturation.go
@@ -29,10 +29,8 @@
 }
 
 // AdmitTransaction refuses a new transaction of a priority while the target is saturated. It answers the
-// load that lasts and exceeds what the target can do, as when the replicas lag and all of a
-// group's reads go to its primary: a transaction of six statements takes the place of six
-// callers, and most lost theirs to a refusal in the middle, with the work done in vain. Single
-// statements alone mostly fit.
+// load that lasts and exceeds what the target can do: a transaction takes the place of as many callers as it
+// has statements, and a refusal in its middle wastes what was done for it.
 func (p *Pool) AdmitTransaction(priority int) *result.Error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -164,8 +164,7 @@
 // pick returns the index of the chosen target, or -1. A read takes a replica of
 // its own data centre or the other ones, whichever costs less; the primary comes
 // last, so that writes keep its slots. A replica that is behind is waited for while that
-// is sooner than the primary's answer: with all replicas 2 to 3 s behind, all reads at the
-// primary were two thirds more than it could do, though many lacked only some 100 ms.
+// is sooner than the primary's answer: the primary can't take all reads of replicas that lag.
 func (e *Explanation) pick(targets []Candidate, patience time.Duration, random Random) int {
 	near, far, primary := make([]int, 0, len(targets)), []int(nil), -1
 	for i := range targets {
