--- a/internal/gateway/outage.go
+++ b/internal/gateway/outage.go
@@ -54,14 +54,14 @@
 	r.view(group).outages[n].over()
 }
 
+// allLeave reports whether a group has targets, and none that stays.
 func allLeave(targets []directory.Target) bool {
 	return len(targets) > 0 && !slices.ContainsFunc(targets, func(t directory.Target) bool { return !t.Leaving })
 }
 
-// isHopeless reports whether a request that failed for want of a target had better be refused now: all targets of its
-// group leave, and nothing tells when one comes, or what it needs has been missing for longer than a change of primary
-// takes.
-func (r *router) isHopeless(c *directory.Class, failure *result.Error, n need) bool {
+// lacksTarget reports whether a request failed since no target takes it, with no end in sight, so that it is better
+// refused now: all targets of its group leave, or what it needs has been lacking for long.
+func (r *router) lacksTarget(c *directory.Class, failure *result.Error, n need) bool {
 	switch failure.Code {
 	case result.TargetLeaving:
 		return allLeave(r.directory.TargetsOf(c.Group)) || r.lacks(c.Group, n)
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -27,7 +27,7 @@
 		if failure.Code == result.NoRight && (r.server.Rights.CutOff() || r.server.router.lacks(r.class.Group, needRight)) {
 			break
 		}
-		if overloaded(failure) && r.hopeless() || r.server.router.isHopeless(&r.class, failure, needPrimary) {
+		if overloaded(failure) && r.hopeless() || r.server.router.lacksTarget(&r.class, failure, needPrimary) {
 			break
 		}
 		if r.writes && failure.Ran != result.NotRun || failure.Code == result.DeadlineExceeded {
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -42,7 +42,7 @@
 		c, failure := r.server.router.chooseRead(&r.class, r.sessionFloor(), r.patience(), tried)
 		if failure != nil {
 			last = failure
-			if r.server.Rights.CutOff() || r.ageLacksForLong(failure) || r.server.router.isHopeless(&r.class, failure, needTarget) {
+			if r.server.Rights.CutOff() || r.ageLacksForLong(failure) || r.server.router.lacksTarget(&r.class, failure, needTarget) {
 				break
 			}
 			if busy != nil && r.hopeless() {
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -211,7 +211,7 @@
 		if failure.Code == result.NoRight && r.server.router.lacks(r.class.Group, needRight) || r.ageLacksForLong(failure) {
 			break
 		}
-		if r.server.router.isHopeless(&r.class, failure, lacked) {
+		if r.server.router.lacksTarget(&r.class, failure, lacked) {
 			break
 		}
 	}
