--- /dev/null
+++ b/internal/gatewayd/settings_test.go
@@ -0,0 +1,47 @@
+package gatewayd
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+)
+
+// load writes settings that are right but for what is changed, and loads them.
+func load(t *testing.T, changed map[string]any) (Settings, error) {
+	t.Helper()
+	all := map[string]any{
+		"vm": "vm-1", "data_centre": "x", "region": "r", "caller_address": "127.0.0.1:1", "ready_address": "127.0.0.1:2",
+		"peer_address": "127.0.0.1:3", "store_address": "127.0.0.1:4", "promotion_address": "127.0.0.1:5",
+	}
+	for key, value := range changed {
+		all[key] = value
+	}
+	raw, err := json.Marshal(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "settings.json")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadSettings(path)
+}
+
+// Guards against a time of leaving targets that is taken for another one than the operator set.
+func TestTheTimeOfLeavingTargetsIsASetting(t *testing.T) {
+	if s, err := load(t, nil); err != nil || s.Drain.Std() != 7*time.Second {
+		t.Fatalf("by default %v, %v", s.Drain.Std(), err)
+	}
+	if s, err := load(t, map[string]any{"drain": "10000ms"}); err != nil || s.Drain.Std() != 10*time.Second {
+		t.Fatalf("%v, %v", s.Drain.Std(), err)
+	}
+	_, err := load(t, map[string]any{"drain": "-1s"})
+	if e := result.From(err); e == nil || e.Code != result.ConfigInvalid || !strings.Contains(e.Detail, "drain") {
+		t.Fatalf("below zero: %v", err)
+	}
+}
