A candidate's log is the end of the term only if the primary stepped down

What callers saw: nothing, mostly. Reads of a stated age, served at replicas while the primary was being replaced, missed a commit that was acknowledged and survived.

Cause: while nobody can be asked for the newest position, reads go by the end of the log, which was what the chosen candidate held. If the former primary did not step down, it may hold acknowledged commits beyond that. They are lost if the candidate leads; if it is given up and the former primary comes back, they are not, and what was read in between was stale. Class: a decision that can still be withdrawn, taken for made.

Fix: the row says whether the former primary has stepped down and the candidate holds all that it held. Only then is that the end. Otherwise reads go by earlier positions of the primary, as far as their stated age lets them, until the candidate leads.

A third way, not built: each VM says with its confirmation of the closed row which positions it has acknowledged, so that the end is known also where the primary did not answer.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -223,7 +223,7 @@
 func (r *rights) Frozen(topology.GroupID) (position.Position, mono.Time, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.row.Handover == nil {
+	if r.row.Handover == nil || !r.row.Handover.Complete {
 		return position.Position{}, 0, false
 	}
 	return r.row.Handover.End, mono.System{}.Now(), true
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -345,13 +345,14 @@
 }
 
 // Frozen returns the end of the group's log while its primary is being replaced and no
-// VM has a right, with when that was last heard: nothing is acknowledged meanwhile.
+// VM has a right, with when that was last heard: nothing is acknowledged meanwhile. A candidate that holds less than
+// the former primary may be given up, so what it holds is not the end before it leads.
 func (l *Lead) Frozen(group topology.GroupID) (position.Position, mono.Time, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	row := l.holder.Row(group)
 	at := l.frozen[group]
-	if row == nil || row.Open() || row.Handover.Candidate == "" || at.version != row.Version {
+	if row == nil || row.Open() || !row.Handover.Complete || at.version != row.Version {
 		return position.Position{}, 0, false
 	}
 	return row.Handover.End, at.heard, true
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -205,7 +205,7 @@
 }
 
 func TestRowOfAHandover(t *testing.T) {
-	row := firstRow().Closed("x").Choosing("b", position.Position{Term: 3, Index: 9}).Opened(4)
+	row := firstRow().Closed("x").Choosing("b", position.Position{Term: 3, Index: 9}, true).Opened(4)
 	if row.Version != 4 || row.Term != 4 || row.Primary != "b" || !row.Open() {
 		t.Fatalf("%+v", row)
 	}
--- a/pkg/lease/model_test.go
+++ b/pkg/lease/model_test.go
@@ -169,7 +169,7 @@
 			return true
 		}
 	}
-	chosen := row.Choosing(topology.TargetID(fmt.Sprintf("t%d", row.Term+1)), position.Position{Term: row.Term})
+	chosen := row.Choosing(topology.TargetID(fmt.Sprintf("t%d", row.Term+1)), position.Position{Term: row.Term}, true)
 	if m.write(i, chosen) {
 		m.write(i, chosen.Opened(row.Term+1))
 	}
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -92,6 +92,9 @@
 	Candidate topology.TargetID `json:"candidate" msgpack:"t"`
 	// End is what the candidate held when it was chosen: the end of the term.
 	End position.Position `json:"end" msgpack:"e"`
+	// Complete: the former primary has stepped down, and held no more. Otherwise it may come back with more if the
+	// candidate is not promoted in the end.
+	Complete bool `json:"complete,omitempty" msgpack:"o,omitempty"`
 	// Reason is for the operators.
 	Reason string `json:"reason" msgpack:"r"`
 }
@@ -146,10 +149,10 @@
 	return n
 }
 
-// Choosing returns the row with the candidate chosen.
-func (r *Row) Choosing(candidate topology.TargetID, end position.Position) *Row {
+// Choosing returns the row with the candidate chosen; complete is as in Handover.
+func (r *Row) Choosing(candidate topology.TargetID, end position.Position, complete bool) *Row {
 	n := r.next()
-	n.Handover.Candidate, n.Handover.End = candidate, end
+	n.Handover.Candidate, n.Handover.End, n.Handover.Complete = candidate, end, complete
 	return n
 }
 
