--- a/internal/directory/timing_test.go
+++ b/internal/directory/timing_test.go
@@ -31,6 +31,17 @@
 	return s
 }
 
+// followTold runs one that has seen the first row and is told that there is nothing new, until the teller is stopped.
+func followTold(t *testing.T) (store metastore.Store, relay *directory.Relay, s timed, stop func()) {
+	t.Helper()
+	store, relay = metastore.NewMemory(), directory.New(self).Relay()
+	put(t, store, "first")
+	stop = tell(relay, 1)
+	s = followTimed(t, store, relay)
+	eventually(t, func() bool { return s.has(1) })
+	return store, relay, s, stop
+}
+
 // expect checks that a row is taken for written before it was, and by how much at most.
 func (s timed) expect(t *testing.T, key string, written mono.Time, most time.Duration) {
 	t.Helper()
@@ -85,12 +96,7 @@
 
 // Guards against a row of a VM of an earlier version, which does not say its age, that is taken for just written.
 func TestAToldChangeWithoutAnAgeIsNoYoungerThanTheLastWordThatThereWasNone(t *testing.T) {
-	store := metastore.NewMemory()
-	put(t, store, "first")
-	relay := directory.New(self).Relay()
-	stop := tell(relay, 1)
-	s := followTimed(t, store, relay)
-	eventually(t, func() bool { return s.has(1) })
+	_, relay, s, stop := followTold(t)
 	stop()
 	written := mono.System{}.Now()
 	time.Sleep(200 * time.Millisecond)
@@ -103,12 +109,7 @@
 // Guards against a change that a VM reads from the store by itself, as it is told that there is one, and takes for
 // younger than the last word that there was none, or for as old as its own last call.
 func TestAFetchedChangeIsNoYoungerThanTheLastWordThatThereWasNone(t *testing.T) {
-	store := metastore.NewMemory()
-	put(t, store, "first")
-	relay := directory.New(self).Relay()
-	stop := tell(relay, 1)
-	s := followTimed(t, store, relay)
-	eventually(t, func() bool { return s.has(1) })
+	store, relay, s, stop := followTold(t)
 	const fresh = 2 * time.Second // How old a coordinator's own view may be.
 	time.Sleep(fresh + time.Second)
 	stop()
