--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -72,6 +72,8 @@
 	// upToDateAt is the last moment at which version was known to include all relevant changes; 0 if
 	// nothing was read yet.
 	upToDateAt mono.Time
+	// era is the store's era at the last listing.
+	era uint64
 	// reported is the version of the newest change that the coordinator last reported; 0 if none.
 	reported uint64
 	// failures is the number of calls that failed in a row, the first of them at failingSince.
@@ -121,6 +123,9 @@
 		return err
 	}
 	w.noteSuccess(p)
+	w.Log.Info("event=store_listed", "table", w.Table, "rows", len(rows.Rows), "version", rows.Version, "era", rows.Era,
+		"former_version", p.version, "former_era", p.era, "told_version", p.reported)
+	p.era = rows.Era
 	isNew := w.All(rows.Rows, Timing{Began: began, WrittenAfter: p.upToDateAt})
 	w.notifyAnswer(began)
 	p.version, p.upToDateAt = rows.Version, max(p.upToDateAt, began)
@@ -241,7 +246,7 @@
 	p.version = max(p.version, snapshot.Version)
 	w.Relay.SetSnapshot(w.Feed, snapshot.Rows, snapshot.Version)
 	w.Relay.NoteReceived(w.Feed, p.version, later, at.WrittenAfter, now)
-	w.Log.Info("event=store_changes_received", "table", w.Table, "rows", len(later), "version", p.version, "from", "neighbour")
+	w.Log.Info("event=store_changes_received", "table", w.Table, "rows", len(later), "version", p.version, "told_version", news.Relevant, "from", "neighbour")
 	return true
 }
 
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -69,7 +69,11 @@
 		d.Log.Error("event=configuration_malformed", "row_version", r.Version, "error", err, "outcome", "kept the configuration in force")
 		return true // The other VMs decode it themselves.
 	}
+	former := d.Directory.Configuration()
 	newer := d.Directory.SetConfiguration(c)
+	if !newer && former != nil && c.Version < former.Version {
+		d.Log.Warn("event=configuration_older", "version", c.Version, "row_version", r.Version, "in_force", former.Version, "outcome", "kept the configuration in force")
+	}
 	if newer {
 		d.Metrics.Configuration(c.Version)
 		d.Customers.SetNamed(c.Customers.Largest(metrics.MaxNamedCustomers))
--- a/pkg/metastore/metastore.go
+++ b/pkg/metastore/metastore.go
@@ -42,6 +42,9 @@
 	Version uint64
 	// Clock is the reading of the store's monotonic clock when it answered.
 	Clock time.Duration
+	// Era is the store's era when it answered: it increases each time the store is restored from an
+	// older copy.
+	Era uint64
 }
 
 // Range is the range of keys from From up to but excluding To. An empty To means no upper bound.
