--- a/internal/directory/neighbours_test.go
+++ b/internal/directory/neighbours_test.go
@@ -17,7 +17,7 @@
 	asked atomic.Int32
 }
 
-func (n *fakeNeighbour) Fetch(ctx context.Context, f directory.Feed, version uint64) (directory.Snapshot, bool) {
+func (n *fakeNeighbour) Fetch(ctx context.Context, f directory.Feed, version metastore.Version) (directory.Snapshot, bool) {
 	n.asked.Add(1)
 	if n.relay == nil {
 		return directory.Snapshot{}, false
@@ -33,20 +33,20 @@
 	first := directory.New(self).Relay()
 	coordinator := startWatcherWithNeighbours(t, memory, first, &fakeNeighbour{})
 	store, relay, near := &countingStore{Store: memory}, directory.New(self).Relay(), &fakeNeighbour{relay: first}
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	s := startWatcherWithNeighbours(t, store, relay, near)
 	time.Sleep(100 * time.Millisecond)
 	put(t, memory, "a")
 	eventually(t, func() bool { return coordinator.has(1) })
 	stop()
-	stop = publish(relay, 1)
+	stop = publish(relay, at(1))
 	defer stop()
-	relay.Receive(directory.News{directory.Registrations: {Relevant: 1, Seen: 1}}, mono.System{}.Now())
+	relay.Receive(directory.News{directory.Registrations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
 	eventually(t, func() bool { return s.has(1) })
 	if n := store.count(); n != 0 {
 		t.Fatalf("%d calls to the store", n)
 	}
-	if snapshot, ok := relay.AwaitSnapshot(t.Context(), directory.Registrations, 1); !ok || len(snapshot.Rows) != 1 {
+	if snapshot, ok := relay.AwaitSnapshot(t.Context(), directory.Registrations, at(1)); !ok || len(snapshot.Rows) != 1 {
 		t.Fatalf("the snapshot for other VMs is %+v", snapshot)
 	}
 }
@@ -56,12 +56,12 @@
 func TestStoreIsAskedWhenNoNeighbourHasTheChange(t *testing.T) {
 	store, relay, near := &countingStore{Store: metastore.NewMemory()}, directory.New(self).Relay(), &fakeNeighbour{}
 	put(t, store.Store, "a")
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	s := startWatcherWithNeighbours(t, store, relay, near)
 	eventually(t, func() bool { return s.has(1) })
 	put(t, store.Store, "b")
 	stop()
-	stop = publish(relay, 2)
+	stop = publish(relay, at(2))
 	defer stop()
 	eventually(t, func() bool { return s.has(2) })
 	if near.asked.Load() == 0 || store.count() != 1 {
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -24,13 +24,13 @@
 // FeedNews is what a coordinator reports on one feed.
 type FeedNews struct {
 	// Relevant is the version of the newest change that is relevant to the VMs.
-	Relevant uint64 `msgpack:"m"`
+	Relevant metastore.Version `msgpack:"m"`
 	// Seen is the version up to which the coordinator has seen all changes.
-	Seen uint64 `msgpack:"s"`
+	Seen metastore.Version `msgpack:"s"`
 	// Rows are the relevant changes after the version Since that the receiver lacks, the oldest
 	// first. There are none if they are old or large.
-	Since uint64          `msgpack:"b,omitempty"`
-	Rows  []metastore.Row `msgpack:"r,omitempty"`
+	Since metastore.Version `msgpack:"b,omitempty"`
+	Rows  []metastore.Row   `msgpack:"r,omitempty"`
 	// Age is an upper bound on the time since the oldest of Rows was written; 0 if the sender
 	// does not report it.
 	Age time.Duration `msgpack:"a,omitempty"`
@@ -38,7 +38,18 @@
 	writtenAfter mono.Time
 	// WatchableFrom is the lowest version from which a watch is of use: after earlier versions there
 	// are more changes than a watch reads.
-	WatchableFrom uint64 `msgpack:"l,omitempty"`
+	WatchableFrom metastore.Version `msgpack:"l,omitempty"`
+}
+
+// hasChangeAfter reports whether the store has, or may have, a relevant change after the version.
+func (n *FeedNews) hasChangeAfter(version metastore.Version) bool {
+	return n.Relevant.After(version) || n.Seen.Era > version.Era
+}
+
+// hasRowsAfter reports whether Rows are all relevant changes after the version.
+func (n *FeedNews) hasRowsAfter(version metastore.Version) bool {
+	sameEra := n.Since.Era == version.Era && n.Relevant.Era == version.Era
+	return len(n.Rows) > 0 && sameEra && !n.Since.After(version)
 }
 
 // News is what a coordinator reports, by feed.
@@ -97,13 +108,13 @@
 
 // feedState is what a VM has received of a feed and can report.
 type feedState struct {
-	relevant, seen uint64
+	relevant, seen metastore.Version
 	// answeredAt is when this VM's own watch was last answered, and listedAt when its listing was.
 	answeredAt, listedAt mono.Time
 	// watchableFrom is as in FeedNews.
-	watchableFrom uint64
+	watchableFrom metastore.Version
 	// recent are the newest relevant changes, all those after the version since.
-	since  uint64
+	since  metastore.Version
 	recent []recentRow
 }
 
@@ -116,7 +127,7 @@
 // report is what was reported on a feed: the version of the newest relevant change, and when that
 // was last confirmed.
 type report struct {
-	relevant    uint64
+	relevant    metastore.Version
 	confirmedAt mono.Time
 }
 
@@ -125,14 +136,15 @@
 }
 
 // NoteListing records that this VM has listed all rows of a feed as of a version, and whether that
-// showed anything new. If not, the others have nothing to fetch.
-func (r *Relay) NoteListing(f Feed, version uint64, isNew bool, now mono.Time) {
+// showed anything new. If not, the others have nothing to fetch, unless the store has begun a new era:
+// each VM has seen other changes that the store has lost.
+func (r *Relay) NoteListing(f Feed, version metastore.Version, isNew bool, now mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := &feedState{relevant: version, seen: version, answeredAt: now, listedAt: now}
 	if was := r.feedState[f]; was != nil {
 		s.watchableFrom = was.watchableFrom
-		if !isNew {
+		if !isNew && was.relevant.Era == version.Era {
 			s.relevant = was.relevant
 		}
 	}
@@ -142,7 +154,7 @@
 
 // NoteChanges records the relevant changes up to the version seen, as returned by a watch of this
 // VM that was answered at now. They were written after writtenAfter.
-func (r *Relay) NoteChanges(f Feed, seen uint64, rows []metastore.Row, writtenAfter, now mono.Time) {
+func (r *Relay) NoteChanges(f Feed, seen metastore.Version, rows []metastore.Row, writtenAfter, now mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.feedState[f]; s != nil {
@@ -153,7 +165,7 @@
 
 // NoteReceived records, as NoteChanges does, changes that were received from another VM. They alone
 // do not make this VM report on the feed, but it has the changes if it becomes the coordinator.
-func (r *Relay) NoteReceived(f Feed, seen uint64, rows []metastore.Row, writtenAfter, now mono.Time) {
+func (r *Relay) NoteReceived(f Feed, seen metastore.Version, rows []metastore.Row, writtenAfter, now mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.feedState[f]; s != nil {
@@ -164,20 +176,24 @@
 // NoteTooLarge records that a watch of this VM found more changes after the version seen than it
 // reads. The others are informed before this VM has listed the changes itself: otherwise they would
 // begin their own listings only at the end of this one, which takes a second.
-func (r *Relay) NoteTooLarge(f Feed, seen uint64, now mono.Time) {
+func (r *Relay) NoteTooLarge(f Feed, seen metastore.Version, now mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s := r.feedState[f]; s != nil {
-		s.relevant = max(s.relevant, seen+1)
+		s.relevant = metastore.Later(s.relevant, seen.Next())
 		s.since, s.recent = s.relevant, nil
-		s.answeredAt, s.watchableFrom = now, seen+1
+		s.answeredAt, s.watchableFrom = now, seen.Next()
 	}
 }
 
-func (s *feedState) add(seen uint64, rows []metastore.Row, writtenAfter, now mono.Time) {
-	s.seen = max(s.seen, seen)
+func (s *feedState) add(seen metastore.Version, rows []metastore.Row, writtenAfter, now mono.Time) {
+	if seen.Era > s.seen.Era {
+		// What the store has lost since the last listing is not among the rows.
+		s.relevant, s.since, s.recent = seen, seen, nil
+	}
+	s.seen = metastore.Later(s.seen, seen)
 	for _, row := range rows {
-		if row.Version > s.relevant {
+		if row.Version.After(s.relevant) {
 			s.relevant = row.Version
 			// Only the newest version of a row is of use.
 			s.recent = slices.DeleteFunc(s.recent, func(r recentRow) bool { return r.Key == row.Key })
@@ -202,7 +218,7 @@
 }
 
 // Followed is the version up to which a VM has received the changes of each feed.
-type Followed map[Feed]uint64
+type Followed map[Feed]metastore.Version
 
 // Followed returns the versions up to which this VM has received the changes.
 func (r *Relay) Followed() Followed {
@@ -231,7 +247,7 @@
 			item.Since = s.since
 		}
 		for _, row := range s.recent {
-			if row.Version > followed[f] {
+			if row.Version.After(followed[f]) {
 				item.Rows = append(item.Rows, row.Row)
 				item.Age = max(item.Age, now.Sub(row.writtenAfter))
 			}
@@ -295,9 +311,9 @@
 	defer r.mu.Unlock()
 	isNew := false
 	for f, item := range news {
-		if was := r.news[f].Relevant; item.Relevant > was {
+		if was := r.news[f]; item.hasChangeAfter(was.Relevant) {
 			isNew = true
-			r.previous[f] = report{relevant: was, confirmedAt: r.confirmedAt[f]}
+			r.previous[f] = report{relevant: was.Relevant, confirmedAt: r.confirmedAt[f]}
 		}
 		if item.Age > 0 {
 			item.writtenAfter = sent.Add(-item.Age)
@@ -326,14 +342,14 @@
 
 // currentAt returns the last moment at which, according to the news received, a VM that follows a
 // feed up to a version had all relevant changes; 0 if the news does not show one.
-func (r *Relay) currentAt(f Feed, version uint64) mono.Time {
+func (r *Relay) currentAt(f Feed, version metastore.Version) mono.Time {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last := report{relevant: r.news[f].Relevant, confirmedAt: r.confirmedAt[f]}
-	if last.relevant > version {
+	if last.relevant.After(version) {
 		last = r.previous[f]
 	}
-	if last.relevant == 0 || last.relevant > version {
+	if last.relevant.IsZero() || last.relevant.After(version) {
 		return 0
 	}
 	return last.confirmedAt.Add(-maxAnswerAge)
@@ -343,7 +359,7 @@
 // at once when no VM can report on the feed. It also returns the latest news of the feed: with
 // Apply, that has all relevant changes after the version; otherwise it shows that there is none up
 // to its Seen version if its Relevant version is not after the given one.
-func (r *Relay) Await(ctx context.Context, f Feed, after uint64, clock mono.Clock) (Action, FeedNews) {
+func (r *Relay) Await(ctx context.Context, f Feed, after metastore.Version, clock mono.Clock) (Action, FeedNews) {
 	recheckAt := clock.Now().Add(recheckPeriod)
 	for {
 		r.mu.Lock()
@@ -357,7 +373,7 @@
 		}
 		r.mu.Unlock()
 		now := clock.Now()
-		noNews := news.Relevant == 0 || !now.Before(validUntil)
+		noNews := news.Relevant.IsZero() || !now.Before(validUntil)
 		switch {
 		case ctx.Err() != nil:
 			return Watch, news
@@ -370,11 +386,11 @@
 			continue
 		case noNews:
 			return Watch, news
-		case news.Relevant > after && len(news.Rows) > 0 && news.Since <= after:
+		case news.Relevant.After(after) && news.hasRowsAfter(after):
 			return Apply, news
-		case news.Relevant > after && news.WatchableFrom > after:
+		case news.Relevant.After(after) && news.WatchableFrom.After(after):
 			return List, news
-		case news.Relevant > after || !now.Before(recheckAt):
+		case news.hasChangeAfter(after) || !now.Before(recheckAt):
 			return Fetch, news
 		}
 		wait.Until(ctx, changed, min(validUntil, recheckAt).Sub(now))
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -33,7 +33,7 @@
 }
 
 // publish has a coordinator report the version to relay every 100 ms until stop is called.
-func publish(relay *directory.Relay, version uint64) (stop func()) {
+func publish(relay *directory.Relay, version metastore.Version) (stop func()) {
 	done := make(chan struct{})
 	report := func() {
 		relay.Receive(directory.News{directory.Registrations: {Relevant: version, Seen: version}}, mono.System{}.Now())
@@ -58,7 +58,7 @@
 	store := &countingStore{Store: metastore.NewMemory()}
 	relay := directory.New(self).Relay()
 	put(t, store.Store, "a")
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	s := startWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	put(t, store.Store, heartbeat)
@@ -68,7 +68,7 @@
 	}
 	put(t, store.Store, "b")
 	stop()
-	stop = publish(relay, 3)
+	stop = publish(relay, at(3))
 	defer stop()
 	eventually(t, func() bool { return s.has(3) })
 	if n := store.count(); n != 1 {
@@ -81,7 +81,7 @@
 func TestVMWithoutNewsWatchesTheStore(t *testing.T) {
 	store := &countingStore{Store: metastore.NewMemory()}
 	relay := directory.New(self).Relay()
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	s := startWatcher(t, store, relay)
 	time.Sleep(200 * time.Millisecond)
 	stop()
@@ -94,11 +94,11 @@
 func TestFeedMissingFromNewsIsWatched(t *testing.T) {
 	store := &countingStore{Store: metastore.NewMemory()}
 	relay := directory.New(self).Relay()
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	s := startWatcher(t, store, relay)
 	time.Sleep(200 * time.Millisecond)
 	stop()
-	relay.Receive(directory.News{directory.Configurations: {Relevant: 1, Seen: 1}}, mono.System{}.Now())
+	relay.Receive(directory.News{directory.Configurations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
 	eventually(t, func() bool { return store.count() > 0 })
 	put(t, store.Store, "a")
 	eventually(t, func() bool { return s.has(1) })
@@ -115,8 +115,8 @@
 	put(t, store, heartbeat)
 	eventually(t, func() bool { return s.has(2) })
 	now := mono.System{}.Now()
-	if got := relay.NewsFor(now, nil)[directory.Registrations].Relevant; got != 1 {
-		t.Fatalf("reports version %d", got)
+	if got := relay.NewsFor(now, nil)[directory.Registrations].Relevant; got != at(1) {
+		t.Fatalf("reports version %v", got)
 	}
 	if got := relay.NewsFor(now.Add(time.Minute), nil); len(got) != 0 {
 		t.Fatalf("reports %v although its watch is not answered", got)
@@ -129,7 +129,7 @@
 	rejecting bool
 }
 
-func (r *rejectingStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (r *rejectingStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	rows, err := r.countingStore.Watch(ctx, table, after, wait)
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -160,7 +160,7 @@
 	store.mu.Lock()
 	store.rejecting = true
 	store.mu.Unlock()
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	defer stop()
 	put(t, store.Store, heartbeat) // Ends the pending watch.
 	time.Sleep(300 * time.Millisecond)
@@ -239,12 +239,12 @@
 	store := &countingStore{Store: metastore.NewMemory()}
 	relay := directory.New(self).Relay()
 	put(t, store, "a")
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	s := startWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	put(t, store, heartbeat)
 	stop()
-	relay.Receive(directory.News{directory.Registrations: {Relevant: 1, Seen: 2}}, mono.System{}.Now())
+	relay.Receive(directory.News{directory.Registrations: {Relevant: at(1), Seen: at(2)}}, mono.System{}.Now())
 	store.Store.(*metastore.Memory).ForgetHistory()
 	put(t, store, "b")
 	eventually(t, func() bool { return s.has(2) })
@@ -284,11 +284,11 @@
 	store := &countingStore{Store: metastore.NewMemory()}
 	relay := directory.New(self).Relay()
 	put(t, store.Store, "a")
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	s := startWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	stop()
-	relay.Receive(directory.News{directory.Configurations: {Relevant: 1, Seen: 1}}, mono.System{}.Now())
+	relay.Receive(directory.News{directory.Configurations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
 	time.Sleep(300 * time.Millisecond)
 	if n := store.count(); n != 0 {
 		t.Fatalf("%d calls since one answer left the feed out", n)
@@ -302,7 +302,7 @@
 	losesHistory atomic.Bool
 }
 
-func (f *historyLosingStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (f *historyLosingStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	if f.losesHistory.CompareAndSwap(true, false) {
 		return metastore.Rows{}, metastore.ErrHistoryGone
 	}
@@ -341,13 +341,13 @@
 	store := &countingStore{Store: metastore.NewMemory()}
 	relay := directory.New(self).Relay()
 	put(t, store.Store, "a")
-	stop := publish(relay, 1)
+	stop := publish(relay, at(1))
 	defer stop()
 	s := startWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	relay.SetPublishing(true)
 	eventually(t, func() bool { return store.count() > 0 })
-	if news, ok := relay.NewsFor(mono.System{}.Now(), nil)[directory.Registrations]; !ok || news.Seen == 0 {
+	if news, ok := relay.NewsFor(mono.System{}.Now(), nil)[directory.Registrations]; !ok || news.Seen.IsZero() {
 		t.Fatalf("%+v", news)
 	}
 }
@@ -381,7 +381,7 @@
 	released chan struct{}
 }
 
-func (h *blockedListingStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (h *blockedListingStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	rows, err := h.countingStore.Watch(ctx, table, after, wait)
 	if h.large.Load() && len(rows.Rows) > 0 {
 		return metastore.Rows{}, metastore.ErrHistoryTooLarge
@@ -419,3 +419,6 @@
 	close(blocked.released)
 	eventually(t, func() bool { return c.has(2) })
 }
+
+// at returns a version of the first era.
+func at(number uint64) metastore.Version { return metastore.Version{Number: number} }
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -11,8 +11,8 @@
 
 // Snapshot is a snapshot of a feed: its rows as of a version of the store.
 type Snapshot struct {
-	Version uint64          `msgpack:"v"`
-	Rows    []metastore.Row `msgpack:"r"`
+	Version metastore.Version `msgpack:"v"`
+	Rows    []metastore.Row   `msgpack:"r"`
 }
 
 // Size returns approximately how many bytes the rows take in a message.
@@ -28,14 +28,14 @@
 type Neighbours interface {
 	// Fetch returns the rows of a feed as of the version or a later one. It returns false if no
 	// neighbour has them; the caller then reads them from the store.
-	Fetch(ctx context.Context, f Feed, version uint64) (Snapshot, bool)
+	Fetch(ctx context.Context, f Feed, version metastore.Version) (Snapshot, bool)
 }
 
 // SetSnapshot stores a snapshot of a feed for other VMs to request: all its rows as of a version.
-func (r *Relay) SetSnapshot(f Feed, rows []metastore.Row, version uint64) {
+func (r *Relay) SetSnapshot(f Feed, rows []metastore.Row, version metastore.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if version < r.snapshots[f].Version {
+	if r.snapshots[f].Version.After(version) {
 		return
 	}
 	r.snapshots[f] = Snapshot{Version: version, Rows: slices.DeleteFunc(slices.Clone(rows), func(r metastore.Row) bool { return r.Deleted })}
@@ -43,11 +43,11 @@
 }
 
 // UpdateSnapshot applies the changes of a feed up to a version to the snapshot stored by SetSnapshot.
-func (r *Relay) UpdateSnapshot(f Feed, changes []metastore.Row, version uint64) {
+func (r *Relay) UpdateSnapshot(f Feed, changes []metastore.Row, version metastore.Version) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s, ok := r.snapshots[f]
-	if !ok || version < s.Version {
+	if !ok || s.Version.After(version) || s.Version.Era != version.Era {
 		return
 	}
 	rows := slices.Clone(s.Rows)
@@ -63,13 +63,13 @@
 
 // AwaitSnapshot waits until this VM has the rows of a feed as of the version or a later one, and
 // returns them. It returns false if ctx ends first.
-func (r *Relay) AwaitSnapshot(ctx context.Context, f Feed, version uint64) (Snapshot, bool) {
+func (r *Relay) AwaitSnapshot(ctx context.Context, f Feed, version metastore.Version) (Snapshot, bool) {
 	const pollPeriod = time.Second // Each change ends the wait early.
 	for {
 		r.mu.Lock()
 		s, changed := r.snapshots[f], r.changed
 		r.mu.Unlock()
-		if s.Version >= version && version != 0 {
+		if !version.After(s.Version) && !version.IsZero() {
 			return s, true
 		}
 		if ctx.Err() != nil {
--- a/internal/directory/timing_test.go
+++ b/internal/directory/timing_test.go
@@ -37,7 +37,7 @@
 	t.Helper()
 	store, relay = metastore.NewMemory(), directory.New(self).Relay()
 	put(t, store, "first")
-	stop = publish(relay, 1)
+	stop = publish(relay, at(1))
 	s = startTimedWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	return store, relay, s, stop
@@ -84,15 +84,15 @@
 	put(t, store, "first")
 	clock := mono.System{}
 	began := clock.Now()
-	coordinator.NoteListing(directory.Registrations, 1, true, began)
+	coordinator.NoteListing(directory.Registrations, at(1), true, began)
 	relay.Receive(coordinator.NewsFor(began, nil), began)
 	s := startTimedWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	after := clock.Now()
-	coordinator.NoteChanges(directory.Registrations, 2, []metastore.Row{{Key: "second", Version: 2}}, after, clock.Now())
+	coordinator.NoteChanges(directory.Registrations, at(2), []metastore.Row{{Key: "second", Version: at(2)}}, after, clock.Now())
 	time.Sleep(400 * time.Millisecond)
 	sent := clock.Now()
-	relay.Receive(coordinator.NewsFor(clock.Now(), directory.Followed{directory.Registrations: 1}), sent)
+	relay.Receive(coordinator.NewsFor(clock.Now(), directory.Followed{directory.Registrations: at(1)}), sent)
 	s.expect(t, "second", after, 50*time.Millisecond)
 }
 
@@ -104,7 +104,7 @@
 	written := mono.System{}.Now()
 	time.Sleep(200 * time.Millisecond)
 	relay.Receive(directory.News{directory.Registrations: {
-		Relevant: 2, Seen: 2, Since: 1, Rows: []metastore.Row{{Key: "second", Version: 2}},
+		Relevant: at(2), Seen: at(2), Since: at(1), Rows: []metastore.Row{{Key: "second", Version: at(2)}},
 	}}, mono.System{}.Now())
 	s.expect(t, "second", written, 3*time.Second)
 }
@@ -119,7 +119,7 @@
 	stop()
 	written := mono.System{}.Now()
 	put(t, store, "second")
-	stop = publish(relay, 2)
+	stop = publish(relay, at(2))
 	defer stop()
 	s.expect(t, "second", written, maxAnswerAge+300*time.Millisecond)
 	s.mu.Lock()
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -59,6 +59,8 @@
 
 // Timing is when rows were read, and a time after which the new ones among them were written.
 type Timing struct {
+	// Version is the store's version with which the rows were returned.
+	Version metastore.Version
 	// Began is when the call that returned the rows was sent.
 	Began mono.Time
 	// WrittenAfter is the last moment at which the watcher's rows were up to date; 0 if it had none.
@@ -68,14 +70,12 @@
 // progress is how far a watcher has followed its table.
 type progress struct {
 	// version is the one up to which all relevant changes were seen.
-	version uint64
+	version metastore.Version
 	// upToDateAt is the last moment at which version was known to include all relevant changes; 0 if
 	// nothing was read yet.
 	upToDateAt mono.Time
-	// era is the store's era at the last listing.
-	era uint64
-	// reported is the version of the newest change that the coordinator last reported; 0 if none.
-	reported uint64
+	// reported is the version of the newest change that the coordinator last reported.
+	reported metastore.Version
 	// failures is the number of calls that failed in a row, the first of them at failingSince.
 	failures     int
 	failingSince mono.Time
@@ -123,10 +123,9 @@
 		return err
 	}
 	w.noteSuccess(p)
-	w.Log.Info("event=store_listed", "table", w.Table, "rows", len(rows.Rows), "version", rows.Version, "era", rows.Era,
-		"former_version", p.version, "former_era", p.era, "told_version", p.reported)
-	p.era = rows.Era
-	isNew := w.All(rows.Rows, Timing{Began: began, WrittenAfter: p.upToDateAt})
+	w.Log.Info("event=store_listed", "table", w.Table, "rows", len(rows.Rows), "version", rows.Version,
+		"former_version", p.version, "told_version", p.reported)
+	isNew := w.All(rows.Rows, Timing{Version: rows.Version, Began: began, WrittenAfter: p.upToDateAt})
 	w.notifyAnswer(began)
 	p.version, p.upToDateAt = rows.Version, max(p.upToDateAt, began)
 	if w.Neighbours != nil {
@@ -154,9 +153,9 @@
 			return nil
 		case action == List:
 			return w.list(ctx, p)
-		case reported.Relevant <= p.version:
+		case !reported.hasChangeAfter(p.version):
 			// No change up to there is relevant; the store may have dropped the older history.
-			p.version = max(p.version, reported.Seen)
+			p.version = metastore.Later(p.version, reported.Seen)
 		}
 		if action == Fetch || p.failures > 0 && w.Relay.Publishing() {
 			wait = fetchWait // The other VMs have to learn soon that the store is back.
@@ -174,10 +173,10 @@
 		return err
 	}
 	w.noteSuccess(p)
-	at := Timing{Began: began, WrittenAfter: p.upToDateAt}
+	at := Timing{Version: changes.Version, Began: began, WrittenAfter: p.upToDateAt}
 	relevant := w.applyRows(changes.Rows, at)
 	w.notifyAnswer(began)
-	p.version, p.upToDateAt = max(p.version, changes.Version), max(p.upToDateAt, w.completeAt(changes, began, wait))
+	p.version, p.upToDateAt = metastore.Later(p.version, changes.Version), max(p.upToDateAt, w.completeAt(changes, began, wait))
 	if w.Neighbours != nil {
 		w.Relay.UpdateSnapshot(w.Feed, changes.Rows, p.version)
 	}
@@ -232,7 +231,7 @@
 // fetchFromNeighbours applies the changes up to the reported one if another VM has them, and
 // reports whether one did.
 func (w *Watcher) fetchFromNeighbours(ctx context.Context, p *progress, news FeedNews) bool {
-	if w.Neighbours == nil || news.Relevant <= p.version || w.Relay.Publishing() {
+	if w.Neighbours == nil || !news.Relevant.After(p.version) || w.Relay.Publishing() {
 		return false
 	}
 	snapshot, ok := w.Neighbours.Fetch(ctx, w.Feed, news.Relevant)
@@ -240,10 +239,10 @@
 		return false
 	}
 	now := w.Clock.Now()
-	later := slices.DeleteFunc(slices.Clone(snapshot.Rows), func(r metastore.Row) bool { return r.Version <= p.version })
-	at := Timing{Began: now, WrittenAfter: p.upToDateAt}
+	later := slices.DeleteFunc(slices.Clone(snapshot.Rows), func(r metastore.Row) bool { return !r.Version.After(p.version) })
+	at := Timing{Version: snapshot.Version, Began: now, WrittenAfter: p.upToDateAt}
 	w.applyRows(later, at)
-	p.version = max(p.version, snapshot.Version)
+	p.version = metastore.Later(p.version, snapshot.Version)
 	w.Relay.SetSnapshot(w.Feed, snapshot.Rows, snapshot.Version)
 	w.Relay.NoteReceived(w.Feed, p.version, later, at.WrittenAfter, now)
 	w.Log.Info("event=store_changes_received", "table", w.Table, "rows", len(later), "version", p.version, "told_version", news.Relevant, "from", "neighbour")
@@ -254,14 +253,14 @@
 func (w *Watcher) applyNews(p *progress, news FeedNews) {
 	var later []metastore.Row
 	for _, row := range news.Rows {
-		if row.Version > p.version {
+		if row.Version.After(p.version) {
 			later = append(later, row)
 		}
 	}
 	now := w.Clock.Now()
-	at := Timing{Began: now, WrittenAfter: max(p.upToDateAt, news.writtenAfter)}
+	at := Timing{Version: news.Seen, Began: now, WrittenAfter: max(p.upToDateAt, news.writtenAfter)}
 	w.applyRows(later, at)
-	p.version = max(p.version, news.Seen)
+	p.version = metastore.Later(p.version, news.Seen)
 	if w.Neighbours != nil {
 		w.Relay.UpdateSnapshot(w.Feed, later, p.version)
 	}
--- a/internal/directory/watcher_test.go
+++ b/internal/directory/watcher_test.go
@@ -24,7 +24,7 @@
 	watches int
 }
 
-func (c *countingStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (c *countingStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	c.mu.Lock()
 	c.watches++
 	c.mu.Unlock()
@@ -102,7 +102,7 @@
 
 func put(t *testing.T, store metastore.Store, key string) {
 	t.Helper()
-	if _, err := store.Put(context.Background(), "t", key, nil, 0); err != nil {
+	if _, err := store.Put(context.Background(), "t", key, nil, metastore.Version{}); err != nil {
 		t.Fatal(err)
 	}
 }
@@ -135,7 +135,7 @@
 	refused atomic.Bool
 }
 
-func (s *tooLargeStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (s *tooLargeStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	if s.refused.CompareAndSwap(false, true) {
 		return metastore.Rows{}, metastore.ErrHistoryTooLarge
 	}
@@ -182,7 +182,7 @@
 // failingWatchStore is a store whose watches fail, so that its changes can't be fetched.
 type failingWatchStore struct{ metastore.Store }
 
-func (failingWatchStore) Watch(context.Context, string, uint64, time.Duration) (metastore.Rows, error) {
+func (failingWatchStore) Watch(context.Context, string, metastore.Version, time.Duration) (metastore.Rows, error) {
 	return metastore.Rows{}, errors.New("no whole reply")
 }
 
@@ -192,7 +192,7 @@
 	store := metastore.NewMemory()
 	put(t, store, "a")
 	relay := directory.New(self).Relay()
-	stop := publish(relay, 7)
+	stop := publish(relay, at(7))
 	defer stop()
 	var log lockedBuffer
 	ctx, cancel := context.WithCancel(context.Background())
@@ -209,8 +209,9 @@
 			t.Errorf("no %s in\n%s", want, log.String())
 		}
 	}
-	if n := strings.Count(log.String(), "\n"); n != 2 {
-		t.Errorf("%d lines for four failures", n)
+	lines, listings := strings.Count(log.String(), "\n"), strings.Count(log.String(), "event=store_listed")
+	if lines != 3 || listings != 1 {
+		t.Errorf("%d lines for one listing and four failures, %d for the listing", lines, listings)
 	}
 }
 
--- a/internal/forward/rows.go
+++ b/internal/forward/rows.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
@@ -24,8 +25,8 @@
 
 // rowsRequest requests the rows of a feed as of a version or a later one.
 type rowsRequest struct {
-	Feed    directory.Feed `msgpack:"f"`
-	Version uint64         `msgpack:"v"`
+	Feed    directory.Feed    `msgpack:"f"`
+	Version metastore.Version `msgpack:"v"`
 }
 
 // rowsResponse answers a rowsRequest.
@@ -40,15 +41,15 @@
 }
 
 // Fetch implements directory.Neighbours.
-func (n Neighbours) Fetch(ctx context.Context, f directory.Feed, version uint64) (directory.Snapshot, bool) {
-	source, ok := placement.ChangeSource(n.Directory.Self(), n.Directory.VMs(), version)
+func (n Neighbours) Fetch(ctx context.Context, f directory.Feed, version metastore.Version) (directory.Snapshot, bool) {
+	source, ok := placement.ChangeSource(n.Directory.Self(), n.Directory.VMs(), version.Number)
 	if !ok {
 		return directory.Snapshot{}, false
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
 	defer cancel()
 	snapshot, err := fetchRows(ctx, source.PeerAddress, rowsRequest{Feed: f, Version: version})
-	return snapshot, err == nil && snapshot.Version >= version
+	return snapshot, err == nil && !version.After(snapshot.Version)
 }
 
 func fetchRows(ctx context.Context, address string, r rowsRequest) (directory.Snapshot, error) {
@@ -84,7 +85,7 @@
 	a := rowsResponse{Snapshot: snapshot}
 	switch {
 	case !ok:
-		a = rowsResponse{Failure: result.New(result.NotFound, "version %d has not come", r.Version)}
+		a = rowsResponse{Failure: result.New(result.NotFound, "version %v has not come", r.Version)}
 	case snapshot.Size() > maxRowsBytes:
 		a = rowsResponse{Failure: result.New(result.MessageTooLarge, "%d bytes", snapshot.Size())}
 	}
--- a/internal/gatewayd/metered.go
+++ b/internal/gatewayd/metered.go
@@ -25,21 +25,21 @@
 }
 
 // Watch implements metastore.Store.
-func (m meteredStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (m meteredStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	rows, err := m.Store.Watch(ctx, table, after, wait)
 	m.metrics.Call(table, "watch", outcome(err))
 	return rows, err
 }
 
 // Put implements metastore.Store.
-func (m meteredStore) Put(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+func (m meteredStore) Put(ctx context.Context, table, key string, value []byte, expected metastore.Version) (metastore.Version, error) {
 	version, err := m.Store.Put(ctx, table, key, value, expected)
 	m.metrics.Call(table, "put", outcome(err))
 	return version, err
 }
 
 // Delete implements metastore.Store.
-func (m meteredStore) Delete(ctx context.Context, table, key string, expected uint64, marker string) error {
+func (m meteredStore) Delete(ctx context.Context, table, key string, expected metastore.Version, marker string) error {
 	err := m.Store.Delete(ctx, table, key, expected, marker)
 	m.metrics.Call(table, "delete", outcome(err))
 	return err
--- a/internal/gatewayd/metered_test.go
+++ b/internal/gatewayd/metered_test.go
@@ -17,7 +17,7 @@
 	failing string
 }
 
-func (s failingTableStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (s failingTableStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	if table == s.failing {
 		return metastore.Rows{}, errors.New("no whole reply")
 	}
@@ -30,10 +30,10 @@
 	ctx := context.Background()
 	registry := metrics.New()
 	store := meteredStore{failingTableStore{metastore.NewMemory(), "large"}, metrics.NewStore(registry)}
-	_, _ = store.Watch(ctx, "large", 0, time.Millisecond)
-	_, _ = store.Watch(ctx, "small", 0, time.Millisecond)
-	_, _ = store.Put(ctx, "small", "k", nil, 0)
-	_, _ = store.Put(ctx, "small", "k", nil, 0)
+	_, _ = store.Watch(ctx, "large", metastore.Version{}, time.Millisecond)
+	_, _ = store.Watch(ctx, "small", metastore.Version{}, time.Millisecond)
+	_, _ = store.Put(ctx, "small", "k", nil, metastore.Version{})
+	_, _ = store.Put(ctx, "small", "k", nil, metastore.Version{})
 	if err := registry.Close(); err != nil { // Reports the remaining counts.
 		t.Fatal(err)
 	}
--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -181,7 +181,7 @@
 		return strings.HasPrefix(r.Key, "vm/") && r.Key != "vm/"+string(g.self)
 	})
 	if len(own) < len(rows.Rows) {
-		rows.Version = 0
+		rows.Version = metastore.Version{}
 	}
 	rows.Rows = own
 	return rows
@@ -225,7 +225,7 @@
 	return g.visible(rows), err
 }
 
-func (g *faultyStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (metastore.Rows, error) {
+func (g *faultyStore) Watch(ctx context.Context, table string, after metastore.Version, wait time.Duration) (metastore.Rows, error) {
 	if err := g.err(); err != nil {
 		return metastore.Rows{}, err
 	}
@@ -233,9 +233,9 @@
 	return g.Store.Watch(ctx, table, after, min(wait, 100*time.Millisecond))
 }
 
-func (g *faultyStore) Put(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+func (g *faultyStore) Put(ctx context.Context, table, key string, value []byte, expected metastore.Version) (metastore.Version, error) {
 	if err := g.err(); err != nil {
-		return 0, err
+		return metastore.Version{}, err
 	}
 	time.Sleep(g.delayOf(key))
 	return g.Store.Put(ctx, table, key, value, expected)
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -50,13 +50,13 @@
 		return err
 	}
 	l.mu.Lock()
-	expected := l.versions[row.Group]
+	expected := l.stored[row.Group].version
 	if present := l.holder.Row(row.Group); present != nil && present.Version != row.Version-1 {
 		l.mu.Unlock()
 		return errSuperseded
 	}
 	l.mu.Unlock()
-	key := groupPrefix + string(row.Group)
+	key := rowKey(row.Group)
 	end := l.Clock.Now().Add(commitTimeout)
 	for pause := commitRetryDelay; ; pause = min(2*pause, longestCommitRetryDelay) {
 		began := l.Clock.Now()
@@ -74,10 +74,12 @@
 	}
 }
 
-func (l *Lead) committed(row *lease.Row, version uint64, began mono.Time) {
+func (l *Lead) committed(row *lease.Row, version metastore.Version, began mono.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.versions[row.Group] = max(l.versions[row.Group], version)
+	if version.After(l.stored[row.Group].version) {
+		l.stored[row.Group] = storedRow{version: version, row: row.Version}
+	}
 	l.adopt(row, ownChange)
 	l.coordinator.Observe(row, began, l.Clock.Now())
 	if row.Open() {
--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -36,7 +36,7 @@
 // dutyState is this VM's knowledge of the duty.
 type dutyState struct {
 	duty
-	version uint64
+	version metastore.Version
 	// read is when the newest read that returned it began, and seen is when this VM learned of it.
 	read, seen mono.Time
 	// usableFrom is when this VM may start to send orders, provided that it holds the duty.
@@ -57,11 +57,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.Version < l.duty.version {
+	if l.duty.version.After(r.Version) {
 		return
 	}
 	was := l.holdsDuty()
-	if r.Version > l.duty.version {
+	if r.Version.After(l.duty.version) {
 		l.duty.seen = l.Clock.Now()
 	}
 	l.duty.duty, l.duty.version = d, r.Version
@@ -137,7 +137,7 @@
 	}
 	next := duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.Fence + 1}
 	raw, err := json.Marshal(next)
-	var version uint64
+	var version metastore.Version
 	if err == nil {
 		version, err = l.Store.Put(ctx, Table, dutyKey, raw, state.version)
 	}
@@ -146,7 +146,7 @@
 	switch {
 	case err != nil:
 		l.duty.read = 0
-	case version > l.duty.version:
+	case version.After(l.duty.version):
 		l.duty = dutyState{duty: next, version: version}
 	}
 	l.Log.Info("event=duty_given", "to", to.ID, "data_centre", to.DataCentre, "fence", next.Fence, "error", err)
--- a/internal/lead/firstrow_test.go
+++ b/internal/lead/firstrow_test.go
@@ -54,7 +54,7 @@
 func TestTheFirstRowsAreWrittenThoughTheHolderOfTheDutyIsGone(t *testing.T) {
 	c := newCluster(t)
 	raw := []byte(`{"holder":"gone","incarnation":1,"fence":7}`)
-	if _, err := c.store.Put(t.Context(), lead.Table, "duty/promotion", raw, 0); err != nil {
+	if _, err := c.store.Put(t.Context(), lead.Table, "duty/promotion", raw, metastore.Version{}); err != nil {
 		t.Fatal(err)
 	}
 	c.startVMs(8)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -126,7 +126,7 @@
 	holder              *lease.Holder
 	coordinator         *lease.Coordinator
 	allocator           *quota.Allocator
-	versions            map[topology.GroupID]uint64 // versions of the groups' rows in the store
+	stored              map[topology.GroupID]storedRow // the groups' rows in the store
 	reports             map[topology.GroupID]map[topology.VMID]report
 	renewals            map[topology.VMID]*renewalState
 	coordinatorState    map[topology.VMID]coordinatorState
@@ -166,9 +166,8 @@
 	lastRead      mono.Time
 	// probeStore requests a read of the store, to find out whether it answers.
 	probeStore bool
-	// registered is a version of the store at which this VM was registered; 0 means none is
-	// known.
-	registered uint64
+	// registered is a version of the store at which this VM was registered; zero if none is known.
+	registered metastore.Version
 	// readFailures is the number of consecutive failed reads.
 	readFailures int
 	// lastAdopted is when a new row was last adopted.
@@ -209,7 +208,7 @@
 		holder:              lease.NewHolder(),
 		coordinator:         lease.NewCoordinator(self.ID, self.Incarnation),
 		allocator:           quota.NewAllocator(),
-		versions:            map[topology.GroupID]uint64{},
+		stored:              map[topology.GroupID]storedRow{},
 		reports:             map[topology.GroupID]map[topology.VMID]report{},
 		renewals:            map[topology.VMID]*renewalState{},
 		coordinatorState:    map[topology.VMID]coordinatorState{},
--- a/internal/lead/place_test.go
+++ b/internal/lead/place_test.go
@@ -9,6 +9,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/lead"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -85,7 +86,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, err := c.store.Put(context.Background(), lead.Table, "group/h", raw, 0); err != nil {
+		if _, err := c.store.Put(context.Background(), lead.Table, "group/h", raw, metastore.Version{}); err != nil {
 			t.Fatal(err)
 		}
 		break
--- a/internal/lead/reading.go
+++ b/internal/lead/reading.go
@@ -57,7 +57,7 @@
 		registered, err = l.isRegistered(ctx, rows)
 	}
 	if err == nil {
-		l.applyDecisions(rows.Rows, began, registered)
+		l.applyDecisions(rows, began, registered)
 		l.storeAnswered(began)
 	}
 	l.mu.Lock()
@@ -83,7 +83,8 @@
 func (l *Lead) isRegistered(ctx context.Context, read metastore.Rows) (bool, error) {
 	removal := lastRemoval(read.Rows)
 	l.mu.Lock()
-	unchanged := l.registered != 0 && removal <= l.registered
+	// In a later era the store may have lost the registration.
+	unchanged := l.registered.Era == read.Version.Era && l.registered.Number != 0 && !removal.After(l.registered)
 	l.mu.Unlock()
 	if unchanged {
 		return true, nil
@@ -91,25 +92,25 @@
 	registered, err := l.registeredAt(ctx, read.Version)
 	if registered {
 		l.mu.Lock()
-		l.registered = max(l.registered, read.Version)
+		l.registered = metastore.Later(l.registered, read.Version)
 		l.mu.Unlock()
 	}
 	return registered, err
 }
 
-// lastRemoval returns the version at which a registration was last removed; 0 means never.
-func lastRemoval(rows []metastore.Row) uint64 {
+// lastRemoval returns the version at which a registration was last removed; zero means never.
+func lastRemoval(rows []metastore.Row) metastore.Version {
 	for _, r := range rows {
 		if r.Key == removalKey {
 			return r.Version
 		}
 	}
-	return 0
+	return metastore.Version{}
 }
 
 // registeredAt asks the store whether this VM was registered at the version. A registration that
 // exists now and was written no later than that version was present at it.
-func (l *Lead) registeredAt(ctx context.Context, version uint64) (bool, error) {
+func (l *Lead) registeredAt(ctx context.Context, version metastore.Version) (bool, error) {
 	rows, err := l.Store.List(ctx, Table, metastore.Key(vmPrefix+string(l.self.ID)))
 	if err != nil {
 		return false, err
@@ -121,7 +122,7 @@
 			continue
 		}
 		if vm.Incarnation <= l.self.Incarnation {
-			return r.Version <= version, nil
+			return !r.Version.After(version), nil
 		}
 	}
 	if !l.isLeaving() {
@@ -137,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	l.applyDecisions(rows.Rows, began, false)
+	l.applyDecisions(rows, began, false)
 	return nil
 }
 
--- a/internal/lead/reading_test.go
+++ b/internal/lead/reading_test.go
@@ -32,7 +32,7 @@
 	return rows, err
 }
 
-func mustPut(t *testing.T, store metastore.Store, key string, value any, expected uint64) uint64 {
+func mustPut(t *testing.T, store metastore.Store, key string, value any, expected metastore.Version) metastore.Version {
 	t.Helper()
 	raw, err := json.Marshal(value)
 	if err != nil {
@@ -50,13 +50,13 @@
 	t.Helper()
 	store := &rowCounter{Store: metastore.NewMemory()}
 	self := topology.VM{ID: "vm-3", Incarnation: 3}
-	mustPut(t, store, vmPrefix+"vm-3", self, 0)
+	mustPut(t, store, vmPrefix+"vm-3", self, metastore.Version{})
 	for i := range 300 {
 		id := topology.VMID(fmt.Sprintf("other-%d", i))
-		mustPut(t, store, vmPrefix+string(id), topology.VM{ID: id, Incarnation: 1}, 0)
+		mustPut(t, store, vmPrefix+string(id), topology.VM{ID: id, Incarnation: 1}, metastore.Version{})
 	}
 	row := &lease.Row{Group: "g", Version: 1, Term: 1, Primary: "a", Coordinator: "vm-1", Incarnation: 1, Fence: 1}
-	mustPut(t, store, groupPrefix+"g", row, 0)
+	mustPut(t, store, groupPrefix+"g", row, metastore.Version{})
 	d := directory.New(self)
 	d.SetTarget(directory.Target{Target: topology.Target{ID: "a", Group: "g"}, ClaimsPrimary: true})
 	l := New(Options{Directory: d, Store: store, Clock: mono.System{}, Log: slog.New(slog.DiscardHandler)})
@@ -126,7 +126,7 @@
 	store.before = func(keys metastore.Range) {
 		if keys == own {
 			store.before = nil
-			mustPut(t, store, vmPrefix+"vm-3", l.self, 0)
+			mustPut(t, store, vmPrefix+"vm-3", l.self, metastore.Version{})
 		}
 	}
 	l.read(t.Context())
--- a/internal/lead/register.go
+++ b/internal/lead/register.go
@@ -54,9 +54,9 @@
 		}
 	}
 	now := topology.Incarnation(rows.Clock.Milliseconds()) //nolint:gosec // A monotonic clock is not negative.
-	if present.Version == 0 {
+	if present.Version.Number == 0 {
 		// The store's version exceeds every incarnation that was derived from it.
-		vm.Incarnation = max(now, topology.Incarnation(rows.Version+1))
+		vm.Incarnation = max(now, topology.Incarnation(rows.Version.Next().Number))
 	} else {
 		vm.Incarnation = max(now, earlier.Incarnation+1)
 	}
@@ -78,7 +78,7 @@
 func (l *Lead) registerAgain(ctx context.Context) {
 	raw, err := json.Marshal(l.self)
 	if err == nil {
-		_, err = l.Store.Put(ctx, Table, vmPrefix+string(l.self.ID), raw, 0)
+		_, err = l.Store.Put(ctx, Table, vmPrefix+string(l.self.ID), raw, metastore.Version{})
 	}
 	l.Log.Warn("event=registered_again", "error", err)
 }
--- a/internal/lead/register_test.go
+++ b/internal/lead/register_test.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := store.Put(t.Context(), Table, vmPrefix+"vm-1", raw, 0); err != nil {
+	if _, err := store.Put(t.Context(), Table, vmPrefix+"vm-1", raw, metastore.Version{}); err != nil {
 		t.Fatal(err)
 	}
 	first := mustRegister(t, store, topology.VM{ID: "vm-1"})
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -265,7 +265,7 @@
 		return
 	}
 	l.Directory.Relay().Receive(m.News, sent)
-	if m.News[directory.OwnRows].Relevant != 0 {
+	if !m.News[directory.OwnRows].Relevant.IsZero() {
 		l.storeReported = sent
 	}
 }
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -48,17 +48,19 @@
 	if listed {
 		l.mu.Lock()
 		// The registrations are listed after the row that records removals.
-		l.registered = max(l.registered, lastRemoval(rows), 1)
+		anyVersion := metastore.Version{Era: at.Version.Era, Number: 1}
+		l.registered = metastore.Later(l.registered, metastore.Later(lastRemoval(rows), anyVersion))
 		l.mu.Unlock()
 	}
-	l.applyDecisions(rows, at.Began, listed)
+	l.applyDecisions(metastore.Rows{Rows: rows, Version: at.Version}, at.Began, listed)
 	return news
 }
 
-// applyDecisions applies the duty and the groups' rows. registered is set if this VM's registration
-// existed when they were read, which makes them a source of its rights.
-func (l *Lead) applyDecisions(rows []metastore.Row, began mono.Time, registered bool) {
-	for _, r := range rows {
+// applyDecisions applies the duty and the groups' rows, as read with all decision rows. registered is
+// set if this VM's registration existed then, which makes them a source of its rights.
+func (l *Lead) applyDecisions(read metastore.Rows, began mono.Time, registered bool) {
+	l.forgetLost(read)
+	for _, r := range read.Rows {
 		switch {
 		case r.Key == dutyKey:
 			l.applyDuty(r, began)
@@ -111,8 +113,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if r.Version > l.versions[row.Group] {
-		l.versions[row.Group] = r.Version
+	if r.Version.After(l.stored[row.Group].version) {
+		l.stored[row.Group] = storedRow{version: r.Version, row: row.Version}
 	}
 	l.adopt(&row, "store")
 	if reading {
--- a/internal/lead/takeover_test.go
+++ b/internal/lead/takeover_test.go
@@ -23,7 +23,7 @@
 	writes atomic.Int32
 }
 
-func (w *writeCounter) Put(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+func (w *writeCounter) Put(ctx context.Context, table, key string, value []byte, expected metastore.Version) (metastore.Version, error) {
 	w.writes.Add(1)
 	return w.Store.Put(ctx, table, key, value, expected)
 }
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := memory.Put(ctx, Table, groupPrefix+"g", raw, 0); err != nil {
+	if _, err := memory.Put(ctx, Table, groupPrefix+"g", raw, metastore.Version{}); err != nil {
 		t.Fatal(err)
 	}
 	self := topology.VM{ID: "vm-3", Incarnation: 3}
@@ -50,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := memory.Put(ctx, Table, vmPrefix+"vm-3", raw, 0); err != nil {
+	if _, err := memory.Put(ctx, Table, vmPrefix+"vm-3", raw, metastore.Version{}); err != nil {
 		t.Fatal(err)
 	}
 	store := &writeCounter{Store: memory}
@@ -72,9 +72,9 @@
 	writeCounter
 }
 
-func (r *failingStore) Put(context.Context, string, string, []byte, uint64) (uint64, error) {
+func (r *failingStore) Put(context.Context, string, string, []byte, metastore.Version) (metastore.Version, error) {
 	r.writes.Add(1)
-	return 0, errors.New("reset")
+	return metastore.Version{}, errors.New("reset")
 }
 
 // The store is out and the coordinator of many groups is lost. The VM whose takeover delay has
@@ -103,18 +103,18 @@
 	by topology.VMID
 }
 
-func (o *rivalStore) Put(ctx context.Context, table, key string, _ []byte, _ uint64) (uint64, error) {
+func (o *rivalStore) Put(ctx context.Context, table, key string, _ []byte, _ metastore.Version) (metastore.Version, error) {
 	o.writes.Add(1)
 	group := topology.GroupID(key[len(groupPrefix):])
 	known := &lease.Row{Group: group, Version: 1, Term: 1, Primary: "a", Coordinator: "vm-1", Incarnation: 1, Fence: 1}
 	raw, err := json.Marshal(known.TakenBy(o.by, 2, o.by, nil))
 	if err != nil {
-		return 0, err
+		return metastore.Version{}, err
 	}
-	if _, err := o.Store.Put(ctx, table, key, raw, 0); err != nil {
-		return 0, err
+	if _, err := o.Store.Put(ctx, table, key, raw, metastore.Version{}); err != nil {
+		return metastore.Version{}, err
 	}
-	return 0, metastore.ErrConflict
+	return metastore.Version{}, metastore.ErrConflict
 }
 
 // Guards against groups that are split over several coordinators: a VM that loses the first group
--- a/pkg/metastore/memory.go
+++ b/pkg/metastore/memory.go
@@ -1,8 +1,8 @@
 package metastore
 
 import (
-	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -11,11 +11,11 @@
 // Memory is an in-memory Store for tests.
 type Memory struct {
 	mu      sync.Mutex
-	version uint64
+	version Version
 	tables  map[string]map[string]Row
 	changed chan struct{}
 	// oldest is the oldest version whose changes are kept.
-	oldest uint64
+	oldest Version
 	began  time.Time
 }
 
@@ -28,7 +28,42 @@
 func (m *Memory) ForgetHistory() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.oldest = m.version + 1
+	m.oldest = m.version.Next()
+	m.notify()
+}
+
+// Backup is a copy of the rows of a Memory.
+type Backup struct {
+	version uint64
+	tables  map[string]map[string]Row
+}
+
+// Backup returns a copy of all rows.
+func (m *Memory) Backup() Backup {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := Backup{version: m.version.Number, tables: map[string]map[string]Row{}}
+	for name, rows := range m.tables {
+		b.tables[name] = maps.Clone(rows)
+	}
+	return b
+}
+
+// Restore begins a new era with the rows of a copy. What was written since is lost, and the versions
+// after the copy's are given out again.
+func (m *Memory) Restore(b Backup) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version = Version{Era: m.version.Era + 1, Number: b.version}
+	m.oldest = m.version
+	m.tables = map[string]map[string]Row{}
+	for name, rows := range b.tables {
+		m.tables[name] = map[string]Row{}
+		for key, row := range rows {
+			row.Version.Era = m.version.Era
+			m.tables[name][key] = row
+		}
+	}
 	m.notify()
 }
 
@@ -41,29 +76,29 @@
 func (m *Memory) List(_ context.Context, table string, keys Range) (Rows, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	rows := slices.DeleteFunc(m.rowsAfter(table, 0, false), func(r Row) bool { return !keys.Contains(r.Key) })
+	rows := slices.DeleteFunc(m.rowsAfter(table, Version{}, false), func(r Row) bool { return !keys.Contains(r.Key) })
 	return Rows{Rows: rows, Version: m.version, Clock: time.Since(m.began)}, nil
 }
 
-func (m *Memory) rowsAfter(table string, after uint64, deleted bool) []Row {
+func (m *Memory) rowsAfter(table string, after Version, deleted bool) []Row {
 	var rows []Row
 	for _, r := range m.tables[table] {
-		if r.Version > after && (deleted || !r.Deleted) {
+		if r.Version.After(after) && (deleted || !r.Deleted) {
 			rows = append(rows, r)
 		}
 	}
-	slices.SortFunc(rows, func(a, b Row) int { return cmp.Compare(a.Version, b.Version) })
+	slices.SortFunc(rows, func(a, b Row) int { return a.Version.Compare(b.Version) })
 	return rows
 }
 
 // Watch implements Store.
-func (m *Memory) Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error) {
+func (m *Memory) Watch(ctx context.Context, table string, after Version, wait time.Duration) (Rows, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		m.mu.Lock()
 		var err error
-		if after+1 < m.oldest {
+		if m.oldest.After(after.Next()) || after.Era != m.version.Era {
 			err = ErrHistoryGone
 		}
 		rows := Rows{Rows: m.rowsAfter(table, after, true), Version: m.version}
@@ -83,14 +118,14 @@
 }
 
 // Put implements Store.
-func (m *Memory) Put(_ context.Context, table, key string, value []byte, expected uint64) (uint64, error) {
+func (m *Memory) Put(_ context.Context, table, key string, value []byte, expected Version) (Version, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.change(table, Row{Key: key, Value: slices.Clone(value)}, expected)
 }
 
 // Delete implements Store.
-func (m *Memory) Delete(_ context.Context, table, key string, expected uint64, marker string) error {
+func (m *Memory) Delete(_ context.Context, table, key string, expected Version, marker string) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	version, err := m.change(table, Row{Key: key, Deleted: true}, expected)
@@ -100,15 +135,15 @@
 	return err
 }
 
-func (m *Memory) change(table string, row Row, expected uint64) (uint64, error) {
+func (m *Memory) change(table string, row Row, expected Version) (Version, error) {
 	present := m.tables[table][row.Key]
 	if present.Deleted {
-		present.Version = 0
+		present.Version = Version{}
 	}
-	if present.Version != expected {
-		return 0, ErrConflict
+	if present.Version.Number != expected.Number || expected.Number != 0 && present.Version.Era != expected.Era {
+		return Version{}, ErrConflict
 	}
-	m.version++
+	m.version = m.version.Next()
 	row.Version = m.version
 	if m.tables[table] == nil {
 		m.tables[table] = map[string]Row{}
--- a/pkg/metastore/memory_test.go
+++ b/pkg/metastore/memory_test.go
@@ -13,11 +13,11 @@
 func TestMemoryWritesAreConditional(t *testing.T) {
 	ctx := context.Background()
 	m := metastore.NewMemory()
-	version, err := m.Put(ctx, "t", "k", []byte("1"), 0)
+	version, err := m.Put(ctx, "t", "k", []byte("1"), metastore.Version{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := m.Put(ctx, "t", "k", []byte("2"), 0); !errors.Is(err, metastore.ErrConflict) {
+	if _, err := m.Put(ctx, "t", "k", []byte("2"), metastore.Version{}); !errors.Is(err, metastore.ErrConflict) {
 		t.Fatalf("row was overwritten: %v", err)
 	}
 	if err := m.Delete(ctx, "t", "k", version, ""); err != nil {
@@ -38,15 +38,15 @@
 	ctx := context.Background()
 	m := metastore.NewMemory()
 	for i := range 3 {
-		if _, err := m.Put(ctx, "t", string(rune('a'+i)), nil, 0); err != nil {
+		if _, err := m.Put(ctx, "t", string(rune('a'+i)), nil, metastore.Version{}); err != nil {
 			t.Fatal(err)
 		}
 	}
 	m.ForgetHistory()
-	if _, err := m.Watch(ctx, "t", 1, time.Second); !errors.Is(err, metastore.ErrHistoryGone) {
+	if _, err := m.Watch(ctx, "t", metastore.Version{Number: 1}, time.Second); !errors.Is(err, metastore.ErrHistoryGone) {
 		t.Fatalf("got %v", err)
 	}
-	if _, err := m.Watch(ctx, "t", 3, time.Millisecond); err != nil {
+	if _, err := m.Watch(ctx, "t", metastore.Version{Number: 3}, time.Millisecond); err != nil {
 		t.Fatalf("a watcher that is up to date: %v", err)
 	}
 }
@@ -55,7 +55,7 @@
 	ctx := context.Background()
 	m := metastore.NewMemory()
 	for _, key := range []string{"duty", "group/1", "group/2", "groups", "vm/1", "vm/11"} {
-		if _, err := m.Put(ctx, "t", key, nil, 0); err != nil {
+		if _, err := m.Put(ctx, "t", key, nil, metastore.Version{}); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -86,11 +86,11 @@
 func TestDeleteWritesMarker(t *testing.T) {
 	ctx := context.Background()
 	m := metastore.NewMemory()
-	version, err := m.Put(ctx, "t", "k", nil, 0)
+	version, err := m.Put(ctx, "t", "k", nil, metastore.Version{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := m.Delete(ctx, "t", "k", version+1, "marker"); !errors.Is(err, metastore.ErrConflict) {
+	if err := m.Delete(ctx, "t", "k", version.Next(), "marker"); !errors.Is(err, metastore.ErrConflict) {
 		t.Fatal(err)
 	}
 	if rows, _ := m.List(ctx, "t", metastore.Key("marker")); len(rows.Rows) != 0 {
--- a/pkg/metastore/metastore.go
+++ b/pkg/metastore/metastore.go
@@ -13,12 +13,13 @@
 // The errors that callers handle separately. After any other error the outcome of the
 // call is unknown.
 var (
-	// ErrConflict is returned if the row was not at the expected version; nothing was changed.
+	// ErrConflict is returned if the row was not at the expected version, or that is of an earlier
+	// era; nothing was changed.
 	ErrConflict = errors.New("metastore: the row has changed")
 	// ErrNotDone is returned if the store refused the call before it changed anything.
 	ErrNotDone = errors.New("metastore: refused, nothing was done")
-	// ErrHistoryGone is returned if the requested changes are no longer kept. The caller
-	// must list the table again.
+	// ErrHistoryGone is returned if the requested changes are no longer kept, or are those after a
+	// version of an earlier era. The caller must list the table again.
 	ErrHistoryGone = errors.New("metastore: history is gone")
 	// ErrHistoryTooLarge is returned if there are more changes than a watch reads. Most of
 	// them are superseded, so the caller must list the table again.
@@ -29,8 +30,9 @@
 type Row struct {
 	Key   string `msgpack:"k"`
 	Value []byte `msgpack:"v"`
-	// Version is that of the transaction that wrote the row; 0 means that there is no such row.
-	Version uint64 `msgpack:"n"`
+	// Version is that of the transaction that wrote the row, in the era of the answer with the row; the
+	// number 0 means that there is no such row.
+	Version Version `msgpack:"n"`
 	// Deleted is set for a deleted row; only Watch returns such rows.
 	Deleted bool `msgpack:"d,omitempty"`
 }
@@ -39,12 +41,9 @@
 type Rows struct {
 	Rows []Row
 	// Version is the store's newest version when it answered.
-	Version uint64
+	Version Version
 	// Clock is the reading of the store's monotonic clock when it answered.
 	Clock time.Duration
-	// Era is the store's era when it answered: it increases each time the store is restored from an
-	// older copy.
-	Era uint64
 }
 
 // Range is the range of keys from From up to but excluding To. An empty To means no upper bound.
@@ -75,12 +74,12 @@
 	// Watch returns the rows of a table that changed after the version, as soon as
 	// there are any, or none if wait has passed. A store may return every version
 	// that a row has had.
-	Watch(ctx context.Context, table string, after uint64, wait time.Duration) (Rows, error)
-	// Put writes a row if its version is the expected one (0: if there is none)
+	Watch(ctx context.Context, table string, after Version, wait time.Duration) (Rows, error)
+	// Put writes a row if its version is the expected one (the number 0: if there is none)
 	// and returns its new version. After an unknown outcome the same call may be
-	// repeated: its condition ensures that it takes effect at most once.
-	Put(ctx context.Context, table, key string, value []byte, expected uint64) (uint64, error)
+	// repeated: its condition ensures that it takes effect at most once in an era.
+	Put(ctx context.Context, table, key string, value []byte, expected Version) (Version, error)
 	// Delete removes a row if its version is the expected one. In the same transaction it writes the key
 	// to the row named marker, unless marker is empty: the version of that row changes with each removal.
-	Delete(ctx context.Context, table, key string, expected uint64, marker string) error
+	Delete(ctx context.Context, table, key string, expected Version, marker string) error
 }
--- /dev/null
+++ b/pkg/metastore/version.go
@@ -0,0 +1,96 @@
+package metastore
+
+import (
+	"cmp"
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
+)
+
+// Version identifies a transaction of the store. A store that is restored from an older copy begins a
+// new era and gives out the numbers after the copy's again, so a number alone does not identify a
+// transaction. The zero Version is before all others.
+type Version struct {
+	// Era is how often the store was restored.
+	Era uint64
+	// Number increases with each transaction of an era; 0 stands for no transaction.
+	Number uint64
+}
+
+// Compare returns -1, 0 or 1 as v is before, equal to or after o. All versions of an era are before
+// those of a later one.
+func (v Version) Compare(o Version) int {
+	return cmp.Or(cmp.Compare(v.Era, o.Era), cmp.Compare(v.Number, o.Number))
+}
+
+// After reports whether v is after o.
+func (v Version) After(o Version) bool { return v.Compare(o) > 0 }
+
+// IsZero reports whether v is the zero Version.
+func (v Version) IsZero() bool { return v == Version{} }
+
+// Next returns the version after v in the same era.
+func (v Version) Next() Version { return Version{Era: v.Era, Number: v.Number + 1} }
+
+// Later returns the later one of two versions.
+func Later(a, b Version) Version {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// String returns the number, preceded by the era unless that is 0.
+func (v Version) String() string {
+	if v.Era == 0 {
+		return fmt.Sprint(v.Number)
+	}
+	return fmt.Sprintf("%d/%d", v.Era, v.Number)
+}
+
+var (
+	_ msgpack.CustomEncoder = Version{}
+	_ msgpack.CustomDecoder = (*Version)(nil)
+)
+
+// versionFields is the length of the array that encodes a version with an era.
+const versionFields = 2
+
+// EncodeMsgpack implements msgpack.CustomEncoder. A version of era 0 is a plain number, others are an
+// array of era and number.
+func (v Version) EncodeMsgpack(e *msgpack.Encoder) error {
+	if v.Era == 0 {
+		return e.EncodeUint(v.Number)
+	}
+	return errors.CombineErrors(e.EncodeArrayLen(versionFields), errors.CombineErrors(e.EncodeUint(v.Era), e.EncodeUint(v.Number)))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (v *Version) DecodeMsgpack(d *msgpack.Decoder) error {
+	code, err := d.PeekCode()
+	if err != nil {
+		return err
+	}
+	*v = Version{}
+	if isArray(code) {
+		n, err := d.DecodeArrayLen()
+		if err != nil {
+			return err
+		}
+		if n != versionFields {
+			return errors.Newf("metastore: a version has %d fields instead of %d", n, versionFields)
+		}
+		if v.Era, err = d.DecodeUint64(); err != nil {
+			return err
+		}
+	}
+	v.Number, err = d.DecodeUint64()
+	return err
+}
+
+// isArray reports whether a MessagePack code begins an array.
+func isArray(code byte) bool {
+	return msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32
+}
