Group rows: a row that the store may have lost is written again before it counts

Fault: the store comes back from a copy that lacks a replacement of a primary. A VM that started then read the former primary's row and had the right by it while the others had it for the new one: two primaries. A row that its coordinator did not change again stayed lost, a lost coordinator left the group with the old row, and a VM in the middle of a handover read the store without a pause.

Design: a row's version starts with the era of the store in which it was written, so the first change after a restoration is above each lost one, whoever saw it. A row of an earlier era gives no right by a read, confirms no coordinator, and may only be written again: by the coordinator it names, if that is in contact with most witnesses and the primary says that it leads (promises go on), else as a takeover that closes the row until all rights have ended and the databases, or the platform, have said which target leads. Both wait for a coordinator that the store may have lost, as for any former one, by the witnesses of the row.

Known limit: a lost takeover is excluded by the witnesses of the last known row; with more VMs exchanged than two majorities of witnesses share, in the same lost seconds, it is not.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -39,15 +41,23 @@
 	status target.Status
 }
 
-// statuses queries the group's targets in parallel; replicasOnly leaves the old primary out.
-func (r *replacement) statuses(ctx context.Context, replicasOnly bool) []targetStatus {
+// isReplica reports whether a target can be a candidate.
+func (r *replacement) isReplica(t *directory.Target) bool {
+	return t.ID != r.row.Primary && !t.Leaving
+}
+
+// replicaStatuses queries the group's replicas.
+func (r *replacement) replicaStatuses(ctx context.Context) []targetStatus {
+	targets := slices.Clone(r.Directory.TargetsOf(r.group))
+	return r.statuses(ctx, slices.DeleteFunc(targets, func(t directory.Target) bool { return !r.isReplica(&t) }))
+}
+
+// statuses queries targets in parallel and returns the answers.
+func (r *replacement) statuses(ctx context.Context, targets []directory.Target) []targetStatus {
 	var mu sync.Mutex
 	var all []targetStatus
 	var wg sync.WaitGroup
-	for _, t := range r.Directory.TargetsOf(r.group) {
-		if replicasOnly && t.ID == r.row.Primary || t.Leaving {
-			continue
-		}
+	for _, t := range targets {
 		wg.Go(func() {
 			s, err := r.status(ctx, t.Target)
 			if err != nil {
@@ -71,7 +81,7 @@
 		return err
 	}
 	if r.leadsAlready(best.status) {
-		return r.reopenFor(ctx, best.target.ID)
+		return r.reopenFor(ctx, best)
 	}
 	ctxStop, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
@@ -124,7 +134,7 @@
 func (r *replacement) best(ctx context.Context, former stepDownResult) (targetStatus, error) {
 	end := time.Now().Add(catchUpTimeout)
 	for {
-		all := r.statuses(ctx, true)
+		all := r.replicaStatuses(ctx)
 		if len(all) < r.answersNeeded() {
 			return targetStatus{}, errNoCandidate
 		}
@@ -153,7 +163,7 @@
 	return a.Lag < b.Lag
 }
 
-// leadsAlready reports whether a target other than the row's primary leads the row's term.
+// leadsAlready reports whether a replica leads the row's term.
 //
 // A crashed primary may restart at once, with its log and under another name. An order to promote
 // it succeeds without any effect, so waiting for the next term would never end.
@@ -163,9 +173,10 @@
 
 // reopenFor opens the row for a target that already leads the term. All rights under the row have
 // ended, and the target holds at least as much as any other that answered.
-func (r *replacement) reopenFor(ctx context.Context, id topology.TargetID) error {
-	r.Log.Info("event=primary_returned", "group", r.group, "from", r.row.Primary, "to", id, "term", r.row.Term)
-	return r.change(ctx, r.row.Returned(id))
+func (r *replacement) reopenFor(ctx context.Context, leader targetStatus) error {
+	r.Log.Info("event=primary_returned", "group", r.group, "from", r.row.Primary, "to", leader.target.ID,
+		"former_term", r.row.Term, "term", leader.status.Term)
+	return r.change(ctx, r.row.Returned(leader.target.ID, leader.status.Term))
 }
 
 // answersNeeded returns how many replicas must answer. If commits wait for replicas, at least one
--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -136,6 +136,20 @@
 	d.down[id] = true
 }
 
+// revive starts a database that is down as a replica.
+func (d *databases) revive(id topology.TargetID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down[id], d.isPrimary[id] = false, false
+}
+
+// sentOrders returns the promotion orders so far.
+func (d *databases) sentOrders() []order {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Clone(d.orders)
+}
+
 func (d *databases) isDown(id topology.TargetID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -32,30 +32,36 @@
 // errSuperseded is returned when another VM's change came first.
 var errSuperseded = errors.New("lead: the row was changed by another VM")
 
-// commit writes a row and notifies all VMs.
-func (l *Lead) commit(ctx context.Context, row *lease.Row) error {
-	if err := l.write(ctx, row); err != nil {
+// errEarlierEra is returned for a change of a row that must first be written again in the store's era.
+var errEarlierEra = errors.New("lead: the row is of an earlier era of the store")
+
+// commit changes a row from its current version and notifies all VMs.
+func (l *Lead) commit(ctx context.Context, from, row *lease.Row) error {
+	if err := l.write(ctx, from, row); err != nil {
 		return err
 	}
 	l.notify(row)
 	return nil
 }
 
-// write replaces the previous version of a row. An answer may be lost after the change took effect,
+// write replaces the version from of a row, nil if there is none. An answer may be lost after the change took effect,
 // and the change may take effect late. Therefore the same conditional write is repeated until it is
 // answered, and a conflict is resolved by reading the row.
-func (l *Lead) write(ctx context.Context, row *lease.Row) error {
+func (l *Lead) write(ctx context.Context, from, row *lease.Row) error {
 	raw, err := json.Marshal(row)
 	if err != nil {
 		return err
 	}
 	l.mu.Lock()
 	expected := l.stored[row.Group].version
-	if present := l.holder.Row(row.Group); present != nil && present.Version != row.Version-1 {
-		l.mu.Unlock()
+	present, early := l.holder.Row(row.Group), l.ofEarlierEra(row)
+	l.mu.Unlock()
+	switch {
+	case present != nil && (from == nil || present.Version != from.Version):
 		return errSuperseded
+	case early:
+		return errEarlierEra
 	}
-	l.mu.Unlock()
 	key := rowKey(row.Group)
 	end := l.Clock.Now().Add(commitTimeout)
 	for pause := commitRetryDelay; ; pause = min(2*pause, longestCommitRetryDelay) {
@@ -81,6 +87,9 @@
 		l.stored[row.Group] = storedRow{version: version, row: row.Version}
 	}
 	l.adopt(row, ownChange)
+	if row.Era() < version.Era {
+		return // The store was restored before the write, and may have lost a newer version.
+	}
 	l.coordinator.Observe(row, began, l.Clock.Now())
 	if row.Open() {
 		l.holder.RecordRead(row.Group, row.Version, began)
--- a/internal/lead/firstrow.go
+++ b/internal/lead/firstrow.go
@@ -159,11 +159,15 @@
 		l.Log.Info("event=first_row_deferred", "group", group, "primary", primary.ID, "error", err)
 		return nil
 	}
+	era := l.latestEra()
 	row := &lease.Row{
-		Group: group, Version: 1, Term: status.Term, Primary: primary.ID,
+		Group: group, Version: lease.FirstVersion(era), Term: status.Term, Primary: primary.ID,
 		Coordinator: l.self.ID, Incarnation: l.self.Incarnation, Fence: 1, Witnesses: l.witnesses(),
 	}
-	err = l.write(ctx, row)
+	if era > 0 {
+		row = row.FirstAfterRestoration()
+	}
+	err = l.write(ctx, nil, row)
 	l.Log.Info("event=first_row", "group", group, "primary", primary.ID, "term", status.Term, "error", err)
 	if err != nil {
 		return nil
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -48,6 +48,10 @@
 	for _, group := range groups {
 		l.checkReplicaLag(ctx, group, now)
 		l.mu.Lock()
+		if row := l.coordinator.Row(group); row == nil || l.ofEarlierEra(row) {
+			l.mu.Unlock()
+			continue
+		}
 		reason := l.reasonToReplace(group, now)
 		resume := reason == "" && !l.changing[group] && l.coordinator.Withdrawn(group)
 		holder, move := l.dutyHolderFor(group, now)
@@ -74,7 +78,7 @@
 	if row == nil || row.Coordinator != l.self.ID {
 		return
 	}
-	err := l.commit(ctx, row.Resumed())
+	err := l.commit(ctx, row, row.Resumed())
 	l.Log.Info("event=replacement_given_up", "group", group, "error", err)
 	if err != nil {
 		wait.For(ctx, handoverRetryDelay)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -122,11 +122,14 @@
 	Options
 	self topology.VM
 
-	mu                  sync.Mutex
-	holder              *lease.Holder
-	coordinator         *lease.Coordinator
-	allocator           *quota.Allocator
-	stored              map[topology.GroupID]storedRow // the groups' rows in the store
+	mu          sync.Mutex
+	holder      *lease.Holder
+	coordinator *lease.Coordinator
+	allocator   *quota.Allocator
+	stored      map[topology.GroupID]storedRow // the groups' rows in the store
+	// era is the store's latest era whose rows this VM has read, and eraSince when it read them first.
+	era                 uint64
+	eraSince            mono.Time
 	reports             map[topology.GroupID]map[topology.VMID]report
 	renewals            map[topology.VMID]*renewalState
 	coordinatorState    map[topology.VMID]coordinatorState
--- a/internal/lead/promote.go
+++ b/internal/lead/promote.go
@@ -59,7 +59,7 @@
 		case err == nil && s.Primary && s.Term > r.row.Term:
 			return r.change(ctx, r.row.Opened(s.Term))
 		case err == nil && r.leadsAlready(s):
-			return r.reopenFor(ctx, candidate.ID)
+			return r.reopenFor(ctx, targetStatus{target: candidate.Target, status: s})
 		case err == nil && !accepted.IsZero() && time.Since(accepted) > promotionTimeout:
 			return r.dropCandidate(ctx, "ineffective")
 		case err == nil:
--- a/internal/lead/reading.go
+++ b/internal/lead/reading.go
@@ -148,7 +148,7 @@
 func (l *Lead) hasUnreadHandover() bool {
 	for _, group := range l.groups() {
 		row := l.holder.Row(group)
-		if row != nil && row.Coordinator == l.self.ID && row.Incarnation == l.self.Incarnation && l.coordinator.Row(group) == nil {
+		if row != nil && l.names(row) && l.coordinator.Row(group) == nil && !l.ofEarlierEra(row) {
 			return true
 		}
 	}
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -65,6 +65,11 @@
 		}
 	}
 	if r.row.Handover.Candidate == "" {
+		if r.row.Handover.Reason == lease.RestoredReason {
+			if err := r.reopenForLeader(ctx); !errors.Is(err, errNoLeader) {
+				return err
+			}
+		}
 		// Both run in parallel: a primary that is cut off takes the whole timeout of a connection.
 		former := make(chan stepDownResult, 1)
 		go func() { former <- r.stepDown(ctx, reason) }()
@@ -87,7 +92,7 @@
 
 // change commits the next version of the row.
 func (r *replacement) change(ctx context.Context, next *lease.Row) error {
-	if err := r.commit(ctx, next); err != nil {
+	if err := r.commit(ctx, r.row, next); err != nil {
 		return err
 	}
 	r.row = next
@@ -97,7 +102,7 @@
 // close stops promises and commits the closed row. Promises stop before the write is sent, because
 // its answer may be lost although it took effect.
 func (r *replacement) close(ctx context.Context, reason string) error {
-	if len(r.statuses(ctx, true)) == 0 {
+	if len(r.replicaStatuses(ctx)) == 0 {
 		return errNoCandidate
 	}
 	r.mu.Lock()
--- a/internal/lead/restored_test.go
+++ b/internal/lead/restored_test.go
@@ -3,6 +3,7 @@
 import (
 	"testing"
 
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 )
 
@@ -24,9 +25,14 @@
 		t.Fatal(err)
 	}
 	memory.Restore(memory.Backup())
-	l.holder.Adopt(l.Row("g").Resumed()) // Forgets the earlier right.
+	rows, err = memory.List(t.Context(), Table, metastore.Key(groupPrefix+"g"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustPut(t, memory, groupPrefix+"g", l.Row("g").Restored(rows.Version.Era), rows.Rows[0].Version)
+	l.holder = lease.NewHolder() // Forgets the earlier right.
 	l.read(t.Context())
-	if l.registered.Era != 0 {
-		t.Fatalf("counts as registered at %v", l.registered)
+	if _, ok := l.Right("g"); ok {
+		t.Fatal("a right without a registration")
 	}
 }
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -19,8 +19,10 @@
 	l.storeSeen = max(l.storeSeen, began)
 	for _, g := range l.coordinator.Groups() {
 		// The watch has returned every change up to its answer, so the known version of the row was
-		// still current when the call was sent.
-		l.coordinator.Observe(l.coordinator.Row(g), began, l.Clock.Now())
+		// still current when the call was sent, unless it is of an earlier era.
+		if row := l.coordinator.Row(g); !l.ofEarlierEra(row) {
+			l.coordinator.Observe(row, began, l.Clock.Now())
+		}
 	}
 }
 
@@ -117,6 +119,10 @@
 		l.stored[row.Group] = storedRow{version: r.Version, row: row.Version}
 	}
 	l.adopt(&row, "store")
+	if row.Era() < r.Version.Era {
+		l.coordinator.Supersede(&row) // The store may have lost a newer version.
+		return
+	}
 	if reading {
 		l.holder.RecordRead(row.Group, row.Version, began)
 		l.wakeWaiters()
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -106,7 +106,7 @@
 // checkCoordinator decides whether to ask the other VMs about a coordinator or to take over from
 // it, and returns the reason for a takeover, which is logged.
 func (l *Lead) checkCoordinator(vm topology.VMID, now mono.Time) (take, ask bool, reason string) {
-	if l.leaving {
+	if l.leaving || l.awaitsCoordinator(vm, now) {
 		return false, false, ""
 	}
 	if vm == l.self.ID {
@@ -324,8 +324,8 @@
 	if row == nil || row.Coordinator != from {
 		return nil, errSuperseded
 	}
-	next := row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, l.witnesses())
-	err := l.write(ctx, next)
+	next := l.takenOver(row)
+	err := l.write(ctx, row, next)
 	l.Log.Info("event=coordinator_taken_over", "group", group, "from", row.Coordinator, "reason", reason, "version", next.Version, "error", err)
 	if err != nil {
 		return nil, err
@@ -344,7 +344,7 @@
 		row = row.Settled()
 	}
 	l.mu.Unlock()
-	err := l.commit(ctx, row.TakenBy(to.ID, to.Incarnation, l.self.ID, l.witnesses()))
+	err := l.commit(ctx, row, row.TakenBy(to.ID, to.Incarnation, l.self.ID, l.witnesses()))
 	l.Log.Info("event=coordinator_handed_over", "group", group, "to", to.ID, "error", err)
 }
 
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"slices"
+
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -57,19 +59,28 @@
 	return &Coordinator{vm: vm, incarnation: incarnation, groups: map[topology.GroupID]*coordinatedGroup{}}
 }
 
+// Supersede applies a row that is no evidence that its coordinator still is the only one: it ends
+// this VM's coordination if the row is newer and names another VM.
+func (c *Coordinator) Supersede(row *Row) {
+	ours := row.Coordinator == c.vm && row.Incarnation == c.incarnation
+	if g := c.groups[row.Group]; g != nil && !ours && row.Version > g.row.Version {
+		delete(c.groups, row.Group)
+	}
+}
+
 // Observe applies a row that was read from the store or written by this VM. began is
 // when the read or write was sent, now when its answer arrived.
 func (c *Coordinator) Observe(row *Row, began, now mono.Time) {
-	g := c.groups[row.Group]
+	c.Supersede(row)
 	if row.Coordinator != c.vm || row.Incarnation != c.incarnation {
-		if g != nil && row.Version > g.row.Version {
-			delete(c.groups, row.Group) // Another VM has taken over.
-		}
 		return
 	}
+	g := c.groups[row.Group]
 	if g == nil {
 		g = &coordinatedGroup{row: row, adopted: map[topology.VMID]adoption{}, promisedUntil: map[topology.VMID]mono.Time{}, lastContact: map[topology.VMID]mono.Time{}}
-		g.inherit(row, now)
+		if row.Fence > 1 {
+			g.takenOverAt = now
+		}
 		c.groups[row.Group] = g
 	}
 	if row.Version < g.row.Version {
@@ -81,22 +92,24 @@
 	g.confirmed = max(g.confirmed, began)
 }
 
-// inherit sets until when promises of earlier coordinators may be valid: each goes on
-// giving promises until it learns of the takeover or reaches its limit.
+// inherit notes the earlier coordinators that a row names: each goes on giving promises until it
+// learns of the takeover or reaches its limit.
 func (g *coordinatedGroup) inherit(row *Row, now mono.Time) {
-	if row.Fence <= 1 {
-		return
-	}
-	g.takenOverAt = now
-	g.inheritedUntil = now.Add(Duration + margin) // The last promise of a coordinator that has stopped.
 	for _, f := range row.Formers {
+		known := slices.ContainsFunc(g.formers, func(k former) bool { return k.VM == f.VM && k.Version == f.Version })
+		if known {
+			continue
+		}
+		g.takenOverAt = now
 		g.formers = append(g.formers, former{Former: f, until: now.Add(CoordinatorLimit + Duration + margin)})
 	}
-	g.updateInherited()
+	if g.takenOverAt != 0 {
+		g.updateInherited()
+	}
 }
 
 func (g *coordinatedGroup) updateInherited() {
-	latest := g.takenOverAt.Add(Duration + margin)
+	latest := g.takenOverAt.Add(Duration + margin) // The last promise of a coordinator that has stopped.
 	for _, f := range g.formers {
 		latest = max(latest, f.until)
 	}
@@ -148,17 +161,23 @@
 	if now.Before(g.confirmed.Add(storeGrace)) {
 		return true
 	}
+	return g.inContact(now) && now.Before(g.confirmed.Add(CoordinatorLimit))
+}
+
+// inContact reports whether this VM is in contact with most of the witnesses.
+func (g *coordinatedGroup) inContact(now mono.Time) bool {
 	inContact := 0
 	for _, vm := range g.row.Witnesses {
 		if at := g.lastContact[vm]; at != 0 && now.Sub(at) < contactGrace {
 			inContact++
 		}
 	}
-	return 2*inContact > len(g.row.Witnesses) && now.Before(g.confirmed.Add(CoordinatorLimit))
+	return 2*inContact > len(g.row.Witnesses)
 }
 
 func (g *coordinatedGroup) setRow(row *Row, now mono.Time) {
 	g.row = row
+	g.inherit(row, now)
 	g.withdrawn = !row.Open()
 	if !row.Open() && g.closedSince == 0 {
 		g.closedSince = now
@@ -238,6 +257,13 @@
 	return true
 }
 
+// InContact reports whether this VM coordinates the group and is in contact with most of its
+// witnesses, so that no other VM has taken the group over and changed its primary.
+func (c *Coordinator) InContact(group topology.GroupID, now mono.Time) bool {
+	g := c.groups[group]
+	return g != nil && g.inContact(now)
+}
+
 // Settled reports whether all promises of earlier coordinators have lapsed, so that
 // a change which is not urgent can be made without a long wait.
 func (c *Coordinator) Settled(group topology.GroupID, now mono.Time) bool {
@@ -261,6 +287,9 @@
 	if lapsed {
 		return true
 	}
+	if g.mayLackRegistrations(now) {
+		return false
+	}
 	for _, vm := range registered {
 		if !g.hasConfirmed(vm.ID, vm.Incarnation) {
 			return false
@@ -275,6 +304,13 @@
 	return true
 }
 
+// mayLackRegistrations reports whether a VM may have a right although it is not registered: the store
+// was restored so recently that the rights of a VM whose registration it has lost may be valid.
+func (g *coordinatedGroup) mayLackRegistrations(now mono.Time) bool {
+	lost := slices.ContainsFunc(g.row.Formers, func(f Former) bool { return f.VM == "" })
+	return lost && now.Before(g.takenOverAt.Add(Duration+margin))
+}
+
 // Unconfirmed returns the registered VMs that may still have a right because they have
 // not confirmed the closed row.
 func (c *Coordinator) Unconfirmed(group topology.GroupID, registered []topology.VM) []topology.VMID {
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -50,9 +50,18 @@
 	maxHistory = 20
 )
 
+// eraShift is the number of bits of a row's version below the era.
+const eraShift = 32
+
+// RestoredReason is the reason of a handover that began because the store was restored from an older
+// copy and may have lost the newest versions of the row.
+const RestoredReason = "store_restored"
+
 // Row is a group's row in the store. Each change raises Version.
 type Row struct {
-	Group   topology.GroupID  `json:"group" msgpack:"g"`
+	Group topology.GroupID `json:"group" msgpack:"g"`
+	// Version consists of the era of the store in which it was written, above eraShift, and a counter.
+	// After a restoration of the store the first change so has a higher version than any that was lost.
 	Version uint64            `json:"version" msgpack:"v"`
 	Term    uint64            `json:"term" msgpack:"t"`
 	Primary topology.TargetID `json:"primary" msgpack:"p"`
@@ -72,6 +81,7 @@
 	// Formers are the former coordinators: earlier coordinators whose promises may still
 	// be valid. They are passed from one coordinator to the next until the last of these
 	// promises has lapsed: a second takeover soon after a first must wait for all of them.
+	// One without a name stands for a coordinator that the store may have lost.
 	Formers []Former `json:"formers,omitempty" msgpack:"o,omitempty"`
 	// Handover is set while the primary is being replaced; no VM has a right then.
 	Handover *Handover `json:"handover,omitempty" msgpack:"h,omitempty"`
@@ -114,6 +124,53 @@
 	return &topology.Group{ID: r.Group, Version: r.Version, Term: r.Term, Primary: r.Primary, History: r.History}
 }
 
+// Era returns the era of the store in which the row was written.
+func (r *Row) Era() uint64 { return r.Version >> eraShift }
+
+// FirstVersion returns the version of a group's first row in an era.
+func FirstVersion(era uint64) uint64 { return era<<eraShift + 1 }
+
+// InEra returns the row with a version from which changes in the era continue.
+func (r *Row) InEra(era uint64) *Row {
+	n := *r
+	n.Version = max(r.Version, era<<eraShift)
+	return &n
+}
+
+// Restored returns the row as its coordinator writes it again in a later era. The coordinator keeps
+// giving promises.
+func (r *Row) Restored(era uint64) *Row {
+	n := r.InEra(era).next()
+	n.Formers = append(slices.Clone(r.Formers), r.lostCoordinator(n.Version))
+	return n
+}
+
+// TakenByAfterRestoration is TakenBy for a row of an earlier era. The store may have lost a change of
+// the primary, so the row is closed until it is known which target leads.
+func (r *Row) TakenByAfterRestoration(era uint64, vm topology.VMID, incarnation topology.Incarnation, witnesses []topology.VMID) *Row {
+	n := r.InEra(era).TakenBy(vm, incarnation, vm, witnesses)
+	n.Formers = append(n.Formers, r.lostCoordinator(n.Version))
+	if n.Handover == nil {
+		n.Handover = &Handover{Reason: RestoredReason}
+	}
+	n.Handover.ClosedAt = n.Version
+	return n
+}
+
+// FirstAfterRestoration returns a group's first row in the store as the first one of which it is known:
+// the store may have lost earlier ones, with their coordinator.
+func (r *Row) FirstAfterRestoration() *Row {
+	n := *r
+	n.Formers = []Former{r.lostCoordinator(r.Version)}
+	return &n
+}
+
+// lostCoordinator stands for a coordinator that took over from that of r in a row that the store has
+// lost. It needed most of r's witnesses to change the primary.
+func (r *Row) lostCoordinator(version uint64) Former {
+	return Former{Version: version, Witnesses: r.Witnesses}
+}
+
 // next returns a copy with the next version, which the caller may modify.
 func (r *Row) next() *Row {
 	n := *r
@@ -175,12 +232,13 @@
 	return n
 }
 
-// Returned returns the row with the handover ended by a target that is already the primary
-// in the current term: the primary has restarted under another name, with its log. No term
-// has ended, so no history is added, and no acknowledged write is lost.
-func (r *Row) Returned(primary topology.TargetID) *Row {
+// Returned returns the row with the handover ended by a target that is already the primary,
+// in the row's term or a later one. In the row's term, the primary has restarted under another
+// name, with its log: no term has ended and no acknowledged write is lost. A later term began
+// in a row that the store has lost, and where the row's term ended is not known.
+func (r *Row) Returned(primary topology.TargetID, term uint64) *Row {
 	n := r.next()
-	n.Primary, n.Handover = primary, nil
+	n.Primary, n.Term, n.Handover = primary, term, nil
 	n.Formers = nil // All rights had ended before the change.
 	return n
 }
