Duty: fencing tokens start above those of earlier eras of the store

Fault: the store loses the duty's last holder. Shown on the code before: vm-1 and vm-3 both ordered with 2. Class: a counter kept in the store is taken to rise only. The tokens of an era start at the era times 2^20; a holder whose token is of an earlier era claims the duty again, at once and not at the next replacement, and waits as after another holder.

--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -33,6 +33,15 @@
 	Fence       uint64               `json:"fence"`
 }
 
+// fencesPerEra is the number of fencing tokens in each era of the store.
+const fencesPerEra = 1 << 20
+
+// nextFence returns the token of the next holder. In a later era it is above every token of an earlier
+// one, of which the store may have lost the latest.
+func (d *dutyState) nextFence(era uint64) uint64 {
+	return max(d.Fence+1, era*fencesPerEra)
+}
+
 // dutyState is this VM's knowledge of the duty.
 type dutyState struct {
 	duty
@@ -43,11 +52,17 @@
 	usableFrom mono.Time
 }
 
-// holdsDuty reports whether this incarnation of this VM holds the duty.
-func (l *Lead) holdsDuty() bool {
+// namedByDuty reports whether the duty's row names this incarnation of this VM.
+func (l *Lead) namedByDuty() bool {
 	return l.duty.Holder == l.self.ID && l.duty.Incarnation == l.self.Incarnation
 }
 
+// holdsDuty reports whether this incarnation of this VM holds the duty. With a token of an earlier era
+// it may have had a successor that the store has lost.
+func (l *Lead) holdsDuty() bool {
+	return l.namedByDuty() && l.duty.Fence >= l.era*fencesPerEra
+}
+
 // applyDuty applies the duty's row as read from the store.
 func (l *Lead) applyDuty(r metastore.Row, began mono.Time) {
 	var d duty
@@ -135,7 +150,7 @@
 	if !may || to.ID == "" {
 		return
 	}
-	next := duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.Fence + 1}
+	next := duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.nextFence(l.latestEra())}
 	raw, err := json.Marshal(next)
 	var version metastore.Version
 	if err == nil {
@@ -153,7 +168,8 @@
 }
 
 func (l *Lead) claimDuty(ctx context.Context, former dutyState) error {
-	next := duty{Holder: l.self.ID, Incarnation: l.self.Incarnation, Fence: former.Fence + 1}
+	era := l.latestEra()
+	next := duty{Holder: l.self.ID, Incarnation: l.self.Incarnation, Fence: former.nextFence(era)}
 	raw, err := json.Marshal(next)
 	if err != nil {
 		return err
@@ -170,7 +186,8 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	l.duty = dutyState{duty: next, version: version, read: began, usableFrom: now}
-	if former.Holder != "" && former.Holder != l.self.ID {
+	lost := former.Fence < era*fencesPerEra
+	if former.Holder != "" && former.Holder != l.self.ID || lost {
 		l.duty.usableFrom = now.Add(dutySettleTime)
 	}
 	l.Log.Info("event=duty_claimed", "fence", next.Fence, "from", former.Holder)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -128,8 +128,10 @@
 	allocator   *quota.Allocator
 	stored      map[topology.GroupID]storedRow // the groups' rows in the store
 	// era is the store's latest era whose rows this VM has read, and eraSince when it read them first.
-	era                 uint64
-	eraSince            mono.Time
+	era      uint64
+	eraSince mono.Time
+	// renewingDuty is set while this VM claims the duty again after a restoration of the store.
+	renewingDuty        bool
 	reports             map[topology.GroupID]map[topology.VMID]report
 	renewals            map[topology.VMID]*renewalState
 	coordinatorState    map[topology.VMID]coordinatorState
--- a/internal/lead/restoration_test.go
+++ b/internal/lead/restoration_test.go
@@ -149,6 +149,37 @@
 	})
 }
 
+// Guards against two holders that promote with the same fencing token, or a lower one than before: the
+// store has lost who held the duty last.
+func TestFencesRiseAcrossARestoration(t *testing.T) {
+	c := startCluster(t, 5)
+	first := c.awaitRights()
+	before := c.store.Backup()
+	c.stop(first)
+	c.eventually(5*time.Second, "another VM coordinates", func() bool { return c.allRight("a") && c.row().Coordinator != first })
+	c.databases.kill("a")
+	c.eventually(5*time.Second, "every VM has the right for b", func() bool { return c.allRight("b") })
+	second := c.row().Coordinator
+	c.stop(second)
+	c.store.Restore(before)
+	c.databases.kill("b")
+	c.eventually(2*restoredWithin, "every VM has the right for c", func() bool { return c.allRight("c") })
+	holders := map[uint64]topology.VMID{}
+	var last uint64
+	for _, o := range c.databases.sentOrders() {
+		if o.fence < last {
+			t.Errorf("%s ordered with %d after %d", o.holder, o.fence, last)
+		}
+		if h, ok := holders[o.fence]; ok && h != o.holder {
+			t.Errorf("%s and %s both ordered with %d", h, o.holder, o.fence)
+		}
+		last, holders[o.fence] = o.fence, o.holder
+	}
+	if len(holders) < 2 {
+		t.Fatalf("orders of one holder only: %v", holders)
+	}
+}
+
 // Guards against a VM that is not waited for at a replacement since the store has lost its registration.
 func TestALostRegistrationIsWrittenAgain(t *testing.T) {
 	c := startCluster(t, 3)
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -68,7 +68,7 @@
 }
 
 // restoreRows writes the rows that name this VM as the coordinator again after the store was restored
-// from an older copy.
+// from an older copy, and claims the duty again if its row names this VM.
 func (l *Lead) restoreRows(ctx context.Context, now mono.Time) {
 	l.mu.Lock()
 	var due []*lease.Row
@@ -78,6 +78,7 @@
 			due = append(due, row)
 		}
 	}
+	l.renewDuty(ctx)
 	l.mu.Unlock()
 	for _, row := range due {
 		l.startChange(row.Group, func() { l.restoreRow(ctx, row, now) })
@@ -146,6 +147,23 @@
 	return false
 }
 
+// renewDuty claims the duty again if its row names this VM with a token of an earlier era.
+func (l *Lead) renewDuty(ctx context.Context) {
+	if l.renewingDuty || l.leaving || !l.namedByDuty() || l.holdsDuty() {
+		return
+	}
+	l.renewingDuty = true
+	go func() {
+		_, err := l.acquireDuty(ctx)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.renewingDuty = false
+		if err != nil {
+			l.Log.Info("event=duty_not_claimed", "error", err)
+		}
+	}()
+}
+
 // errNoLeader is returned when no target answers that it leads the row's term or a later one.
 var errNoLeader = errors.New("lead: no target leads")
 
