Targets: a leaving target stays so when the store is restored from an older copy

Fault: the store loses the word of a database that leaves. The first listing of a later era does not end a target's leaving; the next entry of the database, one heartbeat later, says what holds. Class: something acknowledged is taken to last.

--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -65,6 +65,9 @@
 	Began mono.Time
 	// WrittenAfter is the last moment at which the watcher's rows were up to date; 0 if it had none.
 	WrittenAfter mono.Time
+	// Restored is set for the first listing after the store was restored from an older copy: a row may
+	// be older than the one that was read before.
+	Restored bool
 }
 
 // progress is how far a watcher has followed its table.
@@ -125,7 +128,10 @@
 	w.noteSuccess(p)
 	w.Log.Info("event=store_listed", "table", w.Table, "rows", len(rows.Rows), "version", rows.Version,
 		"former_version", p.version, "told_version", p.reported)
-	isNew := w.All(rows.Rows, Timing{Version: rows.Version, Began: began, WrittenAfter: p.upToDateAt})
+	isNew := w.All(rows.Rows, Timing{
+		Version: rows.Version, Began: began, WrittenAfter: p.upToDateAt,
+		Restored: !p.version.IsZero() && rows.Version.Era > p.version.Era,
+	})
 	w.notifyAnswer(began)
 	p.version, p.upToDateAt = rows.Version, max(p.upToDateAt, began)
 	if w.Neighbours != nil {
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -127,6 +127,11 @@
 	d.Malformed.forget(r.Key)
 	t.LeavingSince = at.WrittenAfter
 	known, ok := d.Directory.Target(t.ID)
+	if at.Restored && known.Leaving && !t.Leaving {
+		// The entry is from before the target began to leave, and would start its drain time anew.
+		d.Log.Info("event=target_entry_older", "target", t.ID, "row_version", r.Version, "outcome", "still leaving")
+		return false
+	}
 	changed := d.Directory.SetTarget(t)
 	if changed {
 		d.Log.Info("event=target_registered", "target", t.ID, "group", t.Group, "address", t.Address, "data_centre", t.DataCentre,
