Configuration: a VM that starts gets what the others keep although the store has lost it

Fault: the store loses the configuration that removed a key. Running VMs keep theirs, but one that starts before the operator has written it again reads the older one and accepts the key, or serves a class and a limit that were taken back. Each VM passes on the configuration that it keeps in place of an older row, and a coordinator that keeps one says its version with its news; a VM that has an older one fetches it from there. Costs nothing while the store has the newest. Not covered: configurations above 64 KB, which VMs do not send each other, and a start of all VMs at once, of which none has kept it.

--- a/internal/directory/neighbours_test.go
+++ b/internal/directory/neighbours_test.go
@@ -41,7 +41,7 @@
 	stop()
 	stop = publish(relay, at(1))
 	defer stop()
-	relay.Receive(directory.News{directory.Registrations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
+	relay.Receive("vm-1", directory.News{directory.Registrations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
 	eventually(t, func() bool { return s.has(1) })
 	if n := store.count(); n != 0 {
 		t.Fatalf("%d calls to the store", n)
--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -9,6 +9,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
 // Feed identifies a set of rows in the store that every VM follows.
@@ -39,6 +40,8 @@
 	// WatchableFrom is the lowest version from which a watch is of use: after earlier versions there
 	// are more changes than a watch reads.
 	WatchableFrom metastore.Version `msgpack:"l,omitempty"`
+	// Kept is set while the sender keeps rows that the store has lost: the version of what they declare.
+	Kept uint64 `msgpack:"k,omitempty"`
 }
 
 // hasChangeAfter reports whether the store has, or may have, a relevant change after the version.
@@ -104,6 +107,10 @@
 	changed chan struct{}
 	// snapshots holds all rows of the feeds that VMs fetch from each other.
 	snapshots map[Feed]Snapshot
+	// kept is the version of what this VM keeps although the store has lost it, by feed. reporter is the
+	// VM that the latest news came from.
+	kept     map[Feed]uint64
+	reporter topology.VMID
 }
 
 // feedState is what a VM has received of a feed and can report.
@@ -132,7 +139,7 @@
 }
 
 func newRelay() *Relay {
-	return &Relay{news: News{}, confirmedAt: map[Feed]mono.Time{}, previous: map[Feed]report{}, feedState: map[Feed]*feedState{}, changed: make(chan struct{}), started: make(chan struct{}), snapshots: map[Feed]Snapshot{}}
+	return &Relay{news: News{}, confirmedAt: map[Feed]mono.Time{}, previous: map[Feed]report{}, feedState: map[Feed]*feedState{}, changed: make(chan struct{}), started: make(chan struct{}), snapshots: map[Feed]Snapshot{}, kept: map[Feed]uint64{}}
 }
 
 // NoteListing records that this VM has listed all rows of a feed as of a version, and whether that
@@ -242,7 +249,7 @@
 			continue
 		}
 		s.trim(now)
-		item := FeedNews{Relevant: s.relevant, Seen: s.seen, WatchableFrom: s.watchableFrom}
+		item := FeedNews{Relevant: s.relevant, Seen: s.seen, WatchableFrom: s.watchableFrom, Kept: r.kept[f]}
 		if len(s.recent) > 0 {
 			item.Since = s.since
 		}
@@ -303,18 +310,20 @@
 	r.changed = make(chan struct{})
 }
 
-// Receive stores what a coordinator reported in answer to a message that was sent at sent. The
+// Receive stores what the coordinator from reported in answer to a message that was sent at sent. The
 // coordinator leaves out feeds that it can't report on. Earlier news of those stays valid for a
 // while: a new coordinator first asks the store, and otherwise all VMs would do the same meanwhile.
-func (r *Relay) Receive(news News, sent mono.Time) {
+func (r *Relay) Receive(from topology.VMID, news News, sent mono.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.reporter = from
 	isNew := false
 	for f, item := range news {
 		if was := r.news[f]; item.hasChangeAfter(was.Relevant) {
 			isNew = true
 			r.previous[f] = report{relevant: was.Relevant, confirmedAt: r.confirmedAt[f]}
 		}
+		isNew = isNew || item.Kept != r.news[f].Kept
 		if item.Age > 0 {
 			item.writtenAfter = sent.Add(-item.Age)
 		}
--- a/internal/directory/relay_test.go
+++ b/internal/directory/relay_test.go
@@ -36,7 +36,7 @@
 func publish(relay *directory.Relay, version metastore.Version) (stop func()) {
 	done := make(chan struct{})
 	report := func() {
-		relay.Receive(directory.News{directory.Registrations: {Relevant: version, Seen: version}}, mono.System{}.Now())
+		relay.Receive("vm-1", directory.News{directory.Registrations: {Relevant: version, Seen: version}}, mono.System{}.Now())
 	}
 	report()
 	go func() {
@@ -98,7 +98,7 @@
 	s := startWatcher(t, store, relay)
 	time.Sleep(200 * time.Millisecond)
 	stop()
-	relay.Receive(directory.News{directory.Configurations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
+	relay.Receive("vm-1", directory.News{directory.Configurations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
 	eventually(t, func() bool { return store.count() > 0 })
 	put(t, store.Store, "a")
 	eventually(t, func() bool { return s.has(1) })
@@ -179,7 +179,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			now := mono.System{}.Now()
-			to.Receive(from.NewsFor(now, to.Followed()), now)
+			to.Receive("vm-1", from.NewsFor(now, to.Followed()), now)
 			time.Sleep(100 * time.Millisecond)
 		}
 	}()
@@ -244,7 +244,7 @@
 	eventually(t, func() bool { return s.has(1) })
 	put(t, store, heartbeat)
 	stop()
-	relay.Receive(directory.News{directory.Registrations: {Relevant: at(1), Seen: at(2)}}, mono.System{}.Now())
+	relay.Receive("vm-1", directory.News{directory.Registrations: {Relevant: at(1), Seen: at(2)}}, mono.System{}.Now())
 	store.Store.(*metastore.Memory).ForgetHistory()
 	put(t, store, "b")
 	eventually(t, func() bool { return s.has(2) })
@@ -288,7 +288,7 @@
 	s := startWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	stop()
-	relay.Receive(directory.News{directory.Configurations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
+	relay.Receive("vm-1", directory.News{directory.Configurations: {Relevant: at(1), Seen: at(1)}}, mono.System{}.Now())
 	time.Sleep(300 * time.Millisecond)
 	if n := store.count(); n != 0 {
 		t.Fatalf("%d calls since one answer left the feed out", n)
--- a/internal/directory/restored_test.go
+++ b/internal/directory/restored_test.go
@@ -29,7 +29,7 @@
 	go func() {
 		for ctx.Err() == nil {
 			now := mono.System{}.Now()
-			to.Receive(from.NewsFor(now, to.Followed()), now)
+			to.Receive("vm-1", from.NewsFor(now, to.Followed()), now)
 			time.Sleep(20 * time.Millisecond)
 		}
 	}()
@@ -113,7 +113,7 @@
 func TestRowsOfALaterEraAreNotAppliedToThoseOfAnEarlierOne(t *testing.T) {
 	relay := directory.New(self).Relay()
 	began := metastore.Version{Era: 1, Number: 31}
-	relay.Receive(directory.News{directory.Registrations: {
+	relay.Receive("vm-1", directory.News{directory.Registrations: {
 		Relevant: metastore.Version{Era: 2, Number: 29}, Seen: metastore.Version{Era: 2, Number: 29}, Since: metastore.Version{Era: 1, Number: 20},
 		Rows: []metastore.Row{{Key: "new", Version: metastore.Version{Era: 2, Number: 29}}},
 	}}, mono.System{}.Now())
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
 // Snapshot is a snapshot of a feed: its rows as of a version of the store.
@@ -61,10 +62,36 @@
 	r.wake()
 }
 
+// SetKept records the version of what this VM keeps although the store has lost it; 0 means nothing.
+func (r *Relay) SetKept(f Feed, version uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.kept[f] = version
+}
+
+// AwaitKept waits until a coordinator reports that it keeps rows of the feed that this VM lacks and the
+// store has lost, and returns the coordinator. It returns false if ctx ends first.
+func (r *Relay) AwaitKept(ctx context.Context, f Feed, lacks func(version uint64) bool) (topology.VMID, bool) {
+	for {
+		r.mu.Lock()
+		kept, from, changed := r.news[f].Kept, r.reporter, r.changed
+		r.mu.Unlock()
+		switch {
+		case ctx.Err() != nil:
+			return "", false
+		case kept != 0 && lacks(kept):
+			return from, true
+		}
+		wait.Until(ctx, changed, pollPeriod)
+	}
+}
+
+// pollPeriod is how often a wait for a change looks again; each change ends the wait early.
+const pollPeriod = time.Second
+
 // AwaitSnapshot waits until this VM has the rows of a feed as of the version or a later one, and
 // returns them. It returns false if ctx ends first.
 func (r *Relay) AwaitSnapshot(ctx context.Context, f Feed, version metastore.Version) (Snapshot, bool) {
-	const pollPeriod = time.Second // Each change ends the wait early.
 	for {
 		r.mu.Lock()
 		s, changed := r.snapshots[f], r.changed
--- a/internal/directory/timing_test.go
+++ b/internal/directory/timing_test.go
@@ -85,14 +85,14 @@
 	clock := mono.System{}
 	began := clock.Now()
 	coordinator.NoteListing(directory.Registrations, at(1), true, began)
-	relay.Receive(coordinator.NewsFor(began, nil), began)
+	relay.Receive("vm-1", coordinator.NewsFor(began, nil), began)
 	s := startTimedWatcher(t, store, relay)
 	eventually(t, func() bool { return s.has(1) })
 	after := clock.Now()
 	coordinator.NoteChanges(directory.Registrations, at(2), []metastore.Row{{Key: "second", Version: at(2)}}, after, clock.Now())
 	time.Sleep(400 * time.Millisecond)
 	sent := clock.Now()
-	relay.Receive(coordinator.NewsFor(clock.Now(), directory.Followed{directory.Registrations: at(1)}), sent)
+	relay.Receive("vm-1", coordinator.NewsFor(clock.Now(), directory.Followed{directory.Registrations: at(1)}), sent)
 	s.expect(t, "second", after, 50*time.Millisecond)
 }
 
@@ -103,7 +103,7 @@
 	stop()
 	written := mono.System{}.Now()
 	time.Sleep(200 * time.Millisecond)
-	relay.Receive(directory.News{directory.Registrations: {
+	relay.Receive("vm-1", directory.News{directory.Registrations: {
 		Relevant: at(2), Seen: at(2), Since: at(1), Rows: []metastore.Row{{Key: "second", Version: at(2)}},
 	}}, mono.System{}.Now())
 	s.expect(t, "second", written, 3*time.Second)
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -52,6 +52,9 @@
 	// Change is called for each row that changes after a listing, and reports whether the change is
 	// relevant to the VMs.
 	Change func(row metastore.Row, at Timing) bool
+	// PassOn, unless nil, returns the row for other VMs in place of one that was read: a newer one that
+	// the store has lost.
+	PassOn func(row metastore.Row) metastore.Row
 	// Seen, unless nil, is called after each answer of the store, with the time at which the call
 	// was sent.
 	Seen func(began mono.Time)
@@ -135,7 +138,7 @@
 	w.notifyAnswer(began)
 	p.version, p.upToDateAt = rows.Version, max(p.upToDateAt, began)
 	if w.Neighbours != nil {
-		w.Relay.SetSnapshot(w.Feed, rows.Rows, p.version)
+		w.Relay.SetSnapshot(w.Feed, w.passedOn(rows.Rows), p.version)
 	}
 	if w.Relay != nil {
 		w.Relay.NoteListing(w.Feed, p.version, isNew, w.Clock.Now())
@@ -184,7 +187,7 @@
 	w.notifyAnswer(began)
 	p.version, p.upToDateAt = metastore.Later(p.version, changes.Version), max(p.upToDateAt, w.completeAt(changes, began, wait))
 	if w.Neighbours != nil {
-		w.Relay.UpdateSnapshot(w.Feed, changes.Rows, p.version)
+		w.Relay.UpdateSnapshot(w.Feed, w.passedOn(changes.Rows), p.version)
 	}
 	if w.Relay != nil {
 		w.Relay.NoteChanges(w.Feed, p.version, relevant, at.WrittenAfter, w.Clock.Now())
@@ -249,7 +252,7 @@
 	at := Timing{Version: snapshot.Version, Began: now, WrittenAfter: p.upToDateAt}
 	w.applyRows(later, at)
 	p.version = metastore.Later(p.version, snapshot.Version)
-	w.Relay.SetSnapshot(w.Feed, snapshot.Rows, snapshot.Version)
+	w.Relay.SetSnapshot(w.Feed, w.passedOn(snapshot.Rows), snapshot.Version)
 	w.Relay.NoteReceived(w.Feed, p.version, later, at.WrittenAfter, now)
 	w.Log.Info("event=store_changes_received", "table", w.Table, "rows", len(later), "version", p.version, "told_version", news.Relevant, "from", "neighbour")
 	return true
@@ -268,12 +271,24 @@
 	w.applyRows(later, at)
 	p.version = metastore.Later(p.version, news.Seen)
 	if w.Neighbours != nil {
-		w.Relay.UpdateSnapshot(w.Feed, later, p.version)
+		w.Relay.UpdateSnapshot(w.Feed, w.passedOn(later), p.version)
 	}
 	w.Relay.NoteReceived(w.Feed, p.version, later, at.WrittenAfter, now)
 	w.Log.Info("event=store_changes_received", "table", w.Table, "rows", len(later), "version", p.version)
 }
 
+// passedOn returns the rows for other VMs.
+func (w *Watcher) passedOn(rows []metastore.Row) []metastore.Row {
+	if w.PassOn == nil {
+		return rows
+	}
+	passed := make([]metastore.Row, 0, len(rows))
+	for _, row := range rows {
+		passed = append(passed, w.PassOn(row))
+	}
+	return passed
+}
+
 // backOff waits before the next call. The first failure is mostly a silently broken connection, and
 // the call is repeated at once; a store that rejects calls because of its load, or is down, is
 // called less often.
--- a/internal/forward/rows.go
+++ b/internal/forward/rows.go
@@ -10,6 +10,7 @@
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
 const (
@@ -52,6 +53,16 @@
 	return snapshot, err == nil && !version.After(snapshot.Version)
 }
 
+// FetchFrom returns the rows of a feed as the VM has them, whatever their version.
+func FetchFrom(ctx context.Context, vm topology.VM, f directory.Feed) (directory.Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
+	defer cancel()
+	return fetchRows(ctx, vm.PeerAddress, rowsRequest{Feed: f, Version: anyVersion})
+}
+
+// anyVersion is before all versions that a VM has rows of.
+var anyVersion = metastore.Version{Number: 1}
+
 func fetchRows(ctx context.Context, address string, r rowsRequest) (directory.Snapshot, error) {
 	dialer := target.Dialer()
 	dialer.Timeout = holderTimeout
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -61,6 +61,7 @@
 			newServer,
 			newRunState,
 			newMalformed,
+			newKeptConfiguration,
 		),
 		fx.Invoke(run),
 	)
@@ -157,6 +158,7 @@
 	Log       *slog.Logger
 	Registry  *metrics.Registry
 	Malformed *malformed
+	Kept      *keptConfiguration
 	Metrics   *metrics.Store
 	Customers *metrics.Customers
 }
@@ -169,6 +171,7 @@
 	ctx := d.State.context
 	d.Lead.SharePositions(d.Server.Positions())
 	go d.configurationWatcher().Run(ctx)
+	go d.followKept(ctx)
 	go d.targetWatcher().Run(ctx)
 	go d.Pools.Run(ctx)
 	go d.Lead.Run(ctx)
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -42,6 +42,7 @@
 		Wait: func() time.Duration { return d.watchWait(longestConfigurationWatch) },
 		Feed: directory.Configurations, Relay: d.Directory.Relay(),
 		Neighbours:  forward.Neighbours{Directory: d.Directory},
+		PassOn:      d.Kept.passOn,
 		ChangeDelay: func() time.Duration { return min(d.Lead.WatchDelay(), longestConfigurationDelay) },
 		All: func(rows []metastore.Row, at directory.Timing) bool {
 			changed := false
@@ -69,10 +70,11 @@
 		d.Log.Error("event=configuration_malformed", "row_version", r.Version, "error", err, "outcome", "kept the configuration in force")
 		return true // The other VMs decode it themselves.
 	}
-	former := d.Directory.Configuration()
 	newer := d.Directory.SetConfiguration(c)
-	if !newer && former != nil && c.Version < former.Version {
-		d.Log.Warn("event=configuration_older", "version", c.Version, "row_version", r.Version, "in_force", former.Version, "outcome", "kept the configuration in force")
+	lost := d.Kept.read(r, c.Version)
+	d.Directory.Relay().SetKept(directory.Configurations, lost)
+	if lost != 0 {
+		d.Log.Warn("event=configuration_older", "version", c.Version, "row_version", r.Version, "in_force", lost, "outcome", "kept the configuration in force")
 	}
 	if newer {
 		d.Metrics.Configuration(c.Version)
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -265,7 +265,7 @@
 	if len(m.News) == 0 || m.From == l.self.ID || len(l.coordinator.Groups()) > 0 {
 		return
 	}
-	l.Directory.Relay().Receive(m.News, sent)
+	l.Directory.Relay().Receive(m.From, m.News, sent)
 	if !m.News[directory.OwnRows].Relevant.IsZero() {
 		l.storeReported = sent
 	}
