bts-ctl: a change may expect the change id of the version it was made from

Fault: a platform that is restored from an older copy gives a version out again; a file made from the lost one overwrites another operator's change with the same number, and is accepted.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -63,6 +63,7 @@
 type applyCommand struct {
 	File          string `arg:"positional,required" help:"configuration file"`
 	ExpectVersion uint64 `arg:"--expect-version,required" help:"version that the file was made from; 0: the first"`
+	ExpectChange  string `arg:"--expect-change" help:"change id of that version: refuse when the platform has given it to another change since"`
 }
 
 type historyCommand struct{}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -154,7 +154,7 @@
 		Expect(code).To(Equal(ctl.ExitOK))
 		Expect(stdout).To(Equal("configuration version 2 accepted, with the content of 1\n"))
 		_, stdout, _ = runOnline("history")
-		Expect(stdout).To(MatchRegexp(`(?m)^2 +mari +\S+ +[0-9a-f]{12} +1$`))
+		Expect(stdout).To(MatchRegexp(`(?m)^2 +mari +\S+ +[0-9a-f]{12} +1 +\S+$`))
 	})
 
 	It("reports that the platform is unavailable and nothing was done", func() {
--- a/internal/ctl/daemon.go
+++ b/internal/ctl/daemon.go
@@ -162,7 +162,7 @@
 				continue
 			}
 			t.Leaving = true
-			version, err := o.store.Apply(ctx, doc, current.Config.Version, o.settings.Operator)
+			version, err := o.store.Apply(ctx, doc, current.Config.Expected(), o.settings.Operator)
 			if err != nil {
 				return err
 			}
--- a/internal/ctl/online.go
+++ b/internal/ctl/online.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return err
 	}
-	version, err := o.store.Apply(ctx, doc, c.ExpectVersion, o.settings.Operator)
+	version, err := o.store.Apply(ctx, doc, store.Expected{Version: c.ExpectVersion, ChangeID: c.ExpectChange}, o.settings.Operator)
 	if err != nil {
 		return err
 	}
@@ -90,9 +90,9 @@
 	if err != nil {
 		return err
 	}
-	t := table{header: []string{"VERSION", "OPERATOR", "AT", "HASH", "ROLLBACK OF"}}
+	t := table{header: []string{"VERSION", "OPERATOR", "AT", "HASH", "ROLLBACK OF", "CHANGE"}}
 	for _, v := range versions {
-		t.rows = append(t.rows, []string{formatNumber(v.Version), v.Operator, formatTime(v.At), shortHash(v.Hash), formatNumber(v.RollbackOf)})
+		t.rows = append(t.rows, []string{formatNumber(v.Version), v.Operator, formatTime(v.At), shortHash(v.Hash), formatNumber(v.RollbackOf), v.ChangeID})
 	}
 	return o.out.answer(append([]store.ConfigVersion{}, versions...), t)
 }
@@ -102,9 +102,9 @@
 	if err != nil {
 		return err
 	}
-	expect := current.Config.Version
+	expect := current.Config.Expected()
 	if c.ExpectVersion != nil {
-		expect = *c.ExpectVersion
+		expect = store.Expected{Version: *c.ExpectVersion}
 	}
 	version, err := o.store.Rollback(ctx, c.Version, expect, o.settings.Operator)
 	if err != nil {
@@ -162,9 +162,9 @@
 	if err != nil {
 		return err
 	}
-	expect := current.Preset.Version
+	expect := current.Preset.Expected()
 	if c.ExpectVersion != nil {
-		expect = *c.ExpectVersion
+		expect = store.Expected{Version: *c.ExpectVersion}
 	}
 	version, err := o.store.SwitchPreset(ctx, c.Name, expect, o.settings.Operator)
 	if err != nil {
--- a/pkg/config/store/change.go
+++ b/pkg/config/store/change.go
@@ -15,8 +15,8 @@
 type change struct {
 	// name is the name of the row in error messages.
 	name string
-	// expect is the version that the operator saw. The change writes expect+1.
-	expect   uint64
+	// expect is the version that the operator saw. The change writes the next one.
+	expect   Expected
 	changeID string
 	// stampOf returns the current stamp of the row that the change writes.
 	stampOf func(State) Stamp
@@ -60,7 +60,7 @@
 		return *mayHaveApplied, err
 	}
 	stamp := c.stampOf(state)
-	if stamp.Version != c.expect {
+	if !stamp.meets(c.expect) {
 		return s.resolveOutcome(ctx, c, stamp, *mayHaveApplied)
 	}
 	writes, err := c.build(state)
@@ -93,7 +93,7 @@
 		return false, c.conflict(current)
 	}
 	var recorded Stamp
-	revision, err := s.row(ctx, historyKey(c.historyPrefix, c.expect+1), &recorded)
+	revision, err := s.row(ctx, historyKey(c.historyPrefix, c.expect.Version+1), &recorded)
 	if err != nil {
 		return true, err
 	}
@@ -107,8 +107,13 @@
 }
 
 func (c change) conflict(winner Stamp) error {
+	at := winner.At.UTC().Format("2006-01-02T15:04:05Z")
+	if winner.Version == c.expect.Version {
+		return result.New(result.ConfigConflict, "%s: expected version %d of change %s, but it is change %s by %s at %s: the platform was restored",
+			c.name, c.expect.Version, c.expect.ChangeID, winner.ChangeID, winner.Operator, at)
+	}
 	return result.New(result.ConfigConflict, "%s: expected version %d, but version %d by %s at %s came first",
-		c.name, c.expect, winner.Version, winner.Operator, winner.At.UTC().Format("2006-01-02T15:04:05Z"))
+		c.name, c.expect.Version, winner.Version, winner.Operator, at)
 }
 
 func (c change) interrupted(mayHaveApplied bool, err error) error {
--- a/pkg/config/store/operations.go
+++ b/pkg/config/store/operations.go
@@ -14,7 +14,7 @@
 // errors or lacks the preset in force, and ConfigConflict when another version was
 // applied first. After PlatformUnavailable nothing was changed; after
 // PlatformUnknown the change may have been applied.
-func (s *Store) Apply(ctx context.Context, doc *config.Document, expect uint64, operator string) (uint64, error) {
+func (s *Store) Apply(ctx context.Context, doc *config.Document, expect Expected, operator string) (uint64, error) {
 	return s.apply(ctx, doc, expect, operator, 0)
 }
 
@@ -22,7 +22,7 @@
 // It never reuses the earlier version number, so that no daemon rejects the
 // configuration as old. It returns NotFound when the history does not keep that
 // version, and otherwise the errors of Apply.
-func (s *Store) Rollback(ctx context.Context, version, expect uint64, operator string) (uint64, error) {
+func (s *Store) Rollback(ctx context.Context, version uint64, expect Expected, operator string) (uint64, error) {
 	var old ConfigVersion
 	revision, err := s.row(ctx, historyKey(HistoryPrefix, version), &old)
 	if err != nil {
@@ -38,13 +38,13 @@
 	return s.apply(ctx, doc, expect, operator, version)
 }
 
-func (s *Store) apply(ctx context.Context, doc *config.Document, expect uint64, operator string, rollbackOf uint64) (uint64, error) {
+func (s *Store) apply(ctx context.Context, doc *config.Document, expect Expected, operator string, rollbackOf uint64) (uint64, error) {
 	raw, err := encodeChecked(doc)
 	if err != nil {
 		return 0, err
 	}
 	record := ConfigVersion{
-		Stamp:      s.stamp(expect+1, operator),
+		Stamp:      s.stamp(expect.Version+1, operator),
 		Hash:       config.Hash(raw),
 		RollbackOf: rollbackOf,
 	}
@@ -74,8 +74,8 @@
 // the preset was never switched, and returns the version of the switch. It returns
 // UnknownPreset when the current document lacks the preset, NotFound when there is
 // no document, and otherwise the errors of Apply.
-func (s *Store) SwitchPreset(ctx context.Context, preset string, expect uint64, operator string) (uint64, error) {
-	record := PresetVersion{Stamp: s.stamp(expect+1, operator), Preset: preset}
+func (s *Store) SwitchPreset(ctx context.Context, preset string, expect Expected, operator string) (uint64, error) {
+	record := PresetVersion{Stamp: s.stamp(expect.Version+1, operator), Preset: preset}
 	var loaded documentCache
 	c := change{
 		name: "preset", expect: expect, changeID: record.ChangeID, historyPrefix: SwitchPrefix,
--- a/pkg/config/store/store.go
+++ b/pkg/config/store/store.go
@@ -46,6 +46,23 @@
 	ChangeID string `json:"change_id"`
 }
 
+// Expected is the version that a change was made from.
+type Expected struct {
+	// Version is 0 before the first change.
+	Version uint64
+	// ChangeID, unless empty, is that of the version: a platform that is restored from an older copy
+	// gives versions out again, to other changes.
+	ChangeID string
+}
+
+// Expected returns what a change made from the stamped version expects.
+func (s Stamp) Expected() Expected { return Expected{Version: s.Version, ChangeID: s.ChangeID} }
+
+// meets reports whether the stamp is of the expected version.
+func (s Stamp) meets(e Expected) bool {
+	return s.Version == e.Version && (e.ChangeID == "" || s.ChangeID == e.ChangeID)
+}
+
 // ConfigVersion is the row of one accepted document.
 type ConfigVersion struct {
 	Stamp
--- a/pkg/config/store/store_test.go
+++ b/pkg/config/store/store_test.go
@@ -162,12 +162,12 @@
 	switch h.platform.draw("change", 4) {
 	case 0:
 		preset := []string{"ordinary", "peak"}[h.platform.draw("preset", 2)]
-		return s.SwitchPreset(ctx, preset, seen.Preset.Version, operator)
+		return s.SwitchPreset(ctx, preset, seen.Preset.Expected(), operator)
 	case 1:
-		return s.Rollback(ctx, 1, seen.Config.Version, operator)
+		return s.Rollback(ctx, 1, seen.Config.Expected(), operator)
 	default:
 		doc := h.documents[h.platform.draw("document", len(h.documents))]
-		return s.Apply(ctx, doc, seen.Config.Version, operator)
+		return s.Apply(ctx, doc, seen.Config.Expected(), operator)
 	}
 }
 
@@ -277,38 +277,52 @@
 				Now:         func() time.Time { return time.Unix(1_000_000, 0) },
 				NewChangeID: func() string { ids++; return fmt.Sprint(ids) },
 			}
-			Expect(s.Apply(ctx, document(), 0, "mari")).To(Equal(uint64(1)))
+			Expect(s.Apply(ctx, document(), store.Expected{}, "mari")).To(Equal(uint64(1)))
 		})
 
 		It("reports the change that came first on a conflict", func() {
-			_, err := s.Apply(ctx, document(), 0, "piero")
+			_, err := s.Apply(ctx, document(), store.Expected{}, "piero")
 			Expect(result.From(err).Code).To(Equal(result.ConfigConflict))
 			Expect(err).To(MatchError(ContainSubstring("version 1 by mari at 1970-01-12T13:46:40Z")))
 		})
 
 		It("rejects a document without the preset in force, and an unknown preset or version", func() {
-			Expect(s.SwitchPreset(ctx, "peak", 0, "mari")).To(Equal(uint64(1)))
+			Expect(s.SwitchPreset(ctx, "peak", store.Expected{}, "mari")).To(Equal(uint64(1)))
 			small := document()
 			small.Presets = small.Presets[:1]
-			Expect(code(s.Apply(ctx, small, 1, "piero"))).To(Equal(result.ConfigInvalid))
-			Expect(code(s.SwitchPreset(ctx, "storm", 1, "piero"))).To(Equal(result.UnknownPreset))
-			Expect(code(s.Rollback(ctx, 9, 1, "piero"))).To(Equal(result.NotFound))
+			Expect(code(s.Apply(ctx, small, store.Expected{Version: 1}, "piero"))).To(Equal(result.ConfigInvalid))
+			Expect(code(s.SwitchPreset(ctx, "storm", store.Expected{Version: 1}, "piero"))).To(Equal(result.UnknownPreset))
+			Expect(code(s.Rollback(ctx, 9, store.Expected{Version: 1}, "piero"))).To(Equal(result.NotFound))
 		})
 
 		It("rolls back by adding a version with the old content", func() {
 			next := document()
 			next.Members[0].Weight = 99
-			Expect(s.Apply(ctx, next, 1, "mari")).To(Equal(uint64(2)))
-			Expect(s.Rollback(ctx, 1, 2, "mari")).To(Equal(uint64(3)))
+			Expect(s.Apply(ctx, next, store.Expected{Version: 1}, "mari")).To(Equal(uint64(2)))
+			Expect(s.Rollback(ctx, 1, store.Expected{Version: 2}, "mari")).To(Equal(uint64(3)))
 			state, err := s.Read(ctx)
 			Expect(err).NotTo(HaveOccurred())
 			Expect(state.Config.RollbackOf).To(Equal(uint64(1)))
 			Expect(s.Load(ctx, state.Config)).To(Equal(document()))
 		})
 
+		// Guards against a change that is made over another operator's, to which the platform has given
+		// the expected version again after it was restored from an older copy.
+		It("refuses a change made from a version that was given out again", func() {
+			seen, err := s.Read(ctx)
+			Expect(err).NotTo(HaveOccurred())
+			s.Platform = platform.NewMemory() // Restored from before the first version.
+			Expect(s.Apply(ctx, document(), store.Expected{}, "piero")).To(Equal(uint64(1)))
+			_, err = s.Apply(ctx, document(), seen.Config.Expected(), "mari")
+			Expect(result.From(err).Code).To(Equal(result.ConfigConflict))
+			Expect(err).To(MatchError(ContainSubstring("the platform was restored")))
+			_, err = s.Rollback(ctx, 1, seen.Config.Expected(), "mari")
+			Expect(result.From(err).Code).To(Equal(result.ConfigConflict))
+		})
+
 		It("keeps a bounded history", func() {
 			for v := range uint64(store.HistoryLength + 5) {
-				Expect(s.SwitchPreset(ctx, "peak", v, "mari")).To(Equal(v + 1))
+				Expect(s.SwitchPreset(ctx, "peak", store.Expected{Version: v}, "mari")).To(Equal(v + 1))
 			}
 			switches, err := s.Switches(ctx)
 			Expect(err).NotTo(HaveOccurred())
