--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -91,13 +91,18 @@
 func (l *Lead) restoreRow(ctx context.Context, row *lease.Row, now mono.Time) {
 	l.mu.Lock()
 	inContact := l.coordinator.Row(row.Group) == row && l.coordinator.InContact(row.Group, now)
+	settled := l.coordinator.Settled(row.Group, now)
 	waited := now.Sub(l.eraSince) >= restoreGrace
 	era := l.era
 	l.mu.Unlock()
 	var next *lease.Row
 	switch {
 	case inContact && (!row.Open() || l.stillLeads(ctx, row)):
-		next = row.Restored(era)
+		next = row
+		if settled {
+			next = row.Settled()
+		}
+		next = next.Restored(era)
 	case waited:
 		next = l.takenOver(row)
 	default:
--- a/pkg/lease/model_test.go
+++ b/pkg/lease/model_test.go
@@ -192,6 +192,9 @@
 	if row.Open() && (row.Primary != m.leader || row.Term != m.term) {
 		return
 	}
+	if v.coordinator.Settled("g", m.now) {
+		row = row.Settled()
+	}
 	m.write(i, row.Restored(v.seen.Era))
 }
 
