Group rows: a coordinator by handover keeps its promises when it writes its row again

Fault: the row that such a coordinator has read and the one of the notice that it received are equal, not the same, and were compared as the same. It counted as no coordinator, and closed the group two seconds after a restoration. A claim of the duty that fails is repeated after a pause.

--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -90,7 +91,8 @@
 // row that the store has lost, and the row is closed until it is known which target leads.
 func (l *Lead) restoreRow(ctx context.Context, row *lease.Row, now mono.Time) {
 	l.mu.Lock()
-	inContact := l.coordinator.Row(row.Group) == row && l.coordinator.InContact(row.Group, now)
+	coordinated := l.coordinator.Row(row.Group)
+	inContact := coordinated != nil && coordinated.Version == row.Version && l.coordinator.InContact(row.Group, now)
 	settled := l.coordinator.Settled(row.Group, now)
 	waited := now.Sub(l.eraSince) >= restoreGrace
 	era := l.era
@@ -159,13 +161,13 @@
 	}
 	l.renewingDuty = true
 	go func() {
-		_, err := l.acquireDuty(ctx)
+		if _, err := l.acquireDuty(ctx); err != nil {
+			l.Log.Info("event=duty_not_claimed", "error", err)
+			wait.For(ctx, handoverRetryDelay)
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		l.renewingDuty = false
-		if err != nil {
-			l.Log.Info("event=duty_not_claimed", "error", err)
-		}
 	}()
 }
 
