Targets: a database whose entry the store has lost is used for two seconds more

Fault: a database that registered within the lost seconds is not in the copy. VMs dropped it with the first listing, so requests of its group failed until it had written its entry again, although it ran all the time. One that does not write again within two seconds is gone (TestADatabaseThatDoesNotWriteItsLostEntryAgainIsGone). target_unregistered tells its cause.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -298,6 +298,19 @@
 	return removed
 }
 
+// MissingRegistrations returns the keys of all targets that are not among the keys.
+func (d *Directory) MissingRegistrations(keys map[string]bool) []string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	var missing []string
+	for _, t := range d.targets {
+		if !keys[t.Registration] && !slices.Contains(missing, t.Registration) {
+			missing = append(missing, t.Registration)
+		}
+	}
+	return missing
+}
+
 // Target returns a target, including one that is superseded.
 func (d *Directory) Target(id topology.TargetID) (Target, bool) {
 	d.mu.RLock()
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -62,6 +62,7 @@
 			newRunState,
 			newMalformed,
 			newKeptConfiguration,
+			newEntryVersions,
 		),
 		fx.Invoke(run),
 	)
@@ -159,6 +160,7 @@
 	Registry  *metrics.Registry
 	Malformed *malformed
 	Kept      *keptConfiguration
+	Entries   *entryVersions
 	Metrics   *metrics.Store
 	Customers *metrics.Customers
 }
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -98,32 +98,31 @@
 				listed[r.Key] = true
 				changed = d.applyTarget(r, at) || changed
 			}
-			gone := d.Directory.KeepRegistrations(listed)
-			d.logUnregistered(gone)
-			return changed || len(gone) > 0
+			return d.removeUnlisted(listed, at) || changed
 		},
 		Change: d.applyTarget,
 	}
 }
 
-func (d *daemon) logUnregistered(ids []topology.TargetID) {
+func (d *daemon) logUnregistered(ids []topology.TargetID, cause string) {
 	for _, id := range ids {
-		d.Log.Info("event=target_unregistered", "target", id)
+		d.Log.Info("event=target_unregistered", "target", id, "cause", cause)
 	}
 }
 
 // applyTarget applies a change of a registration, and reports whether it contains something
 // new: most changes are heartbeats.
 func (d *daemon) applyTarget(r metastore.Row, at directory.Timing) bool {
+	d.Entries.note(r)
 	if r.Deleted {
-		d.logUnregistered(d.Directory.RemoveRegistration(r.Key))
+		d.logUnregistered(d.Directory.RemoveRegistration(r.Key), "removed")
 		return true
 	}
 	t, err := platform.DecodeTarget(r.Key, r.Value)
 	if err != nil {
 		// The earlier registration may be wrong as well, so the database is no longer registered.
 		gone := d.Directory.RemoveRegistration(r.Key)
-		d.logUnregistered(gone)
+		d.logUnregistered(gone, "malformed")
 		return d.Malformed.report(d.Log, r.Key, err) || len(gone) > 0 // The other VMs decode it themselves.
 	}
 	d.Malformed.forget(r.Key)
