Relay: what is written again after a restoration of the store reaches VMs that started meanwhile

Fault: a VM that starts between the store's return and the rewriting lists the older rows. A change that writes the configuration in force is news, and so is the first entry that each database writes in the later era. Costs one relayed entry a database after a restoration, none else. passOn needs no decoding of the configuration.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -62,7 +62,7 @@
 			newRunState,
 			newMalformed,
 			newKeptConfiguration,
-			newEntryVersions,
+			newUnconfirmedEntries,
 		),
 		fx.Invoke(run),
 	)
@@ -145,24 +145,24 @@
 
 type daemon struct {
 	fx.In
-	Lifecycle fx.Lifecycle
-	Settings  Settings
-	File      settingsFile
-	State     *runState
-	Directory *directory.Directory
-	Store     metastore.Store
-	Pools     *target.Pools
-	Lead      *lead.Lead
-	Server    *gateway.Server
-	Clock     mono.Clock
-	Logging   *logging
-	Log       *slog.Logger
-	Registry  *metrics.Registry
-	Malformed *malformed
-	Kept      *keptConfiguration
-	Entries   *entryVersions
-	Metrics   *metrics.Store
-	Customers *metrics.Customers
+	Lifecycle   fx.Lifecycle
+	Settings    Settings
+	File        settingsFile
+	State       *runState
+	Directory   *directory.Directory
+	Store       metastore.Store
+	Pools       *target.Pools
+	Lead        *lead.Lead
+	Server      *gateway.Server
+	Clock       mono.Clock
+	Logging     *logging
+	Log         *slog.Logger
+	Registry    *metrics.Registry
+	Malformed   *malformed
+	Kept        *keptConfiguration
+	Unconfirmed *unconfirmedEntries
+	Metrics     *metrics.Store
+	Customers   *metrics.Customers
 }
 
 func run(d daemon) {
--- a/internal/gatewayd/kept.go
+++ b/internal/gatewayd/kept.go
@@ -22,6 +22,8 @@
 	mu      sync.Mutex
 	row     metastore.Row
 	version uint64
+	// older is the version of the store's present row if its configuration is older than the kept one.
+	older metastore.Version
 }
 
 func newKeptConfiguration() *keptConfiguration { return &keptConfiguration{} }
@@ -32,24 +34,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if version < k.version {
+		k.older = row.Version
 		return k.version
 	}
-	k.row, k.version = row, version
+	k.row, k.version, k.older = row, version, metastore.Version{}
 	return 0
 }
 
-// passOn returns the kept configuration, at the version of the row, in place of an older one.
+// passOn returns the kept configuration, at the version of the row, in place of an older one that was
+// read.
 func (k *keptConfiguration) passOn(row metastore.Row) metastore.Row {
-	if row.Key != platform.ConfigurationKey || row.Deleted {
-		return row
-	}
-	c, err := platform.DecodeConfiguration(row.Value)
-	if err != nil {
-		return row // The other VMs decode it themselves.
-	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if c.Version < k.version {
+	if row.Key == platform.ConfigurationKey && !row.Deleted && !k.older.IsZero() && row.Version == k.older {
 		row.Value = k.row.Value
 	}
 	return row
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -12,7 +12,6 @@
 	"github.com/buckthornshore/buckthornshore/internal/forward"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
-	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/platform"
 )
 
@@ -34,23 +33,29 @@
 
 // configurationWatcher returns the watcher that puts the operators' configuration in force.
 func (d *daemon) configurationWatcher() *directory.Watcher {
-	apply := func(r metastore.Row, _ directory.Timing) bool {
-		return r.Key == platform.ConfigurationKey && !r.Deleted && d.applyConfiguration(r)
+	apply := func(r metastore.Row) configurationOutcome {
+		if r.Key != platform.ConfigurationKey || r.Deleted {
+			return configurationIgnored
+		}
+		return d.applyConfiguration(r)
 	}
 	return &directory.Watcher{
-		Store: d.Store, Table: platform.OperatorTable, Clock: d.Clock, Log: d.Log, Change: apply,
+		Store: d.Store, Table: platform.OperatorTable, Clock: d.Clock, Log: d.Log,
 		Wait: func() time.Duration { return d.watchWait(longestConfigurationWatch) },
 		Feed: directory.Configurations, Relay: d.Directory.Relay(),
 		Neighbours:  forward.Neighbours{Directory: d.Directory},
 		PassOn:      d.Kept.passOn,
 		ChangeDelay: func() time.Duration { return min(d.Lead.WatchDelay(), longestConfigurationDelay) },
-		All: func(rows []metastore.Row, at directory.Timing) bool {
+		All: func(rows []metastore.Row, _ directory.Timing) bool {
 			changed := false
 			for _, r := range rows {
-				changed = apply(r, at) || changed
+				changed = apply(r) >= configurationInForce || changed
 			}
 			return changed
 		},
+		// A configuration that is written again after the store has lost it is news to VMs that have
+		// started meanwhile.
+		Change: func(r metastore.Row, _ directory.Timing) bool { return apply(r) >= configurationKnown },
 	}
 }
 
@@ -62,26 +67,38 @@
 	return d.Directory.WatchWait(longest)
 }
 
-// applyConfiguration puts a configuration in force if it is newer, and reports whether there is something
-// new for the other VMs.
-func (d *daemon) applyConfiguration(r metastore.Row) bool {
+// configurationOutcome is what became of a configuration that was read.
+type configurationOutcome int
+
+// The outcomes, those that matter more to other VMs last.
+const (
+	configurationIgnored   configurationOutcome = iota // Not a configuration, or older than the one in force.
+	configurationKnown                                 // The one in force.
+	configurationInForce                               // Put in force now.
+	configurationMalformed                             // The other VMs decode it themselves.
+)
+
+// applyConfiguration puts a configuration in force if it is newer.
+func (d *daemon) applyConfiguration(r metastore.Row) configurationOutcome {
 	c, err := platform.DecodeConfiguration(r.Value)
 	if err != nil {
 		d.Log.Error("event=configuration_malformed", "row_version", r.Version, "error", err, "outcome", "kept the configuration in force")
-		return true // The other VMs decode it themselves.
+		return configurationMalformed
 	}
 	newer := d.Directory.SetConfiguration(c)
 	lost := d.Kept.read(r, c.Version)
 	d.Directory.Relay().SetKept(directory.Configurations, lost)
-	if lost != 0 {
+	switch {
+	case lost != 0:
 		d.Log.Warn("event=configuration_older", "version", c.Version, "row_version", r.Version, "in_force", lost, "outcome", "kept the configuration in force")
+		return configurationIgnored
+	case !newer:
+		return configurationKnown
 	}
-	if newer {
-		d.Metrics.Configuration(c.Version)
-		d.Customers.SetNamed(c.Customers.Largest(metrics.MaxNamedCustomers))
-		d.Log.Info("event=configuration_in_force", "version", c.Version, "row_version", r.Version, "classes", len(c.Classes), "customers", c.Customers.Len(), "bytes", len(r.Value))
-	}
-	return newer
+	d.Metrics.Configuration(c.Version)
+	d.Customers.SetNamed(c.Customers.Largest(metrics.MaxNamedCustomers))
+	d.Log.Info("event=configuration_in_force", "version", c.Version, "row_version", r.Version, "classes", len(c.Classes), "customers", c.Customers.Len(), "bytes", len(r.Value))
+	return configurationInForce
 }
 
 // targetWatcher returns the watcher of the targets' registrations.
@@ -100,20 +117,18 @@
 			}
 			return d.removeUnlisted(listed, at) || changed
 		},
-		Change: d.applyTarget,
-	}
-}
-
-func (d *daemon) logUnregistered(ids []topology.TargetID, cause string) {
-	for _, id := range ids {
-		d.Log.Info("event=target_unregistered", "target", id, "cause", cause)
+		// The first entry that a database writes after a restoration of the store is news to VMs that have
+		// started meanwhile, and have read an older one.
+		Change: func(r metastore.Row, at directory.Timing) bool {
+			changed := d.applyTarget(r, at)
+			return d.Unconfirmed.confirm(r.Key) || changed
+		},
 	}
 }
 
 // applyTarget applies a change of a registration, and reports whether it contains something
 // new: most changes are heartbeats.
 func (d *daemon) applyTarget(r metastore.Row, at directory.Timing) bool {
-	d.Entries.note(r)
 	if r.Deleted {
 		d.logUnregistered(d.Directory.RemoveRegistration(r.Key), "removed")
 		return true
