Messages between VMs name the era once, so that builds without eras read them

All versions of a message are of one era already; it stands in a field of its own, which older builds pass over.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -40,6 +40,8 @@
 	// WatchableFrom is the lowest version from which a watch is of use: after earlier versions there
 	// are more changes than a watch reads.
 	WatchableFrom metastore.Version `msgpack:"l,omitempty"`
+	// Era is the era of all versions in the news.
+	Era uint64 `msgpack:"e,omitempty"`
 	// Kept is set while the sender keeps rows that the store has lost: the version of what they declare.
 	Kept uint64 `msgpack:"k,omitempty"`
 }
@@ -149,9 +151,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := &feedState{relevant: version, seen: version, answeredAt: now, listedAt: now}
-	if was := r.feedState[f]; was != nil {
+	if was := r.feedState[f]; was != nil && was.seen.Era == version.Era {
 		s.watchableFrom = was.watchableFrom
-		if !isNew && was.relevant.Era == version.Era {
+		if !isNew {
 			s.relevant = was.relevant
 		}
 	}
@@ -196,7 +198,7 @@
 func (s *feedState) add(seen metastore.Version, rows []metastore.Row, writtenAfter, now mono.Time) {
 	if seen.Era > s.seen.Era {
 		// What the store has lost since the last listing is not among the rows.
-		s.relevant, s.since, s.recent = seen, seen, nil
+		s.relevant, s.since, s.recent, s.watchableFrom = seen, seen, nil, metastore.Version{}
 	}
 	s.seen = metastore.Later(s.seen, seen)
 	for _, row := range rows {
@@ -249,7 +251,7 @@
 			continue
 		}
 		s.trim(now)
-		item := FeedNews{Relevant: s.relevant, Seen: s.seen, WatchableFrom: s.watchableFrom, Kept: r.kept[f]}
+		item := FeedNews{Relevant: s.relevant, Seen: s.seen, WatchableFrom: s.watchableFrom, Era: s.seen.Era, Kept: r.kept[f]}
 		if len(s.recent) > 0 {
 			item.Since = s.since
 		}
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -14,6 +14,8 @@
 type Snapshot struct {
 	Version metastore.Version `msgpack:"v"`
 	Rows    []metastore.Row   `msgpack:"r"`
+	// Era is the era of all versions in the snapshot.
+	Era uint64 `msgpack:"e,omitempty"`
 }
 
 // Size returns approximately how many bytes the rows take in a message.
@@ -39,7 +41,7 @@
 	if r.snapshots[f].Version.After(version) {
 		return
 	}
-	r.snapshots[f] = Snapshot{Version: version, Rows: slices.DeleteFunc(slices.Clone(rows), func(r metastore.Row) bool { return r.Deleted })}
+	r.snapshots[f] = Snapshot{Version: version, Era: version.Era, Rows: slices.DeleteFunc(slices.Clone(rows), func(r metastore.Row) bool { return r.Deleted })}
 	r.wake()
 }
 
@@ -58,7 +60,7 @@
 			rows = append(rows, c)
 		}
 	}
-	r.snapshots[f] = Snapshot{Version: version, Rows: rows}
+	r.snapshots[f] = Snapshot{Version: version, Era: version.Era, Rows: rows}
 	r.wake()
 }
 
--- a/internal/forward/rows.go
+++ b/internal/forward/rows.go
@@ -28,6 +28,8 @@
 type rowsRequest struct {
 	Feed    directory.Feed    `msgpack:"f"`
 	Version metastore.Version `msgpack:"v"`
+	// Era is the version's era.
+	Era uint64 `msgpack:"e,omitempty"`
 }
 
 // rowsResponse answers a rowsRequest.
@@ -49,7 +51,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
 	defer cancel()
-	snapshot, err := fetchRows(ctx, source.PeerAddress, rowsRequest{Feed: f, Version: version})
+	snapshot, err := fetchRows(ctx, source.PeerAddress, rowsRequest{Feed: f, Version: version, Era: version.Era})
 	return snapshot, err == nil && !version.After(snapshot.Version)
 }
 
@@ -92,7 +94,7 @@
 func (s *Server) sendRows(nc net.Conn, peer *stream, r rowsRequest) {
 	ctx, cancel := context.WithTimeout(context.Background(), rowsHoldTimeout)
 	defer cancel()
-	snapshot, ok := s.Directory.Relay().AwaitSnapshot(ctx, r.Feed, r.Version)
+	snapshot, ok := s.Directory.Relay().AwaitSnapshot(ctx, r.Feed, r.Version.InEra(r.Era))
 	a := rowsResponse{Snapshot: snapshot}
 	switch {
 	case !ok:
--- a/pkg/metastore/metastore.go
+++ b/pkg/metastore/metastore.go
@@ -37,6 +37,13 @@
 	Deleted bool `msgpack:"d,omitempty"`
 }
 
+// InEra sets the era of the versions of rows.
+func InEra(rows []Row, era uint64) {
+	for i := range rows {
+		rows[i].Version.Era = era
+	}
+}
+
 // Rows are rows of a table, or its changed rows, as of a version.
 type Rows struct {
 	Rows []Row
--- a/pkg/metastore/version.go
+++ b/pkg/metastore/version.go
@@ -3,10 +3,7 @@
 import (
 	"cmp"
 	"fmt"
-
-	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
-	"github.com/vmihailenco/msgpack/v5/msgpcode"
 )
 
 // Version identifies a transaction of the store. A store that is restored from an older copy begins a
@@ -31,6 +28,9 @@
 // IsZero reports whether v is the zero Version.
 func (v Version) IsZero() bool { return v == Version{} }
 
+// InEra returns the version with the same number in an era.
+func (v Version) InEra(era uint64) Version { return Version{Era: era, Number: v.Number} }
+
 // Next returns the version after v in the same era.
 func (v Version) Next() Version { return Version{Era: v.Era, Number: v.Number + 1} }
 
@@ -55,42 +55,13 @@
 	_ msgpack.CustomDecoder = (*Version)(nil)
 )
 
-// versionFields is the length of the array that encodes a version with an era.
-const versionFields = 2
-
-// EncodeMsgpack implements msgpack.CustomEncoder. A version of era 0 is a plain number, others are an
-// array of era and number.
-func (v Version) EncodeMsgpack(e *msgpack.Encoder) error {
-	if v.Era == 0 {
-		return e.EncodeUint(v.Number)
-	}
-	return errors.CombineErrors(e.EncodeArrayLen(versionFields), errors.CombineErrors(e.EncodeUint(v.Era), e.EncodeUint(v.Number)))
-}
+// EncodeMsgpack implements msgpack.CustomEncoder. It encodes the number only: a message has versions of one
+// era, which it names once, so that VMs of builds without eras can read it.
+func (v Version) EncodeMsgpack(e *msgpack.Encoder) error { return e.EncodeUint(v.Number) }
 
-// DecodeMsgpack implements msgpack.CustomDecoder.
+// DecodeMsgpack implements msgpack.CustomDecoder. It decodes the number only.
 func (v *Version) DecodeMsgpack(d *msgpack.Decoder) error {
-	code, err := d.PeekCode()
-	if err != nil {
-		return err
-	}
-	*v = Version{}
-	if isArray(code) {
-		n, err := d.DecodeArrayLen()
-		if err != nil {
-			return err
-		}
-		if n != versionFields {
-			return errors.Newf("metastore: a version has %d fields instead of %d", n, versionFields)
-		}
-		if v.Era, err = d.DecodeUint64(); err != nil {
-			return err
-		}
-	}
-	v.Number, err = d.DecodeUint64()
+	number, err := d.DecodeUint64()
+	*v = Version{Number: number}
 	return err
 }
-
-// isArray reports whether a MessagePack code begins an array.
-func isArray(code byte) bool {
-	return msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32
-}
