--- a/pkg/metastore/version.go
+++ b/pkg/metastore/version.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+
 	"github.com/vmihailenco/msgpack/v5"
 )
 
