Holders: a connection from another VM follows the present pool of its target

A holder binds a connection to the pool with which it began; as the target's entry had changed there the pool was closed and another one opened, and the connection refused all work from then on. The same follows where a holder drops a target whose entry lapses and the other VM does not see that.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -17,6 +17,7 @@
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
 // Server runs the commands of other VMs over this VM's connections to the targets.
@@ -70,7 +71,7 @@
 	if err := peer.send(opened); err != nil || failure != nil {
 		return
 	}
-	sess := &session{server: s, pool: pool, prepared: map[string]statement.Prepared{}}
+	sess := &session{server: s, target: o.Target, pool: pool, prepared: map[string]statement.Prepared{}}
 	defer sess.release()
 	for {
 		var r request
@@ -101,6 +102,7 @@
 // set up on it, and the link to the target while a transaction is open.
 type session struct {
 	server   *Server
+	target   topology.TargetID
 	pool     *target.Pool
 	values   map[string]string
 	prepared map[string]statement.Prepared
@@ -165,6 +167,7 @@
 func (s *session) runAtTarget(r request) response {
 	deadline := time.Now().Add(r.Remaining)
 	if s.link == nil {
+		s.followPool()
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
 		link, failure := s.pool.Acquire(ctx, r.waitlistRequest(s.server.Clock.Now()), s.values)
@@ -198,6 +201,14 @@
 	return response{Lost: err.Error()}
 }
 
+// followPool uses the target's present pool: the one of before was closed if the target's entry was missing
+// for a while, or has another address.
+func (s *session) followPool() {
+	if pool, ok := s.server.Pools.Get(s.target); ok {
+		s.pool = pool
+	}
+}
+
 func (s *session) run(deadline time.Time, c target.Command) (statement.Answer, error) {
 	if c.Kind == target.Reset {
 		p, err := s.link.Position(deadline)
