Start: the VMs of a data centre get the store's rows from each other

Cause: each VM lists targets, VMs, groups' rows and the configuration at its start, and watches the registrations' heartbeats until some VM coordinates: VMs x (VMs + targets + groups). A configuration above 64 KB was read by each VM. Ruled out: state on demand alone (holders are chosen from the list of all VMs); several readers a data centre by contention (more readings, and small VMs' links). Rows that may be out of date are not sent; a seed that does not answer is replaced. A VM that started so waits for a coordinator's news. At most four VMs of a data centre read a change of the configuration. Not wired yet.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -27,6 +27,9 @@
 	// recheckPeriod is how often a VM asks the store although the coordinator reports no change,
 	// in case the coordinator misses one.
 	recheckPeriod = time.Minute
+	// startNewsWait is how long after it got all rows from another VM a VM waits for news before it
+	// gets them again: until the rows of the groups are written when all VMs start for the first time.
+	startNewsWait = 4 * time.Second
 	// rowRetention is how long changes are sent as rows: in several promises, of which all but one
 	// may be lost.
 	rowRetention = 1200 * time.Millisecond
@@ -55,6 +58,8 @@
 	// publishing is set while this VM coordinates and the others rely on its news. coordinatorKnown
 	// is set once some VM is known to coordinate, so that this VM may wait for news.
 	publishing, coordinatorKnown bool
+	// inUse is set while there are enough VMs for one to report the changes to the others.
+	inUse bool
 	// started is closed while publishing is set.
 	started chan struct{}
 	// changed is closed and replaced when Await or AwaitSnapshot may have something to return.
@@ -72,6 +77,8 @@
 	relevant, seen metastore.Version
 	// answeredAt is when this VM's own watch was last answered, and listedAt when its listing was.
 	answeredAt, listedAt mono.Time
+	// startedAt is when this VM last got all rows from another one, 0 if it has listed them itself.
+	startedAt mono.Time
 	// watchableFrom is as in FeedNews.
 	watchableFrom metastore.Version
 	// recent are the newest relevant changes, all those after the version since.
@@ -113,6 +120,14 @@
 	r.feedState[f] = s
 }
 
+// NoteStart records that this VM got all rows of a feed as of a version from another VM. It does not
+// report on the feed before its own watch is answered.
+func (r *Relay) NoteStart(f Feed, version metastore.Version, now mono.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.feedState[f] = &feedState{relevant: version, seen: version, since: version, startedAt: now}
+}
+
 // NoteChanges records the relevant changes up to the version seen, as returned by a watch of this
 // VM that was answered at now. They were written after writtenAfter.
 func (r *Relay) NoteChanges(f Feed, seen metastore.Version, rows []metastore.Row, writtenAfter, now mono.Time) {
@@ -235,6 +250,16 @@
 	r.wake()
 }
 
+// setInUse sets whether there are enough VMs for one to report the changes to the others.
+func (r *Relay) setInUse(inUse bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.inUse != inUse {
+		r.inUse = inUse
+		r.wake()
+	}
+}
+
 // publishingStarted returns a channel that is closed when the others begin to rely on this VM, and
 // is closed already if they do.
 func (r *Relay) publishingStarted() <-chan struct{} {
@@ -301,6 +326,8 @@
 	List
 	// Apply is returned when the news contains the changes.
 	Apply
+	// Restart is returned when a VM that got all rows from another one has waited for news in vain.
+	Restart
 )
 
 // currentAt returns the last moment at which, according to the news received, a VM that follows a
@@ -327,9 +354,12 @@
 	for {
 		r.mu.Lock()
 		news, validUntil, changed := r.news[f], r.confirmedAt[f].Add(newsValidity), r.changed
-		publishing, answeredAt, waitUntil := r.publishing, mono.Time(0), mono.Time(0)
+		publishing, answeredAt, waitUntil, startedAt := r.publishing, mono.Time(0), mono.Time(0), mono.Time(0)
 		if s := r.feedState[f]; s != nil {
 			answeredAt = s.answeredAt
+			if r.inUse {
+				startedAt = s.startedAt
+			}
 			if r.coordinatorKnown {
 				waitUntil = s.listedAt.Add(newsWait)
 			}
@@ -344,6 +374,11 @@
 			return Fetch, news
 		case publishing:
 			return Watch, news
+		case noNews && startedAt != 0 && news.Relevant.IsZero() && !now.Before(startedAt.Add(startNewsWait)):
+			return Restart, news
+		case noNews && startedAt != 0 && news.Relevant.IsZero():
+			wait.Until(ctx, changed, startedAt.Add(startNewsWait).Sub(now))
+			continue
 		case noNews && now.Before(waitUntil):
 			wait.Until(ctx, changed, waitUntil.Sub(now))
 			continue
--- a/internal/directory/snapshot.go
+++ b/internal/directory/snapshot.go
@@ -7,6 +7,7 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -34,6 +35,12 @@
 	Fetch(ctx context.Context, f Feed, version metastore.Version) (Snapshot, bool)
 }
 
+// Peers gives access to the VMs of the data centre that have read the store, for a VM that starts.
+type Peers interface {
+	// Start returns all rows of a feed. It returns false if this VM has to read them from the store.
+	Start(ctx context.Context, f Feed) (Snapshot, bool)
+}
+
 // SetSnapshot stores a snapshot of a feed for other VMs to request: all its rows as of a version.
 func (r *Relay) SetSnapshot(f Feed, rows []metastore.Row, version metastore.Version) {
 	r.mu.Lock()
@@ -53,15 +60,46 @@
 	if !ok || s.Version.After(version) || s.Version.Era != version.Era {
 		return
 	}
-	rows := slices.Clone(s.Rows)
+	r.snapshots[f] = Snapshot{Version: version, Era: version.Era, Rows: withChanges(s.Rows, changes)}
+	r.wake()
+}
+
+// withChanges returns the rows after the changes, of which the last one of a row counts.
+func withChanges(rows, changes []metastore.Row) []metastore.Row {
+	if len(changes) == 0 {
+		return rows
+	}
+	latest := make(map[string]metastore.Row, len(changes))
 	for _, c := range changes {
-		rows = slices.DeleteFunc(rows, func(r metastore.Row) bool { return r.Key == c.Key })
+		latest[c.Key] = c
+	}
+	changed := make([]metastore.Row, 0, len(rows)+len(latest))
+	for _, r := range rows {
+		if _, ok := latest[r.Key]; !ok {
+			changed = append(changed, r)
+		}
+	}
+	for _, c := range latest {
 		if !c.Deleted {
-			rows = append(rows, c)
+			changed = append(changed, c)
 		}
 	}
-	r.snapshots[f] = Snapshot{Version: version, Era: version.Era, Rows: rows}
-	r.wake()
+	return changed
+}
+
+// CurrentSnapshot returns the rows of a feed, and false if this VM does not know that they are up to
+// date: its own watch was answered lately, or a coordinator reports no later change.
+func (r *Relay) CurrentSnapshot(f Feed, now mono.Time) (Snapshot, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.snapshots[f]
+	state := r.feedState[f]
+	if !ok || state == nil {
+		return s, false
+	}
+	news := r.news[f]
+	reported := now.Before(r.confirmedAt[f].Add(newsValidity)) && !news.hasChangeAfter(s.Version)
+	return s, reported || state.answeredAt != 0 && now.Sub(state.answeredAt) < maxAnswerAge
 }
 
 // SetKept records the version of what this VM keeps although the store has lost it; 0 means nothing.
--- a/internal/directory/vms.go
+++ b/internal/directory/vms.go
@@ -103,6 +103,7 @@
 func (d *Directory) resetHolders() {
 	clear(d.holders)
 	d.placement = nil
+	d.relay.setInUse(len(d.vms) >= minRelayVMs)
 }
 
 // HolderFor returns the holder of a target to which a customer's requests go first, or "" if any
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -46,6 +46,9 @@
 	// Neighbours are asked for changes before the store is; nil means that none are. If it is set,
 	// the watcher stores its rows in Relay for them.
 	Neighbours Neighbours
+	// Peers are asked for all rows as the VM starts; nil means that the store is. If it is set, the
+	// watcher stores its rows in Relay for other VMs.
+	Peers Peers
 	// All is called with the rows of a listing: rows that are not among them no longer exist. It
 	// reports whether the listing shows anything new that is relevant to the VMs.
 	All func(rows []metastore.Row, at Timing) bool
@@ -66,6 +69,9 @@
 	Version metastore.Version
 	// Began is when the call that returned the rows was sent.
 	Began mono.Time
+	// FromPeer is set for a listing that came from another VM. It shows nothing of the present state of
+	// the store.
+	FromPeer bool
 	// WrittenAfter is the last moment at which the watcher's rows were up to date; 0 if it had none.
 	WrittenAfter mono.Time
 	// Restored is set for the first listing after the store was restored from an older copy: a row may
@@ -90,8 +96,11 @@
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
 	p := &progress{}
+	started := w.startFromPeer(ctx, p)
 	for ctx.Err() == nil {
-		if err := w.list(ctx, p); err != nil {
+		if started {
+			started = false
+		} else if err := w.list(ctx, p); err != nil {
 			w.backOff(ctx, p, err)
 			continue
 		}
@@ -121,6 +130,26 @@
 	return true
 }
 
+// startFromPeer gets the whole table from another VM, and reports whether it did.
+func (w *Watcher) startFromPeer(ctx context.Context, p *progress) bool {
+	if w.Peers == nil {
+		return false
+	}
+	snapshot, ok := w.Peers.Start(ctx, w.Feed)
+	if !ok {
+		return false
+	}
+	w.Log.Info("event=store_listing_received", "table", w.Table, "rows", len(snapshot.Rows), "version", snapshot.Version)
+	w.All(snapshot.Rows, Timing{Version: snapshot.Version, FromPeer: true})
+	p.version = snapshot.Version
+	w.Relay.SetSnapshot(w.Feed, snapshot.Rows, snapshot.Version)
+	w.Relay.NoteStart(w.Feed, snapshot.Version, w.Clock.Now())
+	return true
+}
+
+// keepsSnapshot reports whether the rows are stored in Relay for other VMs.
+func (w *Watcher) keepsSnapshot() bool { return w.Neighbours != nil || w.Peers != nil }
+
 // list reads the whole table.
 func (w *Watcher) list(ctx context.Context, p *progress) error {
 	began := w.Clock.Now()
@@ -137,7 +166,7 @@
 	})
 	w.notifyAnswer(began)
 	p.version, p.upToDateAt = rows.Version, max(p.upToDateAt, began)
-	if w.Neighbours != nil {
+	if w.keepsSnapshot() {
 		w.Relay.SetSnapshot(w.Feed, w.passedOn(rows.Rows), p.version)
 	}
 	if w.Relay != nil {
@@ -155,10 +184,15 @@
 		p.reported = reported.Relevant
 		p.upToDateAt = max(p.upToDateAt, w.Relay.currentAt(w.Feed, p.version))
 		switch {
+		case action == Restart:
+			if !w.startFromPeer(ctx, p) {
+				return w.list(ctx, p)
+			}
+			return nil
 		case action == Apply:
 			w.applyNews(p, reported)
 			return nil
-		case action == Fetch && w.fetchFromNeighbours(ctx, p, reported): // Not for List: a neighbour refuses what would fill its link.
+		case (action == Fetch || action == List) && w.fetchFromNeighbours(ctx, p, reported):
 			return nil
 		case action == List:
 			return w.list(ctx, p)
@@ -186,8 +220,8 @@
 	relevant := w.applyRows(changes.Rows, at)
 	w.notifyAnswer(began)
 	p.version, p.upToDateAt = metastore.Later(p.version, changes.Version), max(p.upToDateAt, w.completeAt(changes, began, wait))
-	if w.Neighbours != nil {
-		w.Relay.UpdateSnapshot(w.Feed, w.passedOn(changes.Rows), p.version)
+	if w.keepsSnapshot() {
+		w.Relay.UpdateSnapshot(w.Feed, w.passedOn(w.forSnapshot(changes.Rows, relevant)), p.version)
 	}
 	if w.Relay != nil {
 		w.Relay.NoteChanges(w.Feed, p.version, relevant, at.WrittenAfter, w.Clock.Now())
@@ -270,13 +304,21 @@
 	at := Timing{Version: news.Seen, Began: now, WrittenAfter: max(p.upToDateAt, news.writtenAfter)}
 	w.applyRows(later, at)
 	p.version = metastore.Later(p.version, news.Seen)
-	if w.Neighbours != nil {
+	if w.keepsSnapshot() {
 		w.Relay.UpdateSnapshot(w.Feed, w.passedOn(later), p.version)
 	}
 	w.Relay.NoteReceived(w.Feed, p.version, later, at.WrittenAfter, now)
 	w.Log.Info("event=store_changes_received", "table", w.Table, "rows", len(later), "version", p.version)
 }
 
+// forSnapshot returns the changes that matter to a VM that starts: not the targets' heartbeats.
+func (w *Watcher) forSnapshot(changed, relevant []metastore.Row) []metastore.Row {
+	if w.Feed == Registrations {
+		return relevant
+	}
+	return changed
+}
+
 // passedOn returns the rows for other VMs.
 func (w *Watcher) passedOn(rows []metastore.Row) []metastore.Row {
 	if w.PassOn == nil {
--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -51,7 +51,8 @@
 // or requests rows.
 type openRequest struct {
 	Target topology.TargetID `msgpack:"t"`
-	Rows   *rowsRequest      `msgpack:"r"`
+	// Rows requests rows. Target is then, for a VM that starts, its own peer address.
+	Rows *rowsRequest `msgpack:"r"`
 }
 
 // request is one command.
--- a/internal/forward/rows.go
+++ b/internal/forward/rows.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -43,16 +45,33 @@
 	Directory *directory.Directory
 }
 
+// changeTimeout bounds the time to get a change from another VM. If it fails, the rows are read from the store.
+const changeTimeout = 1500 * time.Millisecond
+
+// busyPause is the average pause before a VM that is busy is asked again: about as long as it takes to send
+// the rows to one VM.
+const busyPause = 30 * time.Millisecond
+
 // Fetch implements directory.Neighbours.
 func (n Neighbours) Fetch(ctx context.Context, f directory.Feed, version metastore.Version) (directory.Snapshot, bool) {
-	source, ok := placement.ChangeSource(n.Directory.Self(), n.Directory.VMs(), version.Number)
+	self := n.Directory.Self()
+	source, ok := placement.ChangeSource(self, n.Directory.VMs(), version.Number)
 	if !ok {
 		return directory.Snapshot{}, false
 	}
-	ctx, cancel := context.WithTimeout(ctx, rowsTimeout)
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
-	snapshot, err := fetchRows(ctx, source.PeerAddress, rowsRequest{Feed: f, Version: version, Era: version.Era})
-	return snapshot, err == nil && !version.After(snapshot.Version)
+	addresses := []string{source.PeerAddress}
+	for {
+		snapshot, elsewhere, err := fetchSince(ctx, addresses[rand.IntN(len(addresses))], f, version, self.PeerAddress)
+		if err == nil {
+			return snapshot, !version.After(snapshot.Version)
+		}
+		if result.From(err).Code != result.TargetBusy || !wait.For(ctx, busyPause/2+rand.N(busyPause)) {
+			return directory.Snapshot{}, false
+		}
+		addresses = append(elsewhere, source.PeerAddress)
+	}
 }
 
 // FetchFrom returns the rows of a feed as the VM has them, whatever their version.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -13,7 +13,9 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/contain"
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
@@ -26,6 +28,13 @@
 	Pools     *target.Pools
 	Clock     mono.Clock
 	Log       *slog.Logger
+	// Metrics counts the rows sent to other VMs; nil disables the counts.
+	Metrics *metrics.Peers
+	// Newest returns the rows of a feed with those of which this VM knows a newer version than it has read
+	// from the store; nil means that there are none.
+	Newest func(f directory.Feed, rows []metastore.Row) []metastore.Row
+
+	starts starts
 }
 
 // acceptRetryPause is the pause after a failed accept, which too many open files can cause, for example.
@@ -59,6 +68,10 @@
 	if err := peer.receive(&o); err != nil {
 		return
 	}
+	if o.Rows != nil && o.Rows.Feed&allRows != 0 {
+		s.sendAll(nc, peer, *o.Rows, string(o.Target))
+		return
+	}
 	if o.Rows != nil {
 		s.sendRows(nc, peer, *o.Rows)
 		return
--- a/pkg/placement/source.go
+++ b/pkg/placement/source.go
@@ -14,6 +14,10 @@
 // serve at once.
 const vmsPerSource = 6
 
+// maxSources bounds the VMs of a data centre that read a change from the store. Those that are asked by more VMs
+// than they can serve at once refer them to others that have the change already.
+const maxSources = 4
+
 // ChangeSource returns the VM of the same data centre from which self fetches a change of the store, and false if
 // self reads it from the store. Only a few VMs of a data centre do, so that a change costs the data centre
 // few calls and few transfers. They are the VMs with the most processor time; among VMs with equal processor
@@ -27,7 +31,7 @@
 	slices.SortFunc(candidates, func(a, b topology.VM) int {
 		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rank(a), rank(b)))
 	})
-	sources := (len(candidates) + vmsPerSource) / (vmsPerSource + 1)
+	sources := min(maxSources, (len(candidates)+vmsPerSource)/(vmsPerSource+1))
 	at := slices.IndexFunc(candidates, func(vm topology.VM) bool { return vm.ID == self.ID })
 	if at < sources {
 		return topology.VM{}, false // Also if self is not registered yet, so that at is -1.
--- a/pkg/placement/source_test.go
+++ b/pkg/placement/source_test.go
@@ -46,3 +46,18 @@
 		t.Error("a VM that is not registered fetches changes from another VM")
 	}
 }
+
+// Guards against reads of the store that grow with the VMs: each change is read a few times in each data centre.
+func TestReadersOfChangeDoNotGrowWithVMs(t *testing.T) {
+	for _, n := range []int{30, 100, 300, 1000} {
+		all, readers := vms(n), 0
+		for _, vm := range all {
+			if _, ok := placement.ChangeSource(vm, all, 7); !ok {
+				readers++
+			}
+		}
+		if readers > 12 {
+			t.Errorf("%d VMs in three data centres: %d read it from the store", n, readers)
+		}
+	}
+}
