Groups: a VM follows what it serves; rows are written a hundred at a time; VMs start from each other

Cause: each VM renewed the rights of all groups four times a second with one coordinator, and a change of a group was told to all VMs: VMs x groups. At 986 VMs and 1,000 groups that are promises of 9 KB, 3,944 a second, out of one VM; a handover of all groups was 986,000 datagrams, and 1,000 transactions of a part of the store that takes 250 a second. Each VM's ticks walked all groups eight times. Ruled out: a coordinator for each group, and cells (design/0012): the middle VM's messages grow with the VMs until every group's followers are apart, and rights would change hands differently. After: a VM follows the groups that its callers use, that it holds targets of, coordinates or witnesses, and the first one; up to 64 groups all of them, as before. Coordinators know from the last full renewal what a digest stands for. Notices go to followers and witnesses. With more groups a replacement waits until all rights have lapsed (0.81 s), since VMs that do not follow the group never confirm. First rows, takeovers and handovers write 100 rows a transaction. Samples of primaries are at most 1,000 a second. A refused registration is sent again without another reading, ever more rarely. The start from other VMs is wired. The test of the digest keeps its bound: its VM uses all groups.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/limit"
 	kvlog "github.com/buckthornshore/buckthornshore/internal/logging"
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
+	"github.com/buckthornshore/buckthornshore/internal/seed"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -55,6 +56,7 @@
 			platform.NewDriver,
 			register,
 			newDirectory,
+			newSeeds,
 			newPools,
 			newLimiter,
 			newLead,
@@ -83,6 +85,14 @@
 	return lead.Register(context.Background(), store, vm, log)
 }
 
+// newSeeds returns the VMs of the data centre from which this VM gets the rows of the store.
+func newSeeds(vm topology.VM, store metastore.Store, log *slog.Logger) *seed.Seeds {
+	fetch := func(ctx context.Context, address string, f directory.Feed) (directory.Snapshot, []string, error) {
+		return forward.FetchAll(ctx, address, f, vm.PeerAddress)
+	}
+	return seed.New(vm, store, fetch, log)
+}
+
 func newDirectory(vm topology.VM) *directory.Directory { return directory.New(vm) }
 
 func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger) *target.Pools {
@@ -99,6 +109,7 @@
 	Driver    *platform.Driver
 	Pools     *target.Pools
 	Limits    *limit.Limiter
+	Seeds     *seed.Seeds
 	Clock     mono.Clock
 	Log       *slog.Logger
 	Metrics   *metrics.Peers
@@ -114,6 +125,7 @@
 		Directory: p.Directory, Store: p.Store, Control: p.Driver, Health: p.Pools,
 		Promotions: platform.NewPromotions(p.Settings.PromotionAddress),
 		Limits:     p.Limits,
+		Peers:      p.Seeds,
 		Transport:  transport, Clock: p.Clock, Log: p.Log,
 	}), nil
 }
@@ -151,6 +163,7 @@
 	State       *runState
 	Directory   *directory.Directory
 	Store       metastore.Store
+	Seeds       *seed.Seeds
 	Pools       *target.Pools
 	Lead        *lead.Lead
 	Server      *gateway.Server
@@ -162,6 +175,7 @@
 	Kept        *keptConfiguration
 	Unconfirmed *unconfirmedEntries
 	Metrics     *metrics.Store
+	Peers       *metrics.Peers
 	Customers   *metrics.Customers
 }
 
@@ -192,7 +206,7 @@
 	if err != nil {
 		return err
 	}
-	forwarded := &forward.Server{Directory: d.Directory, Pools: d.Pools, Clock: d.Clock, Log: d.Log}
+	forwarded := &forward.Server{Directory: d.Directory, Pools: d.Pools, Clock: d.Clock, Log: d.Log, Metrics: d.Peers, Newest: d.Lead.Newest}
 	go forwarded.Serve(ctx, peers)
 	go d.Server.Serve(ctx, callers)
 	go d.serveHTTP(ready, platform.ReadyHandler(d.ready))
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -44,6 +44,7 @@
 		Wait: func() time.Duration { return d.watchWait(longestConfigurationWatch) },
 		Feed: directory.Configurations, Relay: d.Directory.Relay(),
 		Neighbours:  forward.Neighbours{Directory: d.Directory},
+		Peers:       d.Seeds,
 		PassOn:      d.Kept.passOn,
 		ChangeDelay: func() time.Duration { return min(d.Lead.WatchDelay(), longestConfigurationDelay) },
 		All: func(rows []metastore.Row, _ directory.Timing) bool {
@@ -106,7 +107,7 @@
 	return &directory.Watcher{
 		Store: d.Store, Table: platform.TargetTable, Clock: d.Clock, Log: d.Log,
 		Wait: func() time.Duration { return d.watchWait(longestTargetWatch) },
-		Feed: directory.Registrations, Relay: d.Directory.Relay(),
+		Feed: directory.Registrations, Relay: d.Directory.Relay(), Peers: d.Seeds,
 		ChangeDelay: d.Lead.WatchDelay,
 		All: func(rows []metastore.Row, at directory.Timing) bool {
 			changed := false
--- a/internal/lead/commit.go
+++ b/internal/lead/commit.go
@@ -54,13 +54,10 @@
 	}
 	l.mu.Lock()
 	expected := l.stored[row.Group].version
-	present, early := l.holder.Row(row.Group), l.ofEarlierEra(row)
+	refusal := l.changeRefusal(from, row)
 	l.mu.Unlock()
-	switch {
-	case present != nil && (from == nil || present.Version != from.Version):
-		return errSuperseded
-	case early:
-		return errEarlierEra
+	if refusal != nil {
+		return refusal
 	}
 	key := rowKey(row.Group)
 	end := l.Clock.Now().Add(commitTimeout)
--- a/internal/lead/cutoff.go
+++ b/internal/lead/cutoff.go
@@ -19,7 +19,7 @@
 // replaced, and the VM waits for that.
 func (l *Lead) updateCutOff(now mono.Time) {
 	open, held, inTouch := 0, 0, 0
-	for _, group := range l.groups() {
+	for _, group := range l.followed() {
 		row := l.holder.Row(group)
 		if row == nil || !row.Open() {
 			continue
--- a/internal/lead/digest.go
+++ b/internal/lead/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -37,21 +38,17 @@
 	return max(1, h.Sum64())
 }
 
-// rowsOf returns the known rows of a coordinator, in the order of their groups.
-func (l *Lead) rowsOf(coordinator topology.VMID) []*lease.Row {
-	var rows []*lease.Row
-	for _, group := range l.groups() {
-		if row := l.holder.Row(group); row != nil && row.Coordinator == coordinator {
-			rows = append(rows, row)
-		}
-	}
-	return rows
-}
-
 // coordinatedRows returns the rows that this VM coordinates, in the order of their groups.
 func (l *Lead) coordinatedRows() []*lease.Row {
-	var rows []*lease.Row
-	for _, group := range l.groups() {
+	groups := l.coordinator.Groups()
+	slices.Sort(groups)
+	return l.coordinatedRowsOf(groups)
+}
+
+// coordinatedRowsOf returns those rows of the groups that this VM coordinates, in the order of the groups.
+func (l *Lead) coordinatedRowsOf(groups []topology.GroupID) []*lease.Row {
+	rows := make([]*lease.Row, 0, len(groups))
+	for _, group := range groups {
 		if row := l.coordinator.Row(group); row != nil {
 			rows = append(rows, row)
 		}
--- a/internal/lead/digest_test.go
+++ b/internal/lead/digest_test.go
@@ -43,6 +43,7 @@
 		for i := range groups {
 			l.holder.Adopt(rowNumber(i))
 			l.coordinator.Observe(rowNumber(i), clock.Now(), clock.Now())
+			l.following.wanted[groupNumber(i)] = clock.Now() // Callers use all groups.
 		}
 		return l
 	}
--- a/internal/lead/firstrow.go
+++ b/internal/lead/firstrow.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -45,7 +46,7 @@
 	if n := len(l.Directory.VMs()); n != l.vmCount {
 		l.vmCount, l.vmCountChanged = n, now
 	}
-	if l.leaving || l.storeSeen == 0 {
+	if l.leaving || l.storeSeen == 0 && l.lastRead == 0 {
 		return nil
 	}
 	var due []topology.GroupID
@@ -88,32 +89,44 @@
 		wait.For(ctx, firstRowDelay)
 		return
 	}
+	started, end := l.startChanges(groups)
+	defer end()
+	written := l.writeAll(ctx, l.firstRowsOf(ctx, started))
+	l.Log.Info("event=first_rows", "groups", len(groups), "written", len(written))
+	l.notify(written...) // Few messages for all groups, as every VM answers each message.
+	if len(written) == 0 {
+		wait.For(ctx, firstRowDelay)
+	}
+}
+
+// statusesAtOnce bounds the targets that are asked for their status at the same time: each takes a
+// new connection, and on a small VM hundreds at once would all exceed their time limit.
+const statusesAtOnce = 64
+
+// firstRowsOf returns the first rows of those groups whose primary answers that it leads.
+func (l *Lead) firstRowsOf(ctx context.Context, groups []topology.GroupID) []rowChange {
 	rows := make([]*lease.Row, len(groups))
-	var done sync.WaitGroup
+	var asking errgroup.Group
+	asking.SetLimit(statusesAtOnce)
+	witnesses := l.witnesses()
 	for i, group := range groups {
 		primary, ok := l.selfReportedPrimary(group)
 		if !ok {
 			continue
 		}
-		done.Add(1)
-		if !l.startChange(group, func() {
-			defer done.Done()
-			rows[i] = l.firstRow(ctx, group, primary)
-		}) {
-			done.Done()
-		}
+		asking.Go(func() error {
+			rows[i] = l.firstRow(ctx, group, primary, witnesses)
+			return nil
+		})
 	}
-	done.Wait()
-	var written []*lease.Row
+	_ = asking.Wait() // No call returns an error.
+	var changes []rowChange
 	for _, row := range rows {
 		if row != nil {
-			written = append(written, row)
+			changes = append(changes, rowChange{to: row})
 		}
 	}
-	l.notify(written...) // One message for all groups, as every VM answers each message.
-	if len(written) == 0 {
-		wait.For(ctx, firstRowDelay)
-	}
+	return changes
 }
 
 // claimDutyForFirstRows reports whether this VM holds the duty. It claims the duty if the fence has
@@ -152,8 +165,8 @@
 	return topology.Target{}, false
 }
 
-// firstRow writes a group's first row and returns it, or nil if that failed.
-func (l *Lead) firstRow(ctx context.Context, group topology.GroupID, primary topology.Target) *lease.Row {
+// firstRow returns a group's first row, or nil if its primary does not answer that it leads.
+func (l *Lead) firstRow(ctx context.Context, group topology.GroupID, primary topology.Target, witnesses []topology.VMID) *lease.Row {
 	status, err := l.status(ctx, primary)
 	if err != nil || !status.Primary {
 		l.Log.Info("event=first_row_deferred", "group", group, "primary", primary.ID, "error", err)
@@ -162,15 +175,10 @@
 	era := l.latestEra()
 	row := &lease.Row{
 		Group: group, Version: lease.FirstVersion(era), Term: status.Term, Primary: primary.ID,
-		Coordinator: l.self.ID, Incarnation: l.self.Incarnation, Fence: 1, Witnesses: l.witnesses(),
+		Coordinator: l.self.ID, Incarnation: l.self.Incarnation, Fence: 1, Witnesses: witnesses,
 	}
 	if era > 0 {
 		row = row.FirstAfterRestoration()
 	}
-	err = l.write(ctx, nil, row)
-	l.Log.Info("event=first_row", "group", group, "primary", primary.ID, "term", status.Term, "error", err)
-	if err != nil {
-		return nil
-	}
 	return row
 }
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -45,6 +45,8 @@
 	l.mu.Lock()
 	groups := l.coordinator.Groups()
 	l.mu.Unlock()
+	var moving []topology.GroupID
+	var newCoordinator topology.VM
 	for _, group := range groups {
 		l.checkReplicaLag(ctx, group, now)
 		l.mu.Lock()
@@ -65,9 +67,15 @@
 		case resume:
 			l.startChange(group, func() { l.resume(ctx, group) })
 		case move:
-			l.startChange(group, func() { l.handOver(ctx, group, holder) })
+			moving, newCoordinator = append(moving, group), holder
 		}
 	}
+	if started, end := l.startChanges(moving); len(started) > 0 {
+		go func() {
+			defer end()
+			l.handOver(ctx, started, newCoordinator)
+		}()
+	}
 	l.relocate(ctx, now)
 }
 
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -64,7 +64,8 @@
 	rightDemandTTL = 2 * time.Second
 	// missingRowPeriod is how often the store is read for a group whose row this VM does not know.
 	// The VM that wrote the row sent a notice, but a datagram may be lost.
-	missingRowPeriod = 3 * time.Second
+	missingRowPeriod       = 3 * time.Second
+	longestMissingRowPause = 20 * time.Second
 	// CoordinatorWatch is the wait time of a coordinator's watches. Each answer shows that the
 	// coordinator's rows are unchanged, and the other VMs rely on the changes that it relays.
 	CoordinatorWatch = 500 * time.Millisecond
@@ -109,6 +110,8 @@
 	Control    Control
 	Promotions Promotions
 	Health     Health
+	// Peers are asked for the rows of the store as this VM starts; nil means that the store is.
+	Peers directory.Peers
 	// Limits holds the customers' limits at this VM; nil means no limits.
 	Limits    *limit.Limiter
 	Transport *Transport
@@ -147,7 +150,10 @@
 	writingFirstRows bool
 	vmCount          int
 	vmCountChanged   mono.Time
-	lastMessage      map[topology.VMID]mono.Time // when each VM's last message arrived
+	following        following
+	// subscribed are the groups, in order, that each VM follows among those that this VM coordinates.
+	subscribed  map[topology.VMID][]topology.GroupID
+	lastMessage map[topology.VMID]mono.Time // when each VM's last message arrived
 	// listeningSince is when this coordinator started to expect messages from each VM.
 	listeningSince map[topology.VMID]mono.Time
 	// frozen holds the latest confirmation of each closed row; see Frozen.
@@ -221,6 +227,8 @@
 		changing:            map[topology.GroupID]bool{},
 		primaryMissingSince: map[topology.GroupID]mono.Time{},
 		lagState:            map[topology.GroupID]lagState{},
+		following:           newFollowing(),
+		subscribed:          map[topology.VMID][]topology.GroupID{},
 		firstSeen:           map[topology.GroupID]mono.Time{},
 		lastMessage:         map[topology.VMID]mono.Time{},
 		listeningSince:      map[topology.VMID]mono.Time{},
@@ -237,7 +245,7 @@
 	watcher := &directory.Watcher{
 		Store: l.Store, Table: Table, Clock: l.Clock, Log: l.Log,
 		All: l.applyListing, Change: l.applyChange, Seen: l.storeAnswered, Wait: l.watchWait,
-		ChangeDelay: l.WatchDelay, Feed: directory.OwnRows, Relay: l.Directory.Relay(),
+		ChangeDelay: l.WatchDelay, Feed: directory.OwnRows, Relay: l.Directory.Relay(), Peers: l.Peers,
 	}
 	go watcher.Run(ctx)
 	go l.Transport.Serve(ctx, l.handle)
@@ -306,9 +314,7 @@
 	// still read this VM as the holder, it would hand the group back to the leaving VM.
 	next := l.successor()
 	l.giveDuty(ctx, next)
-	for _, g := range groups {
-		l.handOver(ctx, g, next)
-	}
+	l.handOver(ctx, groups, next)
 }
 
 func (l *Lead) isLeaving() bool {
@@ -327,6 +333,7 @@
 func (l *Lead) right(group topology.GroupID) (lease.Right, bool) {
 	now := l.Clock.Now()
 	r, ok := l.holder.Right(group, now)
+	l.want(group, now)
 	if !ok {
 		l.rightWanted = now
 	}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -49,6 +49,8 @@
 	// the rows that the promise was given for. A promise with neither a digest nor groups requests
 	// a renewal that lists all groups.
 	Digest uint64 `msgpack:"d,omitempty"`
+	// Whole is set if Groups are all groups that the sender of a renewal follows at the receiver.
+	Whole bool `msgpack:"c,omitempty"`
 	// Reached holds, in a renewal with a digest, the groups whose primary answers the sender.
 	Reached groupSet `msgpack:"r,omitempty"`
 	// Refused holds, in a promise with a digest, the groups for which no promise was given.
--- a/internal/lead/notice.go
+++ b/internal/lead/notice.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -46,11 +47,48 @@
 func (l *Lead) sendNotice(rows []*lease.Row) {
 	m := l.newNotice(rows)
 	if rows[0].Coordinator == l.self.ID {
-		l.sendToMany(l.vmIDs(), m)
+		l.sendToMany(l.followersOf(rows), m)
 		return
 	}
 	l.sendTo(rows[0].Coordinator, m)
-	time.AfterFunc(successorHeadStart, func() { l.sendToMany(l.vmIDs(), m) })
+	time.AfterFunc(successorHeadStart, func() { l.sendToMany(l.followersOf(rows), m) })
+}
+
+// followersOf returns the VMs that follow any of the rows: all VMs if there are few groups, and otherwise
+// those that have subscribed to one, and its witnesses. Everyone follows the first group.
+func (l *Lead) followersOf(rows []*lease.Row) []topology.VMID {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.followsAll() || slices.ContainsFunc(rows, func(row *lease.Row) bool { return row.Group == l.groups()[0] }) {
+		return l.vmIDs()
+	}
+	followers := map[topology.VMID]bool{}
+	for _, row := range rows {
+		addWitnesses(followers, row)
+	}
+	for vm, groups := range l.subscribed {
+		subscribes := func(row *lease.Row) bool {
+			_, ok := slices.BinarySearch(groups, row.Group)
+			return ok
+		}
+		if slices.ContainsFunc(rows, subscribes) {
+			followers[vm] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(followers))
+}
+
+// addWitnesses adds the VMs whose messages a row's coordinator may wait for.
+func addWitnesses(vms map[topology.VMID]bool, row *lease.Row) {
+	for _, vm := range row.Witnesses {
+		vms[vm] = true
+	}
+	for _, f := range row.Formers {
+		vms[f.VM] = true
+		for _, vm := range f.Witnesses {
+			vms[vm] = true
+		}
+	}
 }
 
 func (l *Lead) newNotice(rows []*lease.Row) *message {
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -13,6 +13,9 @@
 	// coordination moves there. It is longer than one change of a primary, which another may follow
 	// in the same release or partition.
 	relocationDelay = 3 * time.Second
+	// relocationCheckPeriod is how often a coordinator looks for a safer place, which takes a look at all
+	// VMs and groups.
+	relocationCheckPeriod = 200 * time.Millisecond
 	// relocationCoresFactor is how many times this VM's cores another VM must have to be preferred
 	// for its size.
 	relocationCoresFactor = 2
@@ -28,6 +31,8 @@
 type relocation struct {
 	dataCentre topology.DataCentre
 	since      mono.Time
+	// checked is when this VM last looked for a safer place.
+	checked mono.Time
 	// moving is set while the duty is being given away; no order may be sent then.
 	moving bool
 	// orderedAt is when this VM last sent an order; 0 means never.
@@ -76,6 +81,10 @@
 func (l *Lead) relocate(ctx context.Context, now mono.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if now.Sub(l.relocation.checked) < relocationCheckPeriod {
+		return
+	}
+	l.relocation.checked = now
 	to, ok := l.saferVM(now)
 	if !ok || l.relocation.dataCentre != to.DataCentre {
 		l.relocation.dataCentre, l.relocation.since = to.DataCentre, now
--- a/internal/lead/positions.go
+++ b/internal/lead/positions.go
@@ -14,6 +14,9 @@
 	// samplePeriod is the age at which a coordinator renews its samples of the primaries'
 	// positions.
 	samplePeriod = 200 * time.Millisecond
+	// maxSampleRate bounds the samples that a coordinator takes of all its groups in a second. Beyond it
+	// samples become older, and VMs that need newer ones ask the primaries themselves.
+	maxSampleRate = 1000
 	// maxSampleAge is the maximum age of a sample that is sent.
 	maxSampleAge = 2 * time.Second
 )
@@ -48,12 +51,13 @@
 	l.mu.Lock()
 	rows := l.coordinatedRows()
 	l.mu.Unlock()
+	period := max(samplePeriod, time.Duration(len(rows))*time.Second/maxSampleRate)
 	samples := make(map[topology.GroupID]routing.Sample, len(rows))
 	for _, row := range rows {
 		if !row.Open() {
 			continue
 		}
-		l.positions.Renew(row.Group, samplePeriod)
+		l.positions.Renew(row.Group, period)
 		if s, ok := l.positions.Newest(row.Group); ok {
 			samples[row.Group] = s
 		}
--- a/internal/lead/promise.go
+++ b/internal/lead/promise.go
@@ -1,8 +1,10 @@
 package lead
 
 import (
+	"slices"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -42,9 +44,12 @@
 // promiseByDigest answers a VM that knows exactly the same rows as this one. Otherwise the answer
 // stays empty.
 func (l *Lead) promiseByDigest(m, answer *message, now mono.Time) {
-	rows := l.coordinatedRows()
+	rows := l.coordinatedRowsOf(l.subscribed[m.From])
 	if digestOf(rows) != m.Digest {
-		return
+		if rows = l.coordinatedRows(); digestOf(rows) != m.Digest {
+			return
+		}
+		l.subscribed[m.From] = groupsOf(rows)
 	}
 	answer.Digest, answer.StoreLost = m.Digest, l.storeLost(now)
 	if m.From != l.self.ID {
@@ -65,6 +70,7 @@
 // that do not fit into one message follow with the VM's next renewals.
 func (l *Lead) promiseInFull(m, answer *message, now mono.Time) {
 	lost, rows := l.storeLost(now), 0
+	l.subscribe(m)
 	for _, p := range m.Groups {
 		l.recordReport(m.From, p, now)
 		a := groupEntry{Group: p.Group, StoreLost: lost}
@@ -80,6 +86,27 @@
 	}
 }
 
+// subscribe records the groups that a VM follows.
+func (l *Lead) subscribe(m *message) {
+	var groups []topology.GroupID
+	if !m.Whole {
+		groups = slices.Clone(l.subscribed[m.From])
+	}
+	for _, p := range m.Groups {
+		groups = append(groups, p.Group)
+	}
+	slices.Sort(groups)
+	l.subscribed[m.From] = slices.Compact(groups)
+}
+
+func groupsOf(rows []*lease.Row) []topology.GroupID {
+	groups := make([]topology.GroupID, 0, len(rows))
+	for _, row := range rows {
+		groups = append(groups, row.Group)
+	}
+	return groups
+}
+
 // starvedTTL is how long a VM's shortage of connections is passed on: two renewals.
 const starvedTTL = 900 * time.Millisecond
 
--- a/internal/lead/reading.go
+++ b/internal/lead/reading.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -20,12 +21,12 @@
 		l.probeStore, l.reading, l.lastRead = false, true, now
 		return true
 	}
-	for _, group := range l.groups() {
+	for _, group := range l.followed() {
 		row := l.holder.Row(group)
 		if row != nil && !l.needsRights(now) {
 			continue
 		}
-		missing := row == nil && now.Sub(max(l.lastRead, l.storeSeen)) >= missingRowPeriod
+		missing := row == nil && now.Sub(max(l.lastRead, l.storeSeen)) >= l.missingRowPause()
 		if missing || row != nil && row.Open() && l.holder.Until(group).Sub(now) < readAhead {
 			l.reading = true
 			l.lastRead = now
@@ -35,6 +36,12 @@
 	return false
 }
 
+// missingRowPause is how often the store is read for a row that this VM lacks. Many VMs read it less
+// often, since the store serves a limited number of calls a second.
+func (l *Lead) missingRowPause() time.Duration {
+	return max(missingRowPeriod, l.Directory.WatchWait(longestMissingRowPause))
+}
+
 // needsRights reports whether to keep rights renewed by reading the store. A starting VM waits for
 // its first promise instead, unless a caller needs a right: when all VMs start together, each would
 // read the store several times a second until there is a coordinator.
@@ -147,10 +154,13 @@
 // earlier ones.
 func (l *Lead) hasUnreadHandover() bool {
 	for _, group := range l.groups() {
-		row := l.holder.Row(group)
-		if row != nil && l.names(row) && l.coordinator.Row(group) == nil && !l.ofEarlierEra(row) {
+		if row := l.holder.Row(group); row != nil && l.isUnreadHandover(row) {
 			return true
 		}
 	}
 	return false
 }
+
+func (l *Lead) isUnreadHandover(row *lease.Row) bool {
+	return l.names(row) && l.coordinator.Row(row.Group) == nil && !l.ofEarlierEra(row)
+}
--- a/internal/lead/register.go
+++ b/internal/lead/register.go
@@ -4,16 +4,24 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// registerRetry is the pause between attempts to register at startup.
-const registerRetry = 200 * time.Millisecond
+// registerRetry is the average pause after the first attempt to register. It doubles up to
+// longestRegisterRetry: the store takes the registrations of all VMs one after the other, and refuses those
+// for which it would take more than a second.
+const (
+	registerRetry        = 200 * time.Millisecond
+	longestRegisterRetry = 1600 * time.Millisecond
+)
 
 // pruneAfter is how long a VM must be silent before its registration is removed. It is longer than
 // most restarts take, and much longer than a right lasts.
@@ -22,28 +30,52 @@
 // Register registers this VM with its next incarnation and retries until it succeeds or ctx ends.
 // Nothing on a VM outlives its process, so the store's clock numbers its incarnations.
 func Register(ctx context.Context, store metastore.Store, vm topology.VM, log *slog.Logger) (topology.VM, error) {
-	for {
-		registered, err := register(ctx, store, vm)
+	r := registration{store: store, vm: vm}
+	for pause := registerRetry; ; pause = min(2*pause, longestRegisterRetry) {
+		err := r.try(ctx)
 		if err == nil {
-			log.Info("event=registered", "vm", registered.ID, "incarnation", registered.Incarnation, "peer_address", registered.PeerAddress)
-			return registered, nil
+			log.Info("event=registered", "vm", r.vm.ID, "incarnation", r.vm.Incarnation, "peer_address", r.vm.PeerAddress)
+			return r.vm, nil
 		}
 		log.Warn("event=register_failed", "vm", vm.ID, "error", err, "outcome", "retrying")
-		wait.For(ctx, registerRetry)
+		wait.For(ctx, pause/2+rand.N(pause)) //nolint:gosec // Spreads load only.
 		if ctx.Err() != nil {
 			return vm, ctx.Err()
 		}
 	}
 }
 
-// register obtains the next incarnation. A registration of an earlier incarnation with the same
-// content is left unchanged, since coordinators wait for the VM whichever incarnation is running.
-// Otherwise, when many VMs start together, each would wait for the writes of the others.
-func register(ctx context.Context, store metastore.Store, vm topology.VM) (topology.VM, error) {
-	key := vmPrefix + string(vm.ID)
-	rows, err := store.List(ctx, Table, metastore.Key(key))
+// registration is the registration of a VM in progress.
+type registration struct {
+	store metastore.Store
+	vm    topology.VM
+	// value is what to write in place of the version expected; nil while the present row is not known.
+	value    []byte
+	expected metastore.Version
+}
+
+// try reads the present registration and writes the next one. After a refusal the same write is sent
+// again.
+func (r *registration) try(ctx context.Context) error {
+	if r.value == nil {
+		if done, err := r.prepare(ctx); done || err != nil {
+			return err
+		}
+	}
+	_, err := r.store.Put(ctx, Table, vmPrefix+string(r.vm.ID), r.value, r.expected)
+	if err != nil && !errors.Is(err, metastore.ErrNotDone) {
+		r.value = nil
+	}
+	return err
+}
+
+// prepare obtains the next incarnation. A registration of an earlier incarnation with the same
+// content is left unchanged, since coordinators wait for the VM whichever incarnation is running; done
+// is set then. Otherwise, when many VMs start together, each would wait for the writes of the others.
+func (r *registration) prepare(ctx context.Context) (done bool, err error) {
+	rows, err := r.store.List(ctx, Table, metastore.Key(vmPrefix+string(r.vm.ID)))
 	if err != nil {
-		return vm, err
+		return false, err
 	}
 	var present metastore.Row
 	var earlier topology.VM
@@ -56,21 +88,18 @@
 	now := topology.Incarnation(rows.Clock.Milliseconds()) //nolint:gosec // A monotonic clock is not negative.
 	if present.Version.Number == 0 {
 		// The store's version exceeds every incarnation that was derived from it.
-		vm.Incarnation = max(now, topology.Incarnation(rows.Version.Next().Number))
+		r.vm.Incarnation = max(now, topology.Incarnation(rows.Version.Next().Number))
 	} else {
-		vm.Incarnation = max(now, earlier.Incarnation+1)
+		r.vm.Incarnation = max(now, earlier.Incarnation+1)
 	}
 	renumbered := earlier
-	renumbered.Incarnation = vm.Incarnation
-	if renumbered == vm && vm.Incarnation == now {
-		return vm, nil // The clock gives the next incarnation a greater number, too.
-	}
-	raw, err := json.Marshal(vm)
-	if err != nil {
-		return vm, err
+	renumbered.Incarnation = r.vm.Incarnation
+	if renumbered == r.vm && r.vm.Incarnation == now {
+		return true, nil // The clock gives the next incarnation a greater number, too.
 	}
-	_, err = store.Put(ctx, Table, key, raw, present.Version)
-	return vm, err
+	r.value, err = json.Marshal(r.vm)
+	r.expected = present.Version
+	return false, err
 }
 
 // registerAgain restores this VM's registration after its removal. Until then, reads of the store
--- a/internal/lead/register_test.go
+++ b/internal/lead/register_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"testing"
 	"time"
 
@@ -14,7 +15,7 @@
 func mustRegister(t *testing.T, store metastore.Store, vm topology.VM) topology.VM {
 	t.Helper()
 	time.Sleep(2 * time.Millisecond) // A start takes longer than one unit of the clock.
-	registered, err := register(context.Background(), store, vm)
+	registered, err := Register(context.Background(), store, vm, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -16,6 +16,7 @@
 func (l *Lead) tick(ctx context.Context) {
 	l.mu.Lock()
 	now := l.Clock.Now()
+	l.pruneFollowing(now)
 	l.renew(now)
 	l.updateCutOff(now)
 	read := l.needsReading(now)
@@ -34,28 +35,27 @@
 
 // renew requests the coordinators' promises, with one message to each coordinator.
 func (l *Lead) renew(now mono.Time) {
-	due := map[topology.VMID]bool{}
-	for _, group := range l.groups() {
-		row := l.holder.Row(group)
-		if row == nil {
+	l.updateFollowing()
+	for vm, rows := range l.following.rows {
+		x := l.renewalsTo(vm)
+		if now.Sub(x.sent) < renewPeriod && x.sent != 0 {
 			continue
 		}
-		x := l.renewals[row.Coordinator]
-		if x == nil {
-			x = &renewalState{sentAt: map[uint64]mono.Time{}}
-			l.renewals[row.Coordinator] = x
-		}
-		if now.Sub(x.sent) >= renewPeriod || x.sent == 0 {
-			due[row.Coordinator] = true
-		}
-	}
-	for vm := range due {
 		m := &message{}
-		l.reportByDigest(m, l.rowsOf(vm))
+		l.reportByDigest(m, rows)
 		l.sendRenewal(vm, m, now)
 	}
 }
 
+func (l *Lead) renewalsTo(vm topology.VMID) *renewalState {
+	x := l.renewals[vm]
+	if x == nil {
+		x = &renewalState{sentAt: map[uint64]mono.Time{}}
+		l.renewals[vm] = x
+	}
+	return x
+}
+
 func (l *Lead) sendRenewal(to topology.VMID, m *message, now mono.Time) {
 	x := l.renewals[to]
 	x.sent = now
@@ -84,9 +84,9 @@
 	}
 }
 
-// renewInFull sends a renewal with all rows to a coordinator that knows other rows than this VM.
+// renewInFull sends a renewal with all rows that this VM follows to a coordinator that knows other ones.
 func (l *Lead) renewInFull(to topology.VMID, now mono.Time) {
-	m := &message{}
+	m := &message{Whole: true}
 	for _, row := range l.rowsOf(to) {
 		m.Groups = append(m.Groups, l.entryFor(row.Group, row))
 	}
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -151,6 +151,9 @@
 	r.mu.Lock()
 	ids := r.coordinator.Unconfirmed(r.group, registered)
 	r.mu.Unlock()
+	if len(registered) == 1 && registered[0] == unlistedVM {
+		ids = r.followersOf([]*lease.Row{r.row})
+	}
 	r.sendToMany(ids, r.newNotice([]*lease.Row{r.row}))
 }
 
@@ -159,7 +162,15 @@
 var unlistedVM = topology.VM{ID: "", Incarnation: 1}
 
 // registered lists the VMs that may hold a right, read after the row was closed.
+//
+// A VM that does not follow the group confirms nothing, so with many groups nobody needs to be listed.
 func (r *replacement) registered(ctx context.Context) ([]topology.VM, error) {
+	r.mu.Lock()
+	all := r.followsAll()
+	r.mu.Unlock()
+	if !all {
+		return []topology.VM{unlistedVM}, nil
+	}
 	rows, err := r.Store.List(ctx, Table, metastore.Prefix(vmPrefix))
 	if err != nil {
 		r.Log.Warn("event=registrations_not_read", "group", r.group, "error", err)
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -73,9 +73,8 @@
 func (l *Lead) restoreRows(ctx context.Context, now mono.Time) {
 	l.mu.Lock()
 	var due []*lease.Row
-	for _, group := range l.groups() {
-		row := l.holder.Row(group)
-		if row != nil && l.names(row) && l.ofEarlierEra(row) && !l.leaving {
+	for _, row := range l.rowsOf(l.self.ID) {
+		if l.names(row) && l.ofEarlierEra(row) && !l.leaving {
 			due = append(due, row)
 		}
 	}
@@ -106,7 +105,7 @@
 		}
 		next = next.Restored(era)
 	case waited:
-		next = l.takenOver(row)
+		next = l.takenOver(row, l.witnesses())
 	default:
 		return
 	}
@@ -130,14 +129,14 @@
 }
 
 // takenOver returns the row with this VM as the coordinator.
-func (l *Lead) takenOver(row *lease.Row) *lease.Row {
+func (l *Lead) takenOver(row *lease.Row, witnesses []topology.VMID) *lease.Row {
 	l.mu.Lock()
 	era, early := l.era, l.ofEarlierEra(row)
 	l.mu.Unlock()
 	if early {
-		return row.TakenByAfterRestoration(era, l.self.ID, l.self.Incarnation, l.witnesses())
+		return row.TakenByAfterRestoration(era, l.self.ID, l.self.Incarnation, witnesses)
 	}
-	return row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, l.witnesses())
+	return row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, witnesses)
 }
 
 // awaitsCoordinator reports whether a coordinator may still write its rows again after the store was
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"strings"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
@@ -43,6 +44,10 @@
 		vms = append(vms, vm)
 		listed = listed || vm.ID == l.self.ID && vm.Incarnation <= l.self.Incarnation
 	}
+	if at.FromPeer {
+		l.applyListingFromPeer(rows, vms)
+		return false
+	}
 	news := l.Directory.SetVMs(vms)
 	if !listed && !l.isLeaving() {
 		go l.registerAgain(context.Background())
@@ -58,6 +63,55 @@
 	return news
 }
 
+// applyListingFromPeer applies a listing that another VM sent. It may be older than this VM's
+// registration, and is no source of rights: another VM may have changed the rows since.
+func (l *Lead) applyListingFromPeer(rows []metastore.Row, vms []topology.VM) {
+	if !slices.ContainsFunc(vms, func(vm topology.VM) bool { return vm.ID == l.self.ID }) {
+		vms = append(vms, l.self)
+	}
+	l.Directory.SetVMs(vms)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lastRead = l.Clock.Now()
+	for _, r := range rows {
+		if !strings.HasPrefix(r.Key, groupPrefix) {
+			continue
+		}
+		var row lease.Row
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			l.Log.Error("event=row_malformed", "key", r.Key, "error", err)
+			continue
+		}
+		l.adopt(&row, "peer")
+	}
+}
+
+// Newest returns the rows of a feed with the groups' rows as this VM knows them: it reads them from
+// the store only while it has to.
+func (l *Lead) Newest(f directory.Feed, rows []metastore.Row) []metastore.Row {
+	if f != directory.OwnRows {
+		return rows
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var newest []metastore.Row
+	for _, r := range rows {
+		if !strings.HasPrefix(r.Key, groupPrefix) {
+			newest = append(newest, r)
+		}
+	}
+	for _, group := range l.groups() {
+		row := l.holder.Row(group)
+		if row == nil {
+			continue
+		}
+		if raw, err := json.Marshal(row); err == nil {
+			newest = append(newest, metastore.Row{Key: rowKey(group), Value: raw})
+		}
+	}
+	return newest
+}
+
 // applyDecisions applies the duty and the groups' rows, as read with all decision rows. registered is
 // set if this VM's registration existed then, which makes them a source of its rights.
 func (l *Lead) applyDecisions(read metastore.Rows, began mono.Time, registered bool) {
@@ -149,7 +203,11 @@
 		x.sent = 0 // Request a promise of the coordinator at once.
 	}
 	l.wakeWaiters()
-	if from != ownChange && !l.reading && l.hasUnreadHandover() {
+	taken := former == nil || former.Coordinator != row.Coordinator
+	if taken && !l.followsAll() && row.Group == l.groups()[0] {
+		l.noteCoordinatorChange(row.Coordinator, l.Clock.Now())
+	}
+	if from != ownChange && !l.reading && l.isUnreadHandover(row) {
 		// The group was handed over to this VM, which only promises for rows that it has read
 		// itself.
 		l.reading = true
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
@@ -77,30 +76,43 @@
 // then coordinates them all and holds the duty to promote.
 func (l *Lead) takeOverFailed(ctx context.Context, now mono.Time) {
 	l.mu.Lock()
-	byCoordinator := l.groupsByCoordinator()
-	for vm, groups := range byCoordinator {
+	for _, vm := range l.otherCoordinators() {
 		take, ask, reason := l.checkCoordinator(vm, now)
 		if ask {
 			l.askForOpinions(vm, now)
 		}
 		if take {
-			go l.takeOver(ctx, vm, groups, reason)
+			go l.takeOver(ctx, vm, l.groupsCoordinatedBy(vm), reason)
 		}
 	}
 	l.mu.Unlock()
 }
 
-// groupsByCoordinator lists the groups of all coordinators except the current incarnation of this
-// VM.
-func (l *Lead) groupsByCoordinator() map[topology.VMID][]topology.GroupID {
-	byCoordinator := map[topology.VMID][]topology.GroupID{}
+// otherCoordinators returns the coordinators of the rows that this VM follows, except the current
+// incarnation of this VM.
+func (l *Lead) otherCoordinators() []topology.VMID {
+	l.updateFollowing()
+	var others []topology.VMID
+	for vm, rows := range l.following.rows {
+		earlier := func(row *lease.Row) bool { return row.Incarnation < l.self.Incarnation }
+		if vm != l.self.ID || slices.ContainsFunc(rows, earlier) {
+			others = append(others, vm)
+		}
+	}
+	return others
+}
+
+// groupsCoordinatedBy lists the groups of a coordinator, whether this VM follows them or not, except those
+// of the current incarnation of this VM.
+func (l *Lead) groupsCoordinatedBy(vm topology.VMID) []topology.GroupID {
+	var groups []topology.GroupID
 	for _, group := range l.groups() {
 		row := l.holder.Row(group)
-		if row != nil && (row.Coordinator != l.self.ID || row.Incarnation < l.self.Incarnation) {
-			byCoordinator[row.Coordinator] = append(byCoordinator[row.Coordinator], group)
+		if row != nil && row.Coordinator == vm && (vm != l.self.ID || row.Incarnation < l.self.Incarnation) {
+			groups = append(groups, group)
 		}
 	}
-	return byCoordinator
+	return groups
 }
 
 // checkCoordinator decides whether to ask the other VMs about a coordinator or to take over from
@@ -271,7 +283,7 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.groupsByCoordinator()[vm]) > 0
+	return len(l.groupsCoordinatedBy(vm)) > 0
 }
 
 // takeOverFirstGroup takes over one group. It fails if the store rejects the change or another VM
@@ -294,25 +306,19 @@
 	return []*lease.Row{row}, nil
 }
 
-// takeOverGroups takes over groups in parallel and returns the rows of those that it obtained.
+// takeOverGroups takes over groups and returns the rows of those that it obtained.
 func (l *Lead) takeOverGroups(ctx context.Context, from topology.VMID, groups []topology.GroupID, reason string) []*lease.Row {
-	var done sync.WaitGroup
-	var mu sync.Mutex
-	var taken []*lease.Row
-	for _, group := range groups {
-		done.Add(1)
-		if !l.startChange(group, func() {
-			defer done.Done()
-			if row, err := l.takeOverGroup(ctx, from, group, reason); err == nil {
-				mu.Lock()
-				defer mu.Unlock()
-				taken = append(taken, row)
-			}
-		}) {
-			done.Done()
+	started, end := l.startChanges(groups)
+	defer end()
+	witnesses := l.witnesses()
+	var changes []rowChange
+	for _, group := range started {
+		if row := l.Row(group); row != nil && row.Coordinator == from {
+			changes = append(changes, rowChange{from: row, to: l.takenOver(row, witnesses)})
 		}
 	}
-	done.Wait()
+	taken := l.writeAll(ctx, changes)
+	l.Log.Info("event=coordinator_taken_over", "from", from, "reason", reason, "groups", len(groups), "taken", len(taken))
 	return taken
 }
 
@@ -324,7 +330,7 @@
 	if row == nil || row.Coordinator != from {
 		return nil, errSuperseded
 	}
-	next := l.takenOver(row)
+	next := l.takenOver(row, l.witnesses())
 	err := l.write(ctx, row, next)
 	l.Log.Info("event=coordinator_taken_over", "group", group, "from", row.Coordinator, "reason", reason, "version", next.Version, "error", err)
 	if err != nil {
@@ -333,19 +339,29 @@
 	return next, nil
 }
 
-// handOver hands a group over to another VM.
-func (l *Lead) handOver(ctx context.Context, group topology.GroupID, to topology.VM) {
-	row := l.Row(group)
-	if row == nil || row.Coordinator != l.self.ID || to.ID == "" {
+// handOver hands groups over to another VM.
+func (l *Lead) handOver(ctx context.Context, groups []topology.GroupID, to topology.VM) {
+	if to.ID == "" {
 		return
 	}
+	witnesses := l.witnesses()
+	var changes []rowChange
 	l.mu.Lock()
-	if l.coordinator.Settled(group, l.Clock.Now()) {
-		row = row.Settled()
+	for _, group := range groups {
+		row := l.holder.Row(group)
+		if row == nil || row.Coordinator != l.self.ID {
+			continue
+		}
+		from := row
+		if l.coordinator.Settled(group, l.Clock.Now()) {
+			row = row.Settled()
+		}
+		changes = append(changes, rowChange{from: from, to: row.TakenBy(to.ID, to.Incarnation, l.self.ID, witnesses)})
 	}
 	l.mu.Unlock()
-	err := l.commit(ctx, row, row.TakenBy(to.ID, to.Incarnation, l.self.ID, l.witnesses()))
-	l.Log.Info("event=coordinator_handed_over", "group", group, "to", to.ID, "error", err)
+	written := l.writeAll(ctx, changes)
+	l.notify(written...)
+	l.Log.Info("event=coordinator_handed_over", "to", to.ID, "groups", len(groups), "handed_over", len(written))
 }
 
 // successor returns the first other VM by rank that is alive.
--- a/pkg/lease/holder.go
+++ b/pkg/lease/holder.go
@@ -14,7 +14,9 @@
 
 // Holder keeps the rights of this VM.
 type Holder struct {
-	groups map[topology.GroupID]*heldRight
+	// adopted is the number of rows adopted so far.
+	adopted uint64
+	groups  map[topology.GroupID]*heldRight
 }
 
 // heldRight is the right in one group, and the row under which it is held.
@@ -46,11 +48,13 @@
 	g := h.groups[row.Group]
 	if g == nil {
 		h.groups[row.Group] = &heldRight{row: row}
+		h.adopted++
 		return true
 	}
 	if row.Version <= g.row.Version {
 		return false
 	}
+	h.adopted++
 	if !g.row.Open() || !row.Open() || g.row.Term != row.Term || g.row.Primary != row.Primary {
 		g.readUntil = 0
 	}
@@ -59,6 +63,9 @@
 	return true
 }
 
+// Adopted returns the number of rows adopted so far: it changes whenever a known row does.
+func (h *Holder) Adopted() uint64 { return h.adopted }
+
 // RecordRead extends the right after a read of the store, sent at began, that showed the
 // version. A read of another version has no effect.
 func (h *Holder) RecordRead(group topology.GroupID, version uint64, began mono.Time) {
