Registrations: only the coordinator of the first group removes those of silent VMs

Cause: where VMs do not follow all groups they write to the coordinators of theirs only, and any other one would take them for gone after ten seconds and remove their registrations. After: the coordinator of the first group, which all VMs follow, removes them. Test: fails without the condition.

--- a/internal/lead/following_test.go
+++ b/internal/lead/following_test.go
@@ -318,3 +318,22 @@
 		t.Fatalf("a right, or a read that counts as one of a registered VM: %v", fresh.registered)
 	}
 }
+
+// Guards against a coordinator that removes the registrations of VMs that have no reason to write to it.
+func TestOnlyTheCoordinatorOfTheFirstGroupRemovesSilentVMs(t *testing.T) {
+	for _, first := range []topology.VMID{"vm-1", "vm-9"} {
+		coordinator, _, clock := newUser(100, 0)
+		store := &callCounter{Store: metastore.NewMemory()}
+		coordinator.Store, coordinator.Log = store, slog.New(slog.DiscardHandler)
+		row := rowNumber(0)
+		row.Version, row.Coordinator = 2, first
+		coordinator.holder.Adopt(row)
+		coordinator.Directory.SetVM(topology.VM{ID: "vm-5", Incarnation: 1})
+		coordinator.prune(t.Context(), clock.Now())
+		coordinator.prune(t.Context(), clock.Now().Add(pruneAfter+time.Second))
+		time.Sleep(20 * time.Millisecond)
+		if removes := store.calls.Load() > 0; removes != (first == "vm-1") {
+			t.Errorf("first group of %s: removed by vm-1: %v", first, removes)
+		}
+	}
+}
--- a/internal/lead/register.go
+++ b/internal/lead/register.go
@@ -114,12 +114,13 @@
 
 // prune removes the registrations of VMs that have been silent for long: each of them makes a
 // replacement of a primary wait until its rights expire. The coordinators do this, since all VMs
-// send messages to them. A VM that was only cut off registers again.
+// send messages to them; where VMs do not follow all groups, only the coordinator of the first one, which
+// all follow. A VM that was only cut off registers again.
 func (l *Lead) prune(ctx context.Context, now mono.Time) {
 	vms := l.Directory.VMs()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.coordinator.Groups()) == 0 {
+	if len(l.coordinator.Groups()) == 0 || !l.followsAll() && l.allocatorVM() != l.self.ID {
 		clear(l.listeningSince)
 		return
 	}
