Ticks of a process's goroutines coincide

Cause: a VM's three tickers (rights and pools each 50 ms, the check for being out of touch each 100 ms) began at times of their own, so that an idle VM woke up 50 times a second for them. After: they begin at multiples of their period after the process's start, and one wake-up serves all: 20 a second. Test: two tickers that begin a third of a period apart tick together.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -22,6 +22,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/seed"
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/quota"
@@ -271,7 +272,7 @@
 // shedWhileOutOfTouch sheds the sessions while this VM is out of touch, from about when the balancer
 // sends no new ones.
 func (d *daemon) shedWhileOutOfTouch(ctx context.Context) {
-	ticker := time.NewTicker(touchCheckInterval)
+	ticker := wait.NewTicker(ctx, touchCheckInterval)
 	defer ticker.Stop()
 	since := time.Time{}
 	for {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -16,6 +16,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/limit"
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -249,7 +250,7 @@
 	}
 	go watcher.Run(ctx)
 	go l.Transport.Serve(ctx, l.handle)
-	ticker := time.NewTicker(tickPeriod)
+	ticker := wait.NewTicker(ctx, tickPeriod)
 	defer ticker.Stop()
 	for {
 		l.tick(ctx)
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -86,7 +87,7 @@
 
 // Run keeps the pools in line with the directory until ctx ends.
 func (p *Pools) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickPeriod)
+	ticker := wait.NewTicker(ctx, tickPeriod)
 	defer ticker.Stop()
 	for n := 0; ; n++ {
 		p.sync()
--- /dev/null
+++ b/internal/wait/ticker_test.go
@@ -0,0 +1,27 @@
+package wait_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/wait"
+)
+
+// Guards against tickers that wake the process at times of their own.
+func TestTickersOfOnePeriodTickTogether(t *testing.T) {
+	const period = 200 * time.Millisecond
+	first := wait.NewTicker(t.Context(), period)
+	defer first.Stop()
+	time.Sleep(period / 3)
+	second := wait.NewTicker(t.Context(), period)
+	defer second.Stop()
+	a := <-first.C
+	for a = <-first.C; ; a = <-first.C {
+		b := <-second.C
+		apart := b.Sub(a).Abs() % period
+		if min(apart, period-apart) < period/4 {
+			return
+		}
+		t.Fatalf("%v apart", apart)
+	}
+}
