Store: a transaction has at most fifty rows

Cause: the store takes 100 entries a transaction, and conditions count as entries: a hundred first rows were 200 entries and refused as a whole.

--- a/pkg/metastore/metastore.go
+++ b/pkg/metastore/metastore.go
@@ -62,8 +62,9 @@
 	return size
 }
 
-// MaxWrites is the greatest number of rows in one PutAll.
-const MaxWrites = 100
+// MaxWrites is the greatest number of rows in one PutAll: a transaction has at most 100 entries, and each row
+// takes two, its condition and its write.
+const MaxWrites = 50
 
 // Write is one row of a PutAll.
 type Write struct {
