--- a/internal/lead/traffic_test.go
+++ b/internal/lead/traffic_test.go
@@ -77,12 +77,21 @@
 // startHealthyGroups starts VMs with many groups, and returns them with their metrics.
 func startHealthyGroups(t *testing.T, vms, groups int) ([]*lead.Lead, []*metrics.Registry) {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	leads, registries, _ := startGroupsToStop(t, vms, groups)
+	return leads, registries
+}
+
+// startGroupsToStop is startHealthyGroups with a function for each VM that stops it.
+func startGroupsToStop(t *testing.T, vms, groups int) ([]*lead.Lead, []*metrics.Registry, []context.CancelFunc) {
+	t.Helper()
+	var stops []context.CancelFunc
 	store, log := metastore.NewMemory(), slog.New(slog.DiscardHandler)
 	var leads []*lead.Lead
 	var registries []*metrics.Registry
 	for i := range vms {
+		ctx, stop := context.WithCancel(context.Background())
+		t.Cleanup(stop)
+		stops = append(stops, stop)
 		vm := topology.VM{ID: topology.VMID(fmt.Sprint("vm-", i)), DataCentre: topology.DataCentre(fmt.Sprint("dc-", i%3)), PeerAddress: freeAddress(t)}
 		self, err := lead.Register(ctx, store, vm, log)
 		if err != nil {
@@ -108,7 +117,7 @@
 		go l.Run(ctx)
 		leads, registries = append(leads, l), append(registries, r)
 	}
-	return leads, registries
+	return leads, registries, stops
 }
 
 // Guards against messages that grow with the number of groups more than necessary: the coordinator
@@ -153,3 +162,76 @@
 	}
 	return ""
 }
+
+// awaitRight waits until a VM has a right for a group.
+func awaitRight(t *testing.T, l *lead.Lead, group topology.GroupID) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, ok := l.Right(group); ok {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatalf("no right for %s", group)
+		}
+	}
+}
+
+// awaitCoordinatorOtherThan waits until a VM that uses a group knows another coordinator of it.
+func awaitCoordinatorOtherThan(t *testing.T, l *lead.Lead, group topology.GroupID, former topology.VMID) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); l.Row(group).Coordinator == former; time.Sleep(5 * time.Millisecond) {
+		l.Right(group)
+		if time.Now().After(end) {
+			t.Fatalf("%s is still of %s", group, former)
+		}
+	}
+}
+
+// Guards against VMs that, where they do not follow all groups, ask a coordinator that is gone: neither for the
+// groups that they use nor for one that they use for the first time.
+func TestRightsReturnAfterALossOfTheCoordinatorOfManyGroups(t *testing.T) {
+	t.Parallel()
+	const vms, groups = 9, 90
+	leads, _, stops := startGroupsToStop(t, vms, groups)
+	for i, l := range leads {
+		awaitRight(t, l, topology.GroupID(fmt.Sprint("g-", 10+i)))
+	}
+	coordinator := leads[0].Row("g-10").Coordinator
+	survivors := leads[:0:0]
+	for i, l := range leads {
+		if topology.VMID(fmt.Sprint("vm-", i)) == coordinator {
+			stops[i]()
+			continue
+		}
+		survivors = append(survivors, l)
+	}
+	for _, l := range survivors {
+		awaitCoordinatorOtherThan(t, l, "g-0", coordinator)
+	}
+	for i, l := range survivors {
+		awaitRight(t, l, topology.GroupID(fmt.Sprint("g-", 10+i)))
+		awaitRight(t, l, topology.GroupID(fmt.Sprint("g-", 50+i)))
+	}
+}
+
+// Guards against a handover of many groups after which VMs do not find their coordinator.
+func TestRightsSurviveAHandoverOfManyGroups(t *testing.T) {
+	t.Parallel()
+	const vms, groups = 9, 90
+	leads, _, _ := startGroupsToStop(t, vms, groups)
+	for i, l := range leads {
+		awaitRight(t, l, topology.GroupID(fmt.Sprint("g-", 10+i)))
+	}
+	coordinator := leads[0].Row("g-10").Coordinator
+	for i, l := range leads {
+		if topology.VMID(fmt.Sprint("vm-", i)) == coordinator {
+			l.Leave(t.Context())
+		}
+	}
+	for i, l := range leads {
+		group := topology.GroupID(fmt.Sprint("g-", 70+i))
+		awaitRight(t, l, group)
+		awaitCoordinatorOtherThan(t, l, group, coordinator)
+		awaitRight(t, l, group)
+	}
+}
