Takeover: a VM that got its rows from another one reads the store when its turn comes

Cause: a VM takes over only while the store answers it, and one that started from another VM has never asked it. After a loss of power of all VMs nobody took the place of the former coordinator until a caller's demand for a right led to a reading. After: such a VM reads the rows when its turn to take over has come; not earlier, so few do. Test: fails without it, for a former coordinator that is another VM and for an earlier incarnation of this one.

--- a/internal/lead/following_test.go
+++ b/internal/lead/following_test.go
@@ -337,3 +337,25 @@
 		}
 	}
 }
+
+// Guards against a start of all VMs after which nobody takes the place of their former coordinator: VMs that got
+// their rows from each other have not read the store, and nobody takes over before.
+func TestAVMThatStartedFromAnotherReadsBeforeItTakesOver(t *testing.T) {
+	for _, former := range []topology.VMID{"vm-1", "vm-2"} {
+		_, l, clock := newUser(3, 0)
+		l.Log = slog.New(slog.DiscardHandler)
+		l.self.Incarnation = 2
+		l.Directory.SetVMs([]topology.VM{{ID: "vm-1"}, {ID: "vm-2"}, {ID: "vm-3"}})
+		for i := range 3 {
+			row := rowNumber(i)
+			row.Version, row.Coordinator = 2, former
+			l.holder.Adopt(row)
+		}
+		l.checkCoordinator(former, clock.Now())
+		clock.T = clock.T.Add(10 * time.Second)
+		take, _, _ := l.checkCoordinator(former, clock.Now())
+		if take || !l.needsReading(clock.Now()) {
+			t.Errorf("former coordinator %s: takes over: %v; reads the store: %v", former, take, !take)
+		}
+	}
+}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -124,6 +124,7 @@
 	if vm == l.self.ID {
 		// It is an earlier incarnation of this VM, and no other VM can learn sooner that it has
 		// ended.
+		l.probeStore = l.probeStore || l.storeSeen == 0
 		return !l.storeLost(now), false, "started_again"
 	}
 	a, known := l.coordinatorState[vm]
@@ -140,7 +141,11 @@
 		return true, false, storeLost
 	}
 	takeoverDelay := silentAfter + ownDelay
-	if now.Sub(max(a.lastAnswer, l.storeRegained)) < takeoverDelay || now.Sub(l.storeSeen) > storeFreshness {
+	if now.Sub(max(a.lastAnswer, l.storeRegained)) < takeoverDelay {
+		return false, false, ""
+	}
+	if now.Sub(l.storeSeen) > storeFreshness {
+		l.probeStore = l.probeStore || l.storeSeen == 0 // It has got its rows from another VM and must read them itself.
 		return false, false, ""
 	}
 	s := l.inquiries[vm]
