--- a/internal/lead/following_test.go
+++ b/internal/lead/following_test.go
@@ -354,8 +354,8 @@
 		l.checkCoordinator(former, clock.Now())
 		clock.T = clock.T.Add(10 * time.Second)
 		take, _, _ := l.checkCoordinator(former, clock.Now())
-		if take || !l.needsReading(clock.Now()) {
-			t.Errorf("former coordinator %s: takes over: %v; reads the store: %v", former, take, !take)
+		if reads := l.needsReading(clock.Now()); take || !reads {
+			t.Errorf("former coordinator %s: takes over: %v; reads the store: %v", former, take, reads)
 		}
 	}
 }
