--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -17,10 +17,6 @@
 	// takes the place of a silent coordinator, so that a change of the coordinator does not make
 	// every VM ask the store for all feeds.
 	newsValidity = 1200 * time.Millisecond
-	// registrationNewsValidity is the same for the targets' registrations, whose watch also returns all
-	// heartbeats. It may be longer: a leaving target is used for its drain time after the last moment at which
-	// it was known not to be leaving, however late the news of it comes.
-	registrationNewsValidity = 3 * time.Second
 	// newsWait is how long after a listing of all rows a VM waits for news before it watches the
 	// store itself.
 	newsWait = 700 * time.Millisecond
@@ -293,14 +289,6 @@
 	r.changed = make(chan struct{})
 }
 
-// validityOf returns how long news of a feed is valid.
-func validityOf(f Feed) time.Duration {
-	if f == Registrations {
-		return registrationNewsValidity
-	}
-	return newsValidity
-}
-
 // Receive stores what the coordinator from reported in answer to a message that was sent at sent. The
 // coordinator leaves out feeds that it can't report on. Earlier news of those stays valid for a
 // while: a new coordinator first asks the store, and otherwise all VMs would do the same meanwhile.
@@ -365,7 +353,7 @@
 	recheckAt := clock.Now().Add(recheckPeriod)
 	for {
 		r.mu.Lock()
-		news, validUntil, changed := r.news[f], r.confirmedAt[f].Add(validityOf(f)), r.changed
+		news, validUntil, changed := r.news[f], r.confirmedAt[f].Add(newsValidity), r.changed
 		publishing, answeredAt, waitUntil, startedAt := r.publishing, mono.Time(0), mono.Time(0), mono.Time(0)
 		if s := r.feedState[f]; s != nil {
 			answeredAt = s.answeredAt
