--- a/internal/forward/rows.go
+++ b/internal/forward/rows.go
@@ -85,28 +85,33 @@
 var anyVersion = metastore.Version{Number: 1}
 
 func fetchRows(ctx context.Context, address string, r rowsRequest) (directory.Snapshot, error) {
+	var a rowsResponse
+	if err := requestRows(ctx, address, openRequest{Rows: &r}, &a); err != nil {
+		return directory.Snapshot{}, err
+	}
+	if a.Failure != nil {
+		return directory.Snapshot{}, a.Failure
+	}
+	return a.Snapshot, nil
+}
+
+// requestRows sends a request for rows to the VM at an address and receives its answer. ctx must have a deadline.
+func requestRows(ctx context.Context, address string, o openRequest, answer any) error {
 	dialer := target.Dialer()
 	dialer.Timeout = holderTimeout
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return directory.Snapshot{}, err
+		return err
 	}
 	defer nc.Close()
 	target.LimitSilence(nc)
-	deadline, _ := ctx.Deadline() // Fetch sets one.
-	_ = nc.SetDeadline(deadline)  // If the connection is closed, the next call fails.
+	deadline, _ := ctx.Deadline()
+	_ = nc.SetDeadline(deadline) // If the connection is closed, the next call fails.
 	s := newStream(nc)
-	if err := s.send(openRequest{Rows: &r}); err != nil {
-		return directory.Snapshot{}, err
-	}
-	var a rowsResponse
-	if err := s.receive(&a); err != nil {
-		return directory.Snapshot{}, err
+	if err := s.send(o); err != nil {
+		return err
 	}
-	if a.Failure != nil {
-		return directory.Snapshot{}, a.Failure
-	}
-	return a.Snapshot, nil
+	return s.receive(answer)
 }
 
 // sendRows answers a request for rows from this VM's snapshot of the feed.
--- a/internal/forward/start.go
+++ b/internal/forward/start.go
@@ -13,7 +13,6 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
-	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -59,23 +58,9 @@
 // fetchSince is FetchAll for the rows as of a version or a later one. With anyVersion the other VM sends what it
 // has if it knows that to be up to date.
 func fetchSince(ctx context.Context, address string, f directory.Feed, version metastore.Version, own string) (directory.Snapshot, []string, error) {
-	dialer := target.Dialer()
-	dialer.Timeout = holderTimeout
-	nc, err := dialer.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return directory.Snapshot{}, nil, err
-	}
-	defer nc.Close()
-	target.LimitSilence(nc)
-	deadline, _ := ctx.Deadline()
-	_ = nc.SetDeadline(deadline) // If the connection is closed, the next call fails.
-	s := newStream(nc)
-	request := openRequest{Target: topology.TargetID(own), Rows: &rowsRequest{Feed: f | allRows, Version: version, Era: version.Era}}
-	if err := s.send(request); err != nil {
-		return directory.Snapshot{}, nil, err
-	}
+	o := openRequest{Target: topology.TargetID(own), Rows: &rowsRequest{Feed: f | allRows, Version: version, Era: version.Era}}
 	var a startResponse
-	if err := s.receive(&a); err != nil {
+	if err := requestRows(ctx, address, o, &a); err != nil {
 		return directory.Snapshot{}, nil, err
 	}
 	if a.Failure != nil {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -65,8 +65,7 @@
 	rightDemandTTL = 2 * time.Second
 	// missingRowPeriod is how often the store is read for a group whose row this VM does not know.
 	// The VM that wrote the row sent a notice, but a datagram may be lost.
-	missingRowPeriod       = 3 * time.Second
-	longestMissingRowPause = 20 * time.Second
+	missingRowPeriod = 3 * time.Second
 	// CoordinatorWatch is the wait time of a coordinator's watches. Each answer shows that the
 	// coordinator's rows are unchanged, and the other VMs rely on the changes that it relays.
 	CoordinatorWatch = 500 * time.Millisecond
--- a/internal/lead/reading.go
+++ b/internal/lead/reading.go
@@ -36,6 +36,9 @@
 	return false
 }
 
+// longestMissingRowPause is the longest pause between two readings for a missing row.
+const longestMissingRowPause = 20 * time.Second
+
 // missingRowPause is how often the store is read for a row that this VM lacks. Many VMs read it less
 // often, since the store serves a limited number of calls a second.
 func (l *Lead) missingRowPause() time.Duration {
