Watcher: rows from another VM that are older than what is known are not taken

A VM that has waited for news in vain gets all rows again, from a VM that may be behind by then; the store is asked instead. Found by reading.

--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -136,7 +136,7 @@
 		return false
 	}
 	snapshot, ok := w.Peers.Start(ctx, w.Feed)
-	if !ok {
+	if !ok || p.version.After(snapshot.Version) {
 		return false
 	}
 	w.Log.Info("event=store_listing_received", "table", w.Table, "rows", len(snapshot.Rows), "version", snapshot.Version)
