--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -67,6 +67,8 @@
 	Customers *metrics.Customers
 	// MaxSessions is the maximum number of open sessions.
 	MaxSessions int
+	// AvoidOutliers sends fewer reads to targets that fail more, or answer more slowly, than others of their group.
+	AvoidOutliers bool
 }
 
 // Server serves sessions. Safe for concurrent use.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -99,6 +99,7 @@
 func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger) *target.Pools {
 	pools := target.NewPools(d, forward.NewDriver(d, driver), clock, log)
 	pools.Drain = s.Drain.Std()
+	pools.Options = s.Overload.targetOptions()
 	return pools
 }
 
@@ -133,12 +134,15 @@
 
 func newLimiter(s Settings, d *directory.Directory, clock mono.Clock) *limit.Limiter {
 	policy := quota.Policy{Window: s.QuotaWindow.Std(), Excess: s.QuotaExcess, Slack: s.QuotaSlack}
-	return limit.NewLimiter(d, clock, policy)
+	limits := limit.NewLimiter(d, clock, policy)
+	limits.ByPriority = s.Overload.PriorityLimits
+	return limits
 }
 
 func newServer(s Settings, d *directory.Directory, pools *target.Pools, l *lead.Lead, limits *limit.Limiter, clock mono.Clock, log *slog.Logger, m *metrics.Entry, customers *metrics.Customers) *gateway.Server {
 	return gateway.NewServer(gateway.Options{
 		Directory: d, Pools: pools, Rights: l, Limits: limits, Clock: clock, Log: log, Metrics: m, Customers: customers, MaxSessions: s.MaxSessions,
+		AvoidOutliers: s.Overload.AvoidOutliers,
 		Codec: func(nc net.Conn) gateway.Caller { return platform.NewCaller(nc) },
 	})
 }
--- a/internal/gatewayd/settings.go
+++ b/internal/gatewayd/settings.go
@@ -50,6 +50,10 @@
 	// MaxSessions is the maximum number of open sessions.
 	MaxSessions int    `json:"max_sessions"`
 	LogLevel    string `json:"log_level"`
+	// Contracts are the parts of the platform's rules that are in force, as named by the platform.
+	Contracts []string `json:"contracts"`
+	// Overload selects the mechanisms that share scarce capacity. If it is missing, Contracts decide.
+	Overload *Overload `json:"overload"`
 }
 
 // Defaults and bounds of the settings.
@@ -68,6 +72,7 @@
 	if err := settings.Load(path, &s); err != nil {
 		return s, err
 	}
+	s.applyContracts()
 	return s, s.check()
 }
 
--- a/internal/gatewayd/settings_test.go
+++ b/internal/gatewayd/settings_test.go
@@ -45,3 +45,27 @@
 		t.Fatalf("below zero: %v", err)
 	}
 }
+
+// Guards against mechanisms for overload that start in a deployment that doesn't ask for them, or that can't be switched
+// off in one whose platform announces overload.
+func TestOverloadIsSelectedBySettings(t *testing.T) {
+	all := Overload{PriorityLimits: true, FairQueue: true, SharedSlots: true, RetainConnections: true, AvoidOutliers: true}
+	for name, test := range map[string]struct {
+		changed map[string]any
+		want    Overload
+	}{
+		"by default":    {nil, Overload{}},
+		"announced":     {map[string]any{"contracts": []string{"base", "pressure"}}, all},
+		"not announced": {map[string]any{"contracts": []string{"base", "quota"}}, Overload{}},
+		"selected":      {map[string]any{"overload": map[string]any{"fair_queue": true}}, Overload{FairQueue: true}},
+		"switched off":  {map[string]any{"contracts": []string{"pressure"}, "overload": map[string]any{}}, Overload{}},
+	} {
+		if s, err := load(t, test.changed); err != nil || *s.Overload != test.want {
+			t.Errorf("%s: %+v, %v", name, s.Overload, err)
+		}
+	}
+	_, err := load(t, map[string]any{"overload": map[string]any{"fair_queues": true}})
+	if e := result.From(err); e == nil || e.Code != result.ConfigInvalid || !strings.Contains(e.Detail, "fair_queues") {
+		t.Errorf("misspelt: %v", err)
+	}
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -14,6 +14,9 @@
 
 // Limiter decides whether operations of customers may begin. It is safe for concurrent use.
 type Limiter struct {
+	// ByPriority admits the more urgent classes of a customer near its limit first. It must be set before use.
+	ByPriority bool
+
 	directory *directory.Directory
 	clock     mono.Clock
 	policy    quota.Policy
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -29,6 +29,8 @@
 type Pools struct {
 	// Drain is how long a leaving target is sent new work. It must be set before Run.
 	Drain time.Duration
+	// Options must be set before Run.
+	Options Options
 
 	directory *directory.Directory
 	driver    Driver
