--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -143,7 +143,7 @@
 	return gateway.NewServer(gateway.Options{
 		Directory: d, Pools: pools, Rights: l, Limits: limits, Clock: clock, Log: log, Metrics: m, Customers: customers, MaxSessions: s.MaxSessions,
 		AvoidOutliers: s.Overload.AvoidOutliers,
-		Codec: func(nc net.Conn) gateway.Caller { return platform.NewCaller(nc) },
+		Codec:         func(nc net.Conn) gateway.Caller { return platform.NewCaller(nc) },
 	})
 }
 
