Reload: settings are compared by their contents

Cause: the settings now hold a list and a pointer; comparing lists with != panics at SIGHUP, and two pointers to equal values differ. Ruled out: leaving the two out of the comparison, since an operator must learn that they need a restart. Before: the test panics. After: it passes. Conclusion: contents are compared.

--- a/internal/gatewayd/settings_test.go
+++ b/internal/gatewayd/settings_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -69,3 +70,27 @@
 		t.Errorf("misspelt: %v", err)
 	}
 }
+
+// Guards against a reload that fails because a setting is a list, or that reports unchanged settings as changed.
+func TestReloadNamesChangedSettings(t *testing.T) {
+	announced := map[string]any{"contracts": []string{"base", "pressure"}}
+	before, err := load(t, announced)
+	if err != nil {
+		t.Fatal(err)
+	}
+	same, err := load(t, announced)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &daemon{Settings: before}
+	if keys := d.changedSettings(same); len(keys) != 0 {
+		t.Errorf("unchanged: %v", keys)
+	}
+	next, err := load(t, map[string]any{"contracts": []string{"base"}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if keys := d.changedSettings(next); !slices.Equal(keys, []string{"contracts", "overload"}) {
+		t.Errorf("changed: %v", keys)
+	}
+}
--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -192,7 +192,7 @@
 	var keys []string
 	current, proposed := reflect.ValueOf(d.Settings), reflect.ValueOf(next)
 	for i := range current.NumField() {
-		if current.Field(i).Interface() != proposed.Field(i).Interface() {
+		if !reflect.DeepEqual(current.Field(i).Interface(), proposed.Field(i).Interface()) {
 			keys = append(keys, current.Type().Field(i).Tag.Get("json"))
 		}
 	}
