Start: a VM without a coordinator's news gets its rows again after 1.2 s

A VM that starts from another one does not watch the store but waits for a coordinator's news, for up to 4 s. While the primary leaves its commands unanswered the first row is deferred, so that no VM coordinates and nobody reports. Ruled out: a watch of the store by each VM, which the start from each other is there to save; the age of what a coordinator reports, which is counted conservatively. Found on the way: rows that come from another VM after the store was restored did not count as restored, and could have ended a target's drain. Conclusion: waiting as long as a coordinator's news is valid. A deployment that starts whole sends each VM's rows once more for each 1.2 s that its first rows take; not measured at hundreds of VMs.

--- a/internal/directory/relay.go
+++ b/internal/directory/relay.go
@@ -28,8 +28,10 @@
 	// in case the coordinator misses one.
 	recheckPeriod = time.Minute
 	// startNewsWait is how long after it got all rows from another VM a VM waits for news before it
-	// gets them again: until the rows of the groups are written when all VMs start for the first time.
-	startNewsWait = 4 * time.Second
+	// gets them again. No VM coordinates, and so none reports, until the rows of the groups are written,
+	// which takes as long as the primaries don't answer. Meanwhile this VM learns of changes this late,
+	// such as of a target that is leaving or of a configuration.
+	startNewsWait = newsValidity
 	// rowRetention is how long changes are sent as rows: in several promises, of which all but one
 	// may be lost.
 	rowRetention = 1200 * time.Millisecond
--- a/internal/directory/start_test.go
+++ b/internal/directory/start_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Guards against a VM that learns of a leaving target after the target's drain time, because no VM coordinates yet and
+// the primary, which does not answer, delays the first row.
+func TestAVMThatStartedFromAnotherLearnsOfChangesBeforeAnyVMCoordinates(t *testing.T) {
+	const allowed = 2 * time.Second // the shortest drain time in use
+	store := &countingStore{Store: metastore.NewMemory()}
+	put(t, store.Store, "a")
+	s, _ := startFromPeer(t, 5, store)
+	put(t, store.Store, "b")
+	changed := time.Now()
+	eventually(t, func() bool { return s.has(2) })
+	if took := time.Since(changed); took > allowed {
+		t.Errorf("learned after %v", took)
+	}
+	if n := store.count(); n != 0 {
+		t.Errorf("%d watches", n)
+	}
+}
+
 // Guards against changes that nobody reports to the other one of two VMs.
 func TestOneOfTwoVMsWatchesTheStoreItself(t *testing.T) {
 	store := &countingStore{Store: metastore.NewMemory()}
--- a/internal/directory/watcher.go
+++ b/internal/directory/watcher.go
@@ -140,7 +140,10 @@
 		return false
 	}
 	w.Log.Info("event=store_listing_received", "table", w.Table, "rows", len(snapshot.Rows), "version", snapshot.Version)
-	w.All(snapshot.Rows, Timing{Version: snapshot.Version, FromPeer: true})
+	w.All(snapshot.Rows, Timing{
+		Version: snapshot.Version, FromPeer: true,
+		Restored: !p.version.IsZero() && snapshot.Version.Era > p.version.Era,
+	})
 	p.version = snapshot.Version
 	w.Relay.SetSnapshot(w.Feed, snapshot.Rows, snapshot.Version)
 	w.Relay.NoteStart(w.Feed, snapshot.Version, w.Clock.Now())
