Limits: only the current allocator warns and answers

Cause: when another VM takes over the first group, the former coordinator stays the allocator of the VMs that have not learned of it, and its warnings reached all VMs. The VMs of the new allocator applied them too.

Ruled out: the new allocator itself; it answers its own VMs correctly.

Before: handleWarning and applyQuota took any sender. After: reports, answers and warnings carry the version of the first group's row as the allocator's term, as an optional field. A VM applies warnings and answers of its current allocator only, and none of an older term. An allocator that hears of a later term neither answers nor warns until it has adopted that term's row itself. The allocator's state is discarded when the row's fence changes, so a VM that becomes the allocator again doesn't start with its old state.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -129,7 +129,11 @@
 	holder      *lease.Holder
 	coordinator *lease.Coordinator
 	allocator   *quota.Allocator
-	stored      map[topology.GroupID]storedRow // the groups' rows in the store
+	// allocatorFence is the fence of the row under which the allocator's state was collected, and latestTerm
+	// the latest allocator term that any message has named.
+	allocatorFence uint64
+	latestTerm     allocatorTerm
+	stored         map[topology.GroupID]storedRow // the groups' rows in the store
 	// era is the store's latest era whose rows this VM has read, and eraSince when it read them first.
 	era      uint64
 	eraSince mono.Time
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -75,6 +75,8 @@
 	Usage []quota.Usage `msgpack:"q,omitempty"`
 	Quota *quota.Answer `msgpack:"y,omitempty"`
 	Near  []quota.Tag   `msgpack:"z,omitempty"`
+	// Term is the sender's allocator term, in messages with any of the three. Earlier builds leave it out.
+	Term *allocatorTerm `msgpack:"e,omitempty"`
 	// About is the coordinator that a question and its opinion refer to. Reachable is set in an
 	// opinion if its sender receives the coordinator's messages.
 	About     topology.VMID `msgpack:"a,omitempty"`
--- a/internal/lead/quota.go
+++ b/internal/lead/quota.go
@@ -1,26 +1,105 @@
 package lead
 
 import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/quota"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// allocatorVM returns the VM that collects what all VMs admit. It is the coordinator of the first
-// group, so there is only one even if the groups have different coordinators.
-func (l *Lead) allocatorVM() topology.VMID {
+// allocatorTerm identifies the allocator's term of office by the version of the first group's row.
+type allocatorTerm struct {
+	_msgpack struct{} `msgpack:",as_array"` //nolint:unused // Read by the encoder.
+
+	// Group is the hash of the group's ID. Versions of different groups can't be compared.
+	Group   uint32
+	Version uint64
+}
+
+// before reports whether t is an earlier term than u of the same group.
+func (t allocatorTerm) before(u allocatorTerm) bool {
+	return t.Group == u.Group && t.Version < u.Version
+}
+
+// termOf returns the allocator's term under a row of the first group.
+func termOf(group topology.GroupID, version uint64) allocatorTerm {
+	return allocatorTerm{Group: uint32(xxhash.Sum64String(string(group))), Version: version} //nolint:gosec // Truncated on purpose.
+}
+
+// allocatorRow returns the row of the first group that has one, or nil.
+func (l *Lead) allocatorRow() *lease.Row {
 	for _, group := range l.groups() {
 		if row := l.holder.Row(group); row != nil {
-			return row.Coordinator
+			return row
 		}
 	}
+	return nil
+}
+
+// allocatorVM returns the VM that collects what all VMs admit. It is the coordinator of the first
+// group, so there is only one even if the groups have different coordinators.
+func (l *Lead) allocatorVM() topology.VMID {
+	if row := l.allocatorRow(); row != nil {
+		return row.Coordinator
+	}
 	return ""
 }
 
+// term returns the latest allocator term whose row this VM has adopted, or nil if it knows no row.
+func (l *Lead) term() *allocatorTerm {
+	row := l.allocatorRow()
+	if row == nil {
+		return nil
+	}
+	t := termOf(row.Group, row.Version)
+	return &t
+}
+
+// noteTerm records a later allocator term that a message names.
+func (l *Lead) noteTerm(m *message) {
+	row := l.allocatorRow()
+	if row == nil {
+		return
+	}
+	if m.Term != nil {
+		l.noteLaterTerm(*m.Term, row)
+	}
+	for _, p := range m.Groups {
+		if p.Group == row.Group {
+			l.noteLaterTerm(termOf(p.Group, p.Version), row)
+		}
+	}
+}
+
+func (l *Lead) noteLaterTerm(t allocatorTerm, row *lease.Row) {
+	if own := termOf(row.Group, row.Version); own.before(t) && !t.before(l.latestTerm) {
+		l.latestTerm = t
+	}
+}
+
+// allocates reports whether this VM is the allocator under the row and no message has named a later term.
+func (l *Lead) allocates(row *lease.Row) bool {
+	return row != nil && row.Coordinator == l.self.ID && !termOf(row.Group, row.Version).before(l.latestTerm)
+}
+
+// fromAllocator reports whether a message was sent by this VM's current allocator in a term that is not older than
+// the adopted one. Two allocators may exist for seconds during a partition, and the one without this VM knows
+// nothing of what its part of the VMs admits.
+func (l *Lead) fromAllocator(m *message) bool {
+	row := l.allocatorRow()
+	if row == nil || m.From != row.Coordinator {
+		return false
+	}
+	return m.Term == nil || !m.Term.before(termOf(row.Group, row.Version))
+}
+
 // reportUsage adds what this VM admitted to a renewal if it goes to the allocator.
 func (l *Lead) reportUsage(to topology.VMID, m *message) {
 	if l.Limits != nil && to == l.allocatorVM() {
 		m.Usage = l.Limits.Report()
+		m.Term = l.term()
 	}
 }
 
@@ -46,17 +125,22 @@
 	if l.Limits == nil {
 		return
 	}
-	if l.allocatorVM() != l.self.ID {
+	l.noteTerm(m)
+	row := l.allocatorRow()
+	if row == nil || row.Coordinator != l.self.ID || row.Fence != l.allocatorFence {
 		l.allocator.Reset()
+	}
+	if !l.allocates(row) {
 		return
 	}
+	l.allocatorFence = row.Fence
 	limits := l.Limits.Limits()
 	if len(limits) == 0 {
 		return
 	}
 	l.allocator.SetVMs(len(l.Directory.VMs()))
 	near := l.allocator.RecordReport(m.From, m.Usage, limits, now)
-	answer.Quota = l.allocator.Answer(m.From, m.Usage, now)
+	answer.Quota, answer.Term = l.allocator.Answer(m.From, m.Usage, now), l.term()
 	if len(near) > 0 {
 		l.warn(near)
 	}
@@ -66,19 +150,26 @@
 // period a flood of requests could exceed the limits by far.
 func (l *Lead) warn(near []quota.Tag) {
 	l.Log.Info("event=customers_near_limit", "customers", l.Limits.Names(near))
-	m := &message{Kind: warning, From: l.self.ID, Incarnation: l.self.Incarnation, Near: near}
+	m := &message{Kind: warning, From: l.self.ID, Incarnation: l.self.Incarnation, Near: near, Term: l.term()}
 	go l.sendToMany(l.vmIDs(), m)
 }
 
 func (l *Lead) handleWarning(m *message) {
-	if l.Limits != nil {
+	if l.Limits == nil {
+		return
+	}
+	l.mu.Lock()
+	l.noteTerm(m)
+	current := l.fromAllocator(m)
+	l.mu.Unlock()
+	if current {
 		l.Limits.Near(m.Near)
 	}
 }
 
 // applyQuota applies the allocator's answer.
 func (l *Lead) applyQuota(m *message, sent mono.Time) {
-	if l.Limits != nil && m.Quota != nil {
+	if l.Limits != nil && m.Quota != nil && l.fromAllocator(m) {
 		l.Limits.ApplyAnswer(m.Quota, sent)
 	}
 }
