Connections: holders retain idle connections by demand

Cause: about every second statement opened a connection, which took a quarter of the targets' work. A connection belongs to one customer, and each idle one was closed after 250 ms, whichever customer used it. Ruled out: a longer fixed timeout, which does harm where all VMs lose power; fewer holders; connections that customers share, since the target knows a connection's customer. Without the switch nothing changes. Conclusion: pkg/retention decides by each customer's uses per second which idle connections a holder keeps; the requests that hold connections are limited as before, by Pool.grantLimit.

--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -11,6 +11,7 @@
 
 // grow opens connections for waiting requests, within this VM's limit.
 func (p *Pool) grow() {
+	p.grantIdle()
 	if p.waiting.Len() == 0 || p.closed || p.clock.Now().Before(p.noDialUntil) {
 		return
 	}
@@ -37,12 +38,20 @@
 	}
 }
 
-// connectionLimit returns the limit of this VM's connections: its share, plus up to maxExtraLinks for
-// connections that are idle in transactions, since the target's slots would otherwise be
-// unused while requests wait. While another VM is starved it is the share alone: under load
-// the VMs that connected first would otherwise keep all connections, and callers of the
-// others would be refused for as long as the load lasts.
+// connectionLimit returns the limit of this VM's open connections.
 func (p *Pool) connectionLimit() int {
+	if p.retention != nil && !p.clock.Now().Before(p.shareLimitUntil) {
+		return max(p.retention.policy.Places, p.shareLimit())
+	}
+	return p.shareLimit()
+}
+
+// shareLimit returns the limit of this VM's open connections unless they are retained by demand:
+// its share, plus up to maxExtraLinks for connections that are idle in transactions, since the
+// target's slots would otherwise be unused while requests wait. While another VM is starved it is
+// the share alone: under load the VMs that connected first would otherwise keep all connections,
+// and callers of the others would be refused for as long as the load lasts.
+func (p *Pool) shareLimit() int {
 	if p.clock.Now().Before(p.shareLimitUntil) {
 		return p.share
 	}
@@ -79,6 +88,7 @@
 	}
 	l := &Link{pool: p, conn: conn, customer: customer, indirect: leadsToHolder(conn), subpool: s, releasedAt: now}
 	p.links[l] = true
+	p.noteOpened(l, now.Sub(begun))
 	p.assign(l)
 	p.grow()
 }
@@ -112,6 +122,7 @@
 		if len(p.links) < p.share {
 			p.starvedUntil = now.Add(starvedFor)
 		}
+		p.noteRefused(now)
 	case result.WrongTarget:
 		pause = wrongTargetPause
 		fallthrough
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -58,10 +58,13 @@
 	sentAt mono.Time
 	// releasedAt is when the link was last released.
 	releasedAt mono.Time
+	// used is set once a request has held the link.
+	used bool
 }
 
 // assignTo gives the link to a request that has waited for it.
 func (l *Link) assignTo(r waitlist.Request, now mono.Time, waited time.Duration) {
+	l.pool.noteGranted(l)
 	l.request, l.acquiredAt, l.waited = r, now, waited
 }
 
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -8,8 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/retention"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
@@ -89,6 +91,11 @@
 	health          health
 	// resting is set while Tick has nothing to do: there is no connection, no request and no failure.
 	resting atomic.Bool
+	// retention is nil unless connections are retained by demand.
+	retention *retained
+	// hasKey reports whether any key opens sessions of a customer.
+	hasKey  func(topology.CustomerID) bool
+	metrics *metrics.Connections
 	// holdTime is the moving average of how long a request or transaction holds a link.
 	holdTime time.Duration
 	closed   bool
@@ -98,7 +105,7 @@
 func NewPool(t topology.Target, share int, d Driver, clock mono.Clock, log *slog.Logger) *Pool {
 	return &Pool{
 		target: t, share: share, idleFor: surplusIdle, driver: d, clock: clock, log: log,
-		holderOf: noHolder, links: map[*Link]bool{}, dialing: map[subpool]int{},
+		holderOf: noHolder, hasKey: func(topology.CustomerID) bool { return true }, links: map[*Link]bool{}, dialing: map[subpool]int{},
 	}
 }
 
@@ -118,19 +125,21 @@
 		p.mu.Unlock()
 		return nil, p.leavingError()
 	}
+	p.noteUse(&r)
 	if l := p.takeIdle(&r, values); l != nil {
 		l.assignTo(r, p.clock.Now(), 0)
 		p.mu.Unlock()
 		return l, nil
 	}
 	now := p.clock.Now()
-	wait := p.waiting.EstimateWait(r, now, p.health.latency, p.holdTime, len(p.links))
+	wait := p.waiting.EstimateWait(r, now, p.health.latency, p.holdTime, p.grantable())
 	if now.Add(wait).After(r.Deadline) {
 		p.waiting.RecordMiss(r.Priority, now)
 		p.mu.Unlock()
 		return nil, result.New(result.QueueFull, "%s: a connection is expected in %v", p.target.ID, wait.Round(time.Millisecond)).After(wait)
 	}
 	w := p.waiting.Add(r, make(chan grant, 1), now, p.health.latency)
+	p.delayOpening(&r)
 	p.grow()
 	p.mu.Unlock()
 	return p.await(ctx, w)
@@ -158,6 +167,9 @@
 // takeIdle removes and returns an idle link that serves the request, preferably one on which the session's
 // values are already set, or nil.
 func (p *Pool) takeIdle(r *waitlist.Request, values map[string]string) *Link {
+	if !p.mayGrant() {
+		return nil
+	}
 	best, same := -1, false
 	for i, l := range p.idle {
 		if !p.serves(l, r) {
@@ -191,6 +203,10 @@
 // assign gives a free link to the first waiting request that it serves, or keeps it idle.
 func (p *Pool) assign(l *Link) {
 	now := p.clock.Now()
+	if p.retention != nil {
+		p.assignRetained(l, now)
+		return
+	}
 	w := p.waiting.NextOf(func(r *waitlist.Request) bool { return p.serves(l, r) }, now, p.health.latency)
 	if w != nil {
 		l.assignTo(w.Request, now, now.Sub(w.Since))
@@ -213,24 +229,29 @@
 	defer p.mu.Unlock()
 	p.noteHoldTime(p.clock.Now().Sub(l.acquiredAt))
 	if l.broken || p.closed {
-		p.drop(l)
+		p.drop(l, retention.Ended)
 		p.grow()
 		return
 	}
+	if p.retention != nil {
+		p.releaseRetained(l, p.clock.Now())
+		return
+	}
 	if len(p.links) > p.share && p.clock.Now().Before(p.shareLimitUntil) {
-		p.drop(l)
+		p.drop(l, retention.Starved)
 		return
 	}
 	if p.mustReplace(l, p.clock.Now()) {
-		p.drop(l)
+		p.drop(l, retention.Room)
 	} else {
 		p.assign(l)
 	}
 	p.grow()
 }
 
-func (p *Pool) drop(l *Link) {
+func (p *Pool) drop(l *Link, reason retention.Reason) {
 	delete(p.links, l)
+	p.noteClosed(l, reason)
 	l.conn.Close()
 }
 
@@ -255,6 +276,7 @@
 			p.health.failed(now)
 		}
 		p.log.Info("event=target_connection_lost", "target", p.target.ID, "sent_before", now.Sub(begun), "error", err)
+		p.closeIdleAfterLoss(err)
 		p.probe()
 		return
 	}
@@ -289,6 +311,7 @@
 	p.closeSurplus(now)
 	p.tickLeaving(now)
 	p.grow()
+	p.openAhead(now)
 	p.resting.Store(len(p.links) == 0 && len(p.dialing) == 0 && p.waiting.Len() == 0 && !p.health.failing() && p.leaving.knownSince == 0)
 }
 
@@ -299,7 +322,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, l := range p.idle {
-		p.drop(l)
+		p.drop(l, retention.Ended)
 	}
 	p.idle = nil
 	p.refuseAll(result.New(result.TargetUnreachable, "%s is gone", p.target.ID))
@@ -334,10 +357,10 @@
 
 // queueTime returns how long a request behind all others would wait for a connection.
 func (p *Pool) queueTime() time.Duration {
-	if len(p.idle) > 0 || len(p.links) == 0 {
+	if len(p.idle) > 0 && p.mayGrant() || len(p.links) == 0 {
 		return 0
 	}
-	return time.Duration(p.waiting.Len()+1) * p.holdTime / time.Duration(len(p.links))
+	return time.Duration(p.waiting.Len()+1) * p.holdTime / time.Duration(p.grantable())
 }
 
 // Load returns the target's current load and health.
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
@@ -31,6 +32,8 @@
 	Drain time.Duration
 	// Options must be set before Run.
 	Options Options
+	// Metrics may be nil. It must be set before Run.
+	Metrics *metrics.Connections
 
 	directory *directory.Directory
 	driver    Driver
@@ -148,6 +151,7 @@
 		if pool == nil {
 			pool = NewPool(t.Target, share.Connections, p.driver, p.clock, p.log)
 			pool.holderOf = func(c topology.CustomerID) topology.VMID { return p.directory.HolderFor(t.Target, c) }
+			pool.hasKey, pool.metrics = p.hasKey, p.Metrics
 			p.pools[t.ID] = pool
 		}
 		pool.SetShare(share)
@@ -168,5 +172,15 @@
 	if !slices.Contains(holders, p.directory.Self().ID) {
 		return Share{Connections: indirectShare, Indirect: true}
 	}
-	return Share{Connections: placement.Share(len(holders), len(p.directory.VMs()), c.Connections[t.Group])}
+	share := Share{Connections: placement.Share(len(holders), len(p.directory.VMs()), c.Connections[t.Group])}
+	if p.Options.RetainConnections && c.Customers.Len() > 0 {
+		share.retain(slices.Index(holders, p.directory.Self().ID), len(holders), c.Connections[t.Group])
+	}
+	return share
+}
+
+// hasKey reports whether any key opens sessions of a customer.
+func (p *Pools) hasKey(customer topology.CustomerID) bool {
+	config := p.directory.Configuration()
+	return config == nil || config.Customers.HasKey(customer)
 }
--- a/internal/target/share.go
+++ b/internal/target/share.go
@@ -1,6 +1,10 @@
 package target
 
-import "github.com/buckthornshore/buckthornshore/pkg/mono"
+import (
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/placement"
+	"github.com/buckthornshore/buckthornshore/pkg/retention"
+)
 
 // Share is a VM's share of a target's connections.
 type Share struct {
@@ -9,6 +13,15 @@
 	// Indirect is set if the connections go through another VM. Such connections do not count
 	// towards the target's limit and may be idle for longer.
 	Indirect bool
+	// Places is the greatest number of open connections, and IdlePlaces that of idle ones, if connections are retained by
+	// demand. Otherwise both are 0.
+	Places, IdlePlaces int
+}
+
+// retain sets the places for connections that are retained by demand, given the VM's index in the list of holders.
+func (s *Share) retain(index, holders, connections int) {
+	s.Places = placement.Places(holders, connections)
+	s.IdlePlaces = placement.IdlePlaces(index, holders, s.Places)
 }
 
 // SetShare changes this VM's share of the target's connections.
@@ -19,6 +32,7 @@
 	if s.Indirect {
 		p.idleFor = indirectIdle
 	}
+	p.setRetention(s)
 }
 
 // Starved reports whether the target recently had no connection left while this VM held fewer than its share.
@@ -33,15 +47,22 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.shareLimitUntil = p.clock.Now().Add(shareLimitTime)
+	p.closeBeyondShare()
+}
+
+// closeBeyondShare closes idle connections beyond the share.
+func (p *Pool) closeBeyondShare() {
 	for len(p.links) > p.share && len(p.idle) > 0 {
-		p.drop(p.idle[0])
-		p.idle = p.idle[1:]
+		p.dropIdle(p.leastValuable(), retention.Starved)
 	}
 }
 
 func (p *Pool) closeSurplus(now mono.Time) {
+	if p.retention != nil {
+		p.closeUnretained(now)
+		return
+	}
 	for len(p.links) > 1 && len(p.idle) > 0 && now.Sub(p.idle[0].releasedAt) > p.idleFor {
-		p.drop(p.idle[0])
-		p.idle = p.idle[1:]
+		p.dropIdle(0, retention.Idle)
 	}
 }
--- a/internal/target/subpool.go
+++ b/internal/target/subpool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/retention"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
@@ -48,8 +49,8 @@
 	return l.customer == r.Customer
 }
 
-// requestsWithoutDial returns the waiting requests, by priority, for which no connection of their subpool is
-// being opened.
+// requestsWithoutDial returns the waiting requests, by priority, for which a connection of their subpool has yet to be
+// opened.
 func (p *Pool) requestsWithoutDial() []waitlist.Request {
 	dials := make(map[subpool]int, len(p.dialing))
 	for s, n := range p.dialing {
@@ -62,6 +63,9 @@
 			dials[s]--
 			return
 		}
+		if p.openingDelayed(r) {
+			return
+		}
 		all = append(all, *r)
 	})
 	slices.SortStableFunc(all, func(a, b waitlist.Request) int { return a.Priority - b.Priority })
@@ -77,17 +81,19 @@
 	return n
 }
 
-// makeRoom reports whether another connection may be opened. At the limit it closes the least recently used idle
-// connection, if there is one, to make room.
+// makeRoom reports whether another connection may be opened. At the limit it closes an idle connection, if there is one,
+// to make room: the least recently used one, unless connections are retained by demand.
 func (p *Pool) makeRoom() bool {
+	if p.retention != nil && p.granted()+p.dialCount() >= p.grantLimit() {
+		return false
+	}
 	if len(p.links)+p.dialCount() < p.connectionLimit() {
 		return true
 	}
 	if len(p.idle) == 0 {
 		return false
 	}
-	p.drop(p.idle[0])
-	p.idle = p.idle[1:]
+	p.dropIdle(p.leastValuable(), retention.Room)
 	return true
 }
 
--- a/pkg/customer/registry.go
+++ b/pkg/customer/registry.go
@@ -79,6 +79,11 @@
 	return id, ok
 }
 
+// HasKey reports whether any key opens sessions of a customer.
+func (r *Registry) HasKey(id topology.CustomerID) bool {
+	return r != nil && len(r.byID[id].Keys) > 0
+}
+
 // Limit returns a customer's limit, and false if the customer is not declared.
 func (r *Registry) Limit(id topology.CustomerID) (Limit, bool) {
 	if r == nil {
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -80,13 +80,26 @@
 // Share returns how many connections each holder may normally have, given the numbers of holders,
 // of VMs and of connections that the target accepts.
 func Share(holders, vms, connections int) int {
-	share := max(1, (connections-Reserve)/max(1, holders))
+	share := Places(holders, connections)
 	if holders < vms {
 		return min(share, maxPerHolder)
 	}
 	return share
 }
 
+// Places returns how many connections each holder may have if idle ones are kept for later requests, given the numbers of
+// holders and of connections that the target accepts. Unlike Share, it doesn't bound the concurrent statements.
+func Places(holders, connections int) int {
+	return max(1, (connections-Reserve)/max(1, holders))
+}
+
+// IdlePlaces returns how many of its places a holder may use for idle connections, given its index in the list of the
+// holders. All holders together may use at most half of their places: the connections of holders that lose power count
+// at the target for some time, in which their successors need the other half.
+func IdlePlaces(index, holders, places int) int {
+	return (holders*places/2 + index) / max(1, holders)
+}
+
 func idsOf(vms []topology.VM) []topology.VMID {
 	ids := make([]topology.VMID, 0, len(vms))
 	for _, vm := range vms {
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -120,3 +120,19 @@
 		}
 	}
 }
+
+// Guards against idle connections that leave the successors of holders that lost power less than half of the target's
+// connections.
+func TestIdleConnectionsTakeHalfOfThePlaces(t *testing.T) {
+	for _, holders := range []int{1, 5, 6} {
+		for _, connections := range []int{8, 27, 46, 56, 88} {
+			places, idle := placement.Places(holders, connections), 0
+			for i := range holders {
+				idle += placement.IdlePlaces(i, holders, places)
+			}
+			if places*holders > max(holders, connections-placement.Reserve) || idle != holders*places/2 {
+				t.Errorf("%d holders of %d connections: %d places each, %d idle in all", holders, connections, places, idle)
+			}
+		}
+	}
+}
