Start: a VM sends the groups' rows before it knows the targets

Cause: a VM that passes its rows on replaced the groups' rows by those of the groups that have a known target. Ruled out: the store, which served all the time, and connections that the target still counts. Before: the test gets no row. After: it gets all, the newer ones where this VM knows newer ones.

--- a/internal/lead/following_test.go
+++ b/internal/lead/following_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -319,6 +321,34 @@
 	}
 }
 
+// Guards against callers without rights for a second after all VMs have started again: a VM that had read the rows of the
+// groups before the targets sent the others no rows, and none of them knew a coordinator.
+func TestRowsAreSentToVMsThatStartBeforeTheTargetsAreKnown(t *testing.T) {
+	l, store := newWriter(t, 3)
+	read, err := store.List(t.Context(), Table, metastore.All)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Directory = directory.New(l.self)
+	changed := *l.holder.Row(groupNumber(1))
+	changed.Version++
+	l.holder.Adopt(&changed)
+	versions := map[topology.GroupID]uint64{}
+	for _, r := range l.Newest(directory.OwnRows, read.Rows) {
+		if !strings.HasPrefix(r.Key, groupPrefix) {
+			continue
+		}
+		var row lease.Row
+		if err := json.Unmarshal(r.Value, &row); err != nil {
+			t.Fatal(err)
+		}
+		versions[row.Group] = row.Version
+	}
+	if len(versions) != 3 || versions[groupNumber(1)] != changed.Version {
+		t.Fatalf("versions: %v, want three, that of %s %d", versions, groupNumber(1), changed.Version)
+	}
+}
+
 // Guards against a coordinator that removes the registrations of VMs that have no reason to write to it.
 func TestOnlyTheCoordinatorOfTheFirstGroupRemovesSilentVMs(t *testing.T) {
 	for _, first := range []topology.VMID{"vm-1", "vm-9"} {
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -94,24 +94,38 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var newest []metastore.Row
+	newest := make([]metastore.Row, 0, len(rows))
+	listed := map[topology.GroupID]bool{}
 	for _, r := range rows {
-		if !strings.HasPrefix(r.Key, groupPrefix) {
-			newest = append(newest, r)
+		if group, ok := strings.CutPrefix(r.Key, groupPrefix); ok {
+			// Groups without a known target are sent as read: a VM that has just started may have read
+			// the rows before the targets.
+			listed[topology.GroupID(group)] = true
+			r = l.newestRow(topology.GroupID(group), r)
 		}
+		newest = append(newest, r)
 	}
 	for _, group := range l.groups() {
-		row := l.holder.Row(group)
-		if row == nil {
-			continue
-		}
-		if raw, err := json.Marshal(row); err == nil {
-			newest = append(newest, metastore.Row{Key: rowKey(group), Value: raw})
+		if l.holder.Row(group) != nil && !listed[group] {
+			newest = append(newest, l.newestRow(group, metastore.Row{Key: rowKey(group)}))
 		}
 	}
 	return newest
 }
 
+// newestRow returns a group's row as this VM knows it, or the given one if it knows none.
+func (l *Lead) newestRow(group topology.GroupID, read metastore.Row) metastore.Row {
+	row := l.holder.Row(group)
+	if row == nil {
+		return read
+	}
+	raw, err := json.Marshal(row)
+	if err != nil {
+		return read
+	}
+	return metastore.Row{Key: read.Key, Value: raw}
+}
+
 // applyDecisions applies the duty and the groups' rows, as read with all decision rows. registered is
 // set if this VM's registration existed then, which makes them a source of its rights.
 func (l *Lead) applyDecisions(read metastore.Rows, began mono.Time, registered bool) {
