Target: limit a holder's statements in flight to its safe part

Cause: a holder of a target sends whatever its connections allow, up to six statements. With six holders, 36 statements are in flight at 4 slots, and most of them wait in the target's queue, which knows no priority.

Ruled out: fewer connections per holder. A transaction holds its connection while it is idle, so the slots would be idle while requests wait.

Before: the number of connections was the only limit. After: with SharedSlots, a direct pool has at most ceil(2 x slots / holders) statements in flight, counting the opening of connections, which occupies a slot too. The other requests wait in the pool's list and are granted in its order as soon as a statement ends, also while a transaction is idle. Statements in an open transaction and commands of the proxy are not limited. The wait is estimated for the allowance as well as for the connections.

Conclusion: without the switch nothing changes.

--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -11,10 +11,14 @@
 
 // grow opens connections for waiting requests, within this VM's limit.
 func (p *Pool) grow() {
+	p.grantInTurn()
 	if p.waiting.Len() == 0 || p.closed || p.clock.Now().Before(p.noDialUntil) {
 		return
 	}
 	for _, r := range p.requestsWithoutDial() {
+		if !p.mayDialFor(&r) {
+			continue
+		}
 		if !p.makeRoom() {
 			return
 		}
@@ -62,6 +66,7 @@
 	conn, err := p.driver.Dial(ctx, p.target, customer)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	defer p.grantInTurn()
 	p.dialEnded(s)
 	now := p.clock.Now()
 	if err != nil {
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -58,11 +58,17 @@
 	sentAt mono.Time
 	// releasedAt is when the link was last released.
 	releasedAt mono.Time
+	// usesSlot is set while a statement of the request is in flight, since slotUsedSince. slotTime is how long its
+	// earlier ones were. All three are guarded by the pool's lock.
+	usesSlot      bool
+	slotUsedSince mono.Time
+	slotTime      time.Duration
 }
 
 // assignTo gives the link to a request that has waited for it.
 func (l *Link) assignTo(r waitlist.Request, now mono.Time, waited time.Duration) {
 	l.request, l.acquiredAt, l.waited = r, now, waited
+	l.useSlot(now)
 }
 
 // Run runs a command and updates the target's health and saturation by its answer. A command with Insist is
@@ -101,6 +107,9 @@
 		return a, err
 	}
 	l.inTransaction = a.State != statement.Idle
+	if l.inTransaction {
+		l.pool.statementEnded(l)
+	}
 	return a, nil
 }
 
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -87,6 +87,8 @@
 	saturation      saturation
 	leaving         leaving
 	health          health
+	// slots limits the statements in flight; nil if they aren't limited.
+	slots *slots
 	// resting is set while Tick has nothing to do: there is no connection, no request and no failure.
 	resting atomic.Bool
 	// holdTime is the moving average of how long a request or transaction holds a link.
@@ -124,7 +126,7 @@
 		return l, nil
 	}
 	now := p.clock.Now()
-	wait := p.waiting.EstimateWait(r, now, p.health.latency, p.holdTime, len(p.links))
+	wait := p.estimateWait(r, now)
 	if now.Add(wait).After(r.Deadline) {
 		p.waiting.RecordMiss(r.Priority, now)
 		p.mu.Unlock()
@@ -158,6 +160,9 @@
 // takeIdle removes and returns an idle link that serves the request, preferably one on which the session's
 // values are already set, or nil.
 func (p *Pool) takeIdle(r *waitlist.Request, values map[string]string) *Link {
+	if !p.mayStart(r) {
+		return nil
+	}
 	best, same := -1, false
 	for i, l := range p.idle {
 		if !p.serves(l, r) {
@@ -191,6 +196,12 @@
 // assign gives a free link to the first waiting request that it serves, or keeps it idle.
 func (p *Pool) assign(l *Link) {
 	now := p.clock.Now()
+	if p.slots != nil && !l.indirect {
+		l.releasedAt = now
+		p.idle = append(p.idle, l)
+		p.grantInTurn()
+		return
+	}
 	w := p.waiting.NextOf(func(r *waitlist.Request) bool { return p.serves(l, r) }, now, p.health.latency)
 	if w != nil {
 		l.assignTo(w.Request, now, now.Sub(w.Since))
@@ -212,6 +223,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.noteHoldTime(p.clock.Now().Sub(l.acquiredAt))
+	p.releaseSlot(l)
+	defer p.grantInTurn()
 	if l.broken || p.closed {
 		p.drop(l)
 		p.grow()
@@ -221,7 +234,7 @@
 		p.drop(l)
 		return
 	}
-	if p.mustReplace(l, p.clock.Now()) {
+	if p.slots == nil && p.mustReplace(l, p.clock.Now()) {
 		p.drop(l)
 	} else {
 		p.assign(l)
@@ -239,6 +252,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.sentAt = now
+	l.useSlot(now)
 	return now
 }
 
@@ -335,9 +349,9 @@
 // queueTime returns how long a request behind all others would wait for a connection.
 func (p *Pool) queueTime() time.Duration {
 	if len(p.idle) > 0 || len(p.links) == 0 {
-		return 0
+		return p.slotQueueTime()
 	}
-	return time.Duration(p.waiting.Len()+1) * p.holdTime / time.Duration(len(p.links))
+	return max(p.slotQueueTime(), time.Duration(p.waiting.Len()+1)*p.holdTime/time.Duration(len(p.links)))
 }
 
 // Load returns the target's current load and health.
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -151,6 +151,7 @@
 			p.pools[t.ID] = pool
 		}
 		pool.SetShare(share)
+		pool.SetSlotShare(p.slotShareOf(t, share))
 		pool.followDirectory(t, p.Drain)
 	}
 	for id, pool := range p.pools {
--- /dev/null
+++ b/internal/target/slots_test.go
@@ -0,0 +1,162 @@
+package target_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
+)
+
+// newLimitedPool returns a pool that may have two statements in flight over up to six connections.
+func newLimitedPool(f *fakeTarget) *target.Pool {
+	p := newPool(f, 6)
+	p.SetSlotShare(target.SlotShare{Slots: 4, Holders: 6})
+	return p
+}
+
+// acquireLater acquires a link in the background, and sends it when it is granted.
+func acquireLater(t *testing.T, p *target.Pool, waitingBefore int) <-chan *target.Link {
+	t.Helper()
+	granted := make(chan *target.Link, 1)
+	go func() {
+		l, failure := p.Acquire(context.Background(), until(mono.System{}.Now().Add(2*time.Second)), nil)
+		if failure == nil {
+			granted <- l
+		}
+	}()
+	for p.Load().InFlight-p.Load().Busy <= waitingBefore {
+		time.Sleep(time.Millisecond)
+	}
+	return granted
+}
+
+func mustNotBeGranted(t *testing.T, granted <-chan *target.Link) {
+	t.Helper()
+	select {
+	case <-granted:
+		t.Fatal("granted beyond the allowance")
+	case <-time.After(20 * time.Millisecond):
+	}
+}
+
+func mustBeGranted(t *testing.T, granted <-chan *target.Link) *target.Link {
+	t.Helper()
+	select {
+	case l := <-granted:
+		return l
+	case <-time.After(time.Second):
+		t.Fatal("not granted though a statement in flight has ended")
+		return nil
+	}
+}
+
+// Guards against a holder that fills the target's queue, which knows no priority, and against slots that are
+// idle while a request waits.
+func TestStatementsInFlightStayWithinTheAllowance(t *testing.T) {
+	f := &fakeTarget{}
+	p := newLimitedPool(f)
+	first, second := acquire(t, p, nil), acquire(t, p, nil)
+	third := acquireLater(t, p, 0)
+	mustNotBeGranted(t, third)
+	first.Release()
+	mustBeGranted(t, third)
+	if f.count() != 2 {
+		t.Fatalf("%d connections were opened for two statements in flight", f.count())
+	}
+	second.Release()
+}
+
+// Guards against slots that are idle while the connections are in transactions between two statements, and against
+// a transaction that waits for its next statement while it holds locks.
+func TestIdleTransactionsLeaveTheirSlotsToOthers(t *testing.T) {
+	p := newLimitedPool(&fakeTarget{})
+	first, second := acquire(t, p, nil), acquire(t, p, nil)
+	third := acquireLater(t, p, 0)
+	mustNotBeGranted(t, third)
+	if err := first.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	other := mustBeGranted(t, third)
+	if a, err := first.Run(soon(), target.Command{}); err != nil || a.Failure != nil {
+		t.Fatalf("%v %v", a, err)
+	}
+	for _, l := range []*target.Link{first, second, other} {
+		l.Release()
+	}
+	acquire(t, p, nil)
+	acquire(t, p, nil)
+	mustNotBeGranted(t, acquireLater(t, p, 0))
+}
+
+// Guards against positions that aren't read because statements are waiting.
+func TestCommandsOfTheProxyAreNotLimited(t *testing.T) {
+	p := newLimitedPool(&fakeTarget{})
+	idle := acquire(t, p, nil)
+	if err := idle.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	acquire(t, p, nil)
+	acquire(t, p, nil)
+	mustNotBeGranted(t, acquireLater(t, p, 0))
+	idle.Release()
+	r := waitlist.Request{Deadline: mono.System{}.Now().Add(time.Second), Anyone: true}
+	if _, failure := p.Acquire(context.Background(), r, nil); failure != nil {
+		t.Fatal(failure)
+	}
+}
+
+// Guards against an estimate by the connections when fewer statements may be in flight: requests that can't be sent
+// in time would wait until their deadline.
+func TestTheWaitIsEstimatedForTheAllowance(t *testing.T) {
+	p := newPool(&fakeTarget{}, 6)
+	p.SetSlotShare(target.SlotShare{Slots: 1, Holders: 6})
+	var open []*target.Link
+	for range 5 { // Connections that wait in transactions and take no slot.
+		l := acquire(t, p, nil)
+		if err := l.Begin(soon(), false, position.Position{}); err != nil {
+			t.Fatal(err)
+		}
+		open = append(open, l)
+	}
+	for range 60 { // The pool averages how long a statement is in flight.
+		l := acquire(t, p, nil)
+		time.Sleep(4 * time.Millisecond)
+		l.Release()
+	}
+	defer acquire(t, p, nil).Release()
+	_, failure := p.Acquire(context.Background(), until(mono.System{}.Now().Add(2*time.Millisecond)), nil)
+	if failure == nil || failure.Code != result.QueueFull {
+		t.Fatalf("%v with %d open transactions", failure, len(open))
+	}
+}
+
+// Guards against a free slot that isn't used because the first request needs a new connection, and against a request
+// that waits forever for one behind requests of customers that have one.
+func TestACustomerWithoutAConnectionGetsASlot(t *testing.T) {
+	f := &fakeTarget{}
+	p := newLimitedPool(f)
+	stop := make(chan struct{})
+	defer close(stop)
+	for range 8 {
+		go func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if l, failure := tryFor(p, "busy", time.Second); failure == nil {
+					time.Sleep(2 * time.Millisecond)
+					l.Release()
+				}
+			}
+		}()
+	}
+	time.Sleep(20 * time.Millisecond)
+	acquireFor(t, p, "other").Release()
+}
