Target: lower the allowance of an overloaded target, and queue refused statements

Cause: a statement of an open transaction that the target refuses because of its load was sent again every 10 ms until its deadline, over each connection, and a holder kept as many statements in flight at a target that refused or slowed down.

Ruled out: comparing answer times with the shortest answer of the window. Classes differ several times, and the shortest answer of a class says little, so the moving averages of each priority are compared.

Before: blind retries at short intervals. After: with SharedSlots, a refused statement keeps its connection, gives up its slot and waits in the holder's order, before waiting requests of the same priority. After a refusal nothing new is sent for 10 to 80 ms unless an answer shows earlier that the target accepts statements. The allowance falls by a third, at most once in a round trip, on a refusal or when answers take more than twice the time expected for the slots, and rises by one in a second of full use. A slot is free as soon as a statement outside a transaction is answered, also while its request waits for a replica. New log event slot_allowance and metrics slot_*.

Conclusion: without the switch nothing changes. Tests of pkg/slotshare (-race, 3 times), internal/target (3 times), internal/forward, gatewayd and metrics passed. With -race only TestWaitingRequestsAreRefusedAfterTheDrainTime fails, as before this change.

--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -53,6 +53,7 @@
 			metrics.NewStore,
 			metrics.NewPeers,
 			metrics.NewCustomers,
+			metrics.NewSlots,
 			newStore,
 			platform.NewDriver,
 			register,
@@ -96,8 +97,9 @@
 
 func newDirectory(vm topology.VM) *directory.Directory { return directory.New(vm) }
 
-func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger) *target.Pools {
+func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger, m *metrics.Slots) *target.Pools {
 	pools := target.NewPools(d, forward.NewDriver(d, driver), clock, log)
+	pools.SlotMetrics = m
 	pools.Drain = s.Drain.Std()
 	pools.Options = s.Overload.targetOptions()
 	return pools
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -72,13 +72,20 @@
 }
 
 // Run runs a command and updates the target's health and saturation by its answer. A command with Insist is
-// retried while the target refuses it because of its load.
+// sent again while the target refuses it because of its load: in its turn if the statements in flight are limited, and
+// otherwise at short intervals.
 func (l *Link) Run(deadline time.Time, c Command) (statement.Answer, error) {
 	for {
 		a, err := l.runOnce(deadline, c)
 		if err != nil || !c.Insist || a.Failure == nil || a.Failure.Code != result.TargetBusy {
 			return a, err
 		}
+		if inTurn, limited := l.pool.awaitTurn(l, deadline.Add(-insistReserve)); limited {
+			if !inTurn {
+				return a, nil
+			}
+			continue
+		}
 		pause := insistPause/2 + rand.N(insistPause) //nolint:gosec // Spreads load only.
 		if time.Now().Add(pause + insistReserve).After(deadline) {
 			return a, nil
@@ -107,9 +114,7 @@
 		return a, err
 	}
 	l.inTransaction = a.State != statement.Idle
-	if l.inTransaction {
-		l.pool.statementEnded(l)
-	}
+	l.pool.commandAnswered(l, begun, c.Kind, a.Failure)
 	return a, nil
 }
 
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -87,6 +88,8 @@
 	saturation      saturation
 	leaving         leaving
 	health          health
+	// SlotMetrics records the use of the target's slots; nil records nothing. It must be set before the first request.
+	SlotMetrics *metrics.Slots
 	// slots limits the statements in flight; nil if they aren't limited.
 	slots *slots
 	// resting is set while Tick has nothing to do: there is no connection, no request and no failure.
@@ -302,6 +305,7 @@
 	}
 	p.closeSurplus(now)
 	p.tickLeaving(now)
+	p.tickSlots(now)
 	p.grow()
 	p.resting.Store(len(p.links) == 0 && len(p.dialing) == 0 && p.waiting.Len() == 0 && !p.health.failing() && p.leaving.knownSince == 0)
 }
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
@@ -31,6 +32,8 @@
 	Drain time.Duration
 	// Options must be set before Run.
 	Options Options
+	// SlotMetrics records the use of the targets' slots; nil records nothing. It must be set before Run.
+	SlotMetrics *metrics.Slots
 
 	directory *directory.Directory
 	driver    Driver
@@ -147,6 +150,7 @@
 		}
 		if pool == nil {
 			pool = NewPool(t.Target, share.Connections, p.driver, p.clock, p.log)
+			pool.SlotMetrics = p.SlotMetrics
 			pool.holderOf = func(c topology.CustomerID) topology.VMID { return p.directory.HolderFor(t.Target, c) }
 			p.pools[t.ID] = pool
 		}
--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -1,10 +1,12 @@
 package target
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
@@ -20,9 +22,40 @@
 // until it releases it, except while the connection is idle in an open transaction. The opening of a connection
 // occupies a slot as well and counts.
 type slots struct {
-	share SlotShare
+	limit slotshare.Limit
 	// useTime is the moving average of how long a request's statements are in flight.
 	useTime time.Duration
+	// refused are the statements of open transactions that the target refused. Each keeps its connection and waits
+	// until it may be sent again.
+	refused waitlist.List[refusedStatement]
+	// pausedUntil is until when nothing new is sent after a refusal, and pause how long the last such pause was.
+	pausedUntil mono.Time
+	pause       time.Duration
+	// waited are the priorities for which requests have waited, for the metrics.
+	waited map[int]int
+	// logged is the allowance that was last logged, at loggedAt, and loweredFor why it was last lowered.
+	logged     int
+	loggedAt   mono.Time
+	loweredFor string
+}
+
+const (
+	// firstRefusalPause is for how long nothing new is sent after a refusal: about as long as a statement takes at a
+	// target. It doubles with each further refusal, up to longestRefusalPause, about as long as a target with a full
+	// queue takes to answer.
+	firstRefusalPause   = insistPause
+	longestRefusalPause = 80 * time.Millisecond
+	// slotLogInterval is the time between two log lines about the allowance at one target.
+	slotLogInterval = time.Second
+	// loweredRefused and loweredSlow are the reasons for which an allowance is lowered.
+	loweredRefused = "refused"
+	loweredSlow    = "slow"
+)
+
+// refusedStatement is a statement that waits to be sent again over its link; turn receives when it may be sent.
+type refusedStatement struct {
+	link *Link
+	turn chan struct{}
 }
 
 // slotShareOf returns the share of a target's slots, or the zero value if this VM isn't limited there.
@@ -39,19 +72,30 @@
 	defer p.mu.Unlock()
 	switch {
 	case s == SlotShare{}:
-		p.slots = nil
+		p.endSlots()
 	case p.slots == nil:
-		p.slots = &slots{share: s}
-	default:
-		p.slots.share = s
+		p.slots = &slots{waited: map[int]int{}}
+	}
+	if p.slots != nil {
+		p.slots.limit.Configure(s.Slots, s.Holders)
 	}
 	if p.waiting.Len() > 0 {
 		p.grow()
 	}
 }
 
-// allowance returns how many statements may be in flight.
-func (s *slots) allowance() int { return slotshare.SafePart(s.share.Slots, s.share.Holders) }
+// endSlots ends the limit of the statements in flight.
+func (p *Pool) endSlots() {
+	if p.slots == nil {
+		return
+	}
+	p.resumeAll()
+	for priority := range p.slots.waited {
+		p.slots.waited[priority] = 0
+	}
+	p.SlotMetrics.Use(p.target.ID, 0, 0, p.slots.waited)
+	p.slots = nil
+}
 
 // useSlot counts a link's statement as in flight. Requests that any customer's connection can serve are commands of
 // the proxy, which take no slot.
@@ -83,7 +127,13 @@
 }
 
 // slotFree reports whether another statement may be sent.
-func (p *Pool) slotFree() bool { return p.slots == nil || p.inFlight() < p.slots.allowance() }
+func (p *Pool) slotFree() bool {
+	if p.slots == nil {
+		return true
+	}
+	now := p.clock.Now()
+	return !now.Before(p.slots.pausedUntil) && p.inFlight() < p.slots.limit.Allowance(now)
+}
 
 // mayStart reports whether a request may be sent now if there is a connection for it.
 func (p *Pool) mayStart(r *waitlist.Request) bool { return r.Anyone || p.slotFree() }
@@ -104,25 +154,40 @@
 	return -1
 }
 
-// grantInTurn gives idle links to waiting requests, in their order, while statements may be sent. Without a limit
-// no request waits while a link that serves it is idle.
+// grantInTurn gives idle links to waiting requests, and has refused statements sent again, while there are free
+// slots. Without a limit no request waits while a link that serves it is idle.
 func (p *Pool) grantInTurn() {
-	if p.slots == nil || p.closed {
+	if p.slots == nil {
 		return
 	}
-	for p.waiting.Len() > 0 && len(p.idle) > 0 {
-		now := p.clock.Now()
-		p.dialForFirst(now)
-		free := p.slotFree()
-		mayStart := func(r *waitlist.Request) bool { return (free || r.Anyone) && p.idleLinkFor(r) >= 0 }
-		w := p.waiting.NextOf(mayStart, now, p.health.latency)
-		if w == nil {
-			return
-		}
-		l := p.removeIdle(p.idleLinkFor(&w.Request))
-		l.assignTo(w.Request, now, now.Sub(w.Since))
-		w.Value <- grant{link: l}
+	if p.closed {
+		p.resumeAll()
+		return
 	}
+	for p.resumeFirst() || p.grantFirst() {
+	}
+	p.slots.limit.Observe(p.inFlight(), p.clock.Now())
+}
+
+// grantFirst gives an idle link to the first waiting request that may have one, and reports whether there was one.
+func (p *Pool) grantFirst() bool {
+	if p.waiting.Len() == 0 || len(p.idle) == 0 {
+		return false
+	}
+	now := p.clock.Now()
+	p.dialForFirst(now)
+	free := p.slotFree()
+	mayStart := func(r *waitlist.Request) bool { return (free || r.Anyone) && p.idleLinkFor(r) >= 0 }
+	w := p.waiting.NextOf(mayStart, now, p.health.latency)
+	if w == nil {
+		return false
+	}
+	i := p.idleLinkFor(&w.Request)
+	l := p.idle[i]
+	p.idle = append(p.idle[:i], p.idle[i+1:]...)
+	l.assignTo(w.Request, now, now.Sub(w.Since))
+	w.Value <- grant{link: l}
+	return true
 }
 
 // dialForFirst opens a connection for the first request in turn if none serves it and it has waited for switchAfter:
@@ -137,21 +202,135 @@
 	}
 }
 
-func (p *Pool) removeIdle(i int) *Link {
-	l := p.idle[i]
-	p.idle = append(p.idle[:i], p.idle[i+1:]...)
-	return l
+// commandAnswered applies the target's answer to a command. An answer to a statement ends the use of a slot, since the
+// request may hold its link for longer, for example until a replica has a commit. After a command that sets the
+// connection up, the statement follows at once, unless a transaction was opened.
+func (p *Pool) commandAnswered(l *Link, begun mono.Time, k CommandKind, refusal *result.Error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if l.inTransaction || isStatement(k) {
+		l.freeSlot(now)
+	}
+	if p.slots == nil || l.indirect {
+		return
+	}
+	p.adapt(l.request.Priority, begun, now, k, refusal)
+	p.grow()
+}
+
+func isStatement(k CommandKind) bool { return k == Caller || k == Execute }
+
+// adapt lowers the allowance if the target refuses statements or has slowed down.
+func (p *Pool) adapt(priority int, begun, now mono.Time, k CommandKind, refusal *result.Error) {
+	s := p.slots
+	if refusal != nil && refusal.Code == result.TargetBusy {
+		if s.limit.Refused(begun, now) {
+			p.noteLowered(loweredRefused)
+		}
+		p.pauseSlots(now)
+		return
+	}
+	if !isStatement(k) {
+		return // Other commands may take no slot, so their answers show nothing of the load.
+	}
+	s.pausedUntil, s.pause = 0, 0
+	if s.limit.Answered(priority, begun, now) {
+		p.noteLowered(loweredSlow)
+	}
+}
+
+func (p *Pool) noteLowered(reason string) {
+	p.slots.loweredFor = reason
+	p.SlotMetrics.Lowered(p.target.ID, reason)
+}
+
+// pauseSlots keeps statements from being sent for a while after a refusal, unless an answer shows before that the
+// target accepts statements again.
+func (p *Pool) pauseSlots(now mono.Time) {
+	s := p.slots
+	s.pause = min(max(2*s.pause, firstRefusalPause), longestRefusalPause)
+	pause := s.pause/2 + rand.N(s.pause) //nolint:gosec // Spreads load only.
+	s.pausedUntil = now.Add(pause)
+	time.AfterFunc(pause, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.grow()
+	})
 }
 
-// statementEnded ends the use of a slot by a link whose transaction stays open. Outside a transaction, the release
-// of the link ends it.
-func (p *Pool) statementEnded(l *Link) {
+// awaitTurn waits until a refused statement of an open transaction may be sent again. limited is false if statements
+// in flight aren't limited here, and inTurn is false if the turn didn't come before the deadline.
+func (p *Pool) awaitTurn(l *Link, deadline time.Time) (inTurn, limited bool) {
+	p.mu.Lock()
+	if p.slots == nil || l.indirect {
+		p.mu.Unlock()
+		return false, false
+	}
+	now := p.clock.Now()
+	l.freeSlot(now)
+	refused := &p.slots.refused
+	w := refused.Add(l.request, refusedStatement{link: l, turn: make(chan struct{}, 1)}, now, p.health.latency)
+	p.grantInTurn()
+	p.mu.Unlock()
+	timer := time.NewTimer(time.Until(deadline))
+	defer timer.Stop()
+	select {
+	case <-w.Value.turn:
+		return true, true
+	case <-timer.C:
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.freeSlot(p.clock.Now())
-	if p.slots != nil {
-		p.grow()
+	return !refused.Remove(w), true
+}
+
+// resumeFirst has the first refused statement sent again if there is a free slot, and reports whether it did. Refused
+// statements go before waiting requests of the same priority, since their transactions hold connections and locks.
+func (p *Pool) resumeFirst() bool {
+	if p.slots.refused.Len() == 0 || !p.slotFree() {
+		return false
+	}
+	now := p.clock.Now()
+	first, other := p.slots.refused.Peek(now, p.health.latency), p.waiting.Peek(now, p.health.latency)
+	if other != nil && other.Priority < first.Priority && p.idleLinkFor(&other.Request) >= 0 {
+		return false
+	}
+	p.resume(first, now)
+	return true
+}
+
+// resumeAll has all refused statements sent again at once.
+func (p *Pool) resumeAll() {
+	now := p.clock.Now()
+	for w := p.slots.refused.Peek(now, 0); w != nil; w = p.slots.refused.Peek(now, 0) {
+		p.resume(w, now)
+	}
+}
+
+func (p *Pool) resume(w *waitlist.Waiter[refusedStatement], now mono.Time) {
+	p.slots.refused.Remove(w)
+	w.Value.link.useSlot(now)
+	w.Value.turn <- struct{}{}
+}
+
+// tickSlots reports the use of the slots.
+func (p *Pool) tickSlots(now mono.Time) {
+	if p.slots == nil {
+		return
+	}
+	s, inFlight, allowance := p.slots, p.inFlight(), p.slots.limit.Allowance(now)
+	for priority := range s.waited {
+		s.waited[priority] = 0
+	}
+	p.waiting.Each(func(r *waitlist.Request) { s.waited[r.Priority]++ })
+	p.SlotMetrics.Use(p.target.ID, inFlight, allowance, s.waited)
+	if allowance == s.logged || now.Sub(s.loggedAt) < slotLogInterval {
+		return
 	}
+	p.log.Info("event=slot_allowance", "target", p.target.ID, "allowance", allowance, "before", s.logged,
+		"given", s.limit.Given(now), "in_flight", inFlight, "waiting", p.waiting.Len(), "lowered_for", s.loweredFor)
+	s.logged, s.loggedAt, s.loweredFor = allowance, now, ""
 }
 
 // releaseSlot ends the use of a slot by a link that is being released.
@@ -170,7 +349,7 @@
 	if p.slots == nil || len(p.links) == 0 || r.Anyone {
 		return wait
 	}
-	return max(wait, p.waiting.EstimateWait(r, now, p.health.latency, p.slots.useTime, p.slots.allowance()))
+	return max(wait, p.waiting.EstimateWait(r, now, p.health.latency, p.slots.useTime, p.slots.limit.Allowance(now)))
 }
 
 // slotQueueTime returns how long a request behind all others would wait for its turn.
@@ -178,5 +357,5 @@
 	if p.slotFree() {
 		return 0
 	}
-	return time.Duration(p.waiting.Len()+1) * p.slots.useTime / time.Duration(p.slots.allowance())
+	return time.Duration(p.waiting.Len()+1) * p.slots.useTime / time.Duration(p.slots.limit.Allowance(p.clock.Now()))
 }
--- a/internal/target/slots_test.go
+++ b/internal/target/slots_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
 
@@ -160,3 +162,44 @@
 	time.Sleep(20 * time.Millisecond)
 	acquireFor(t, p, "other").Release()
 }
+
+// Guards against an overloaded target that is asked again every few milliseconds by each statement that it refused,
+// against statements that aren't sent again once it accepts them, and against an allowance that stays as it was.
+func TestRefusedStatementsWaitForTheirTurn(t *testing.T) {
+	f := &fakeTarget{}
+	p := newLimitedPool(f)
+	var links []*target.Link
+	for range 4 {
+		l := acquire(t, p, nil)
+		if err := l.Begin(soon(), false, position.Position{}); err != nil {
+			t.Fatal(err)
+		}
+		links = append(links, l)
+	}
+	begun, refusals := time.Now(), 0
+	const busyFor = 400 * time.Millisecond
+	f.mu.Lock()
+	f.answer = func(target.Command) (statement.Answer, error) {
+		if time.Since(begun) < busyFor {
+			refusals++
+			return statement.Answer{State: statement.Open, Failure: result.New(result.TargetBusy, "full")}, nil
+		}
+		return statement.Answer{State: statement.Open}, nil
+	}
+	f.mu.Unlock()
+	var all sync.WaitGroup
+	for _, l := range links {
+		all.Go(func() {
+			if a, err := l.Run(time.Now().Add(time.Second), target.Command{Insist: true}); err != nil || a.Failure != nil {
+				t.Errorf("%v %v", a.Failure, err)
+			}
+		})
+	}
+	all.Wait()
+	if took := time.Since(begun); took > busyFor+200*time.Millisecond {
+		t.Errorf("the last statement was answered after %v", took)
+	}
+	if blind := 4 * int(busyFor/(10*time.Millisecond)); refusals > blind/4 {
+		t.Errorf("%d refusals", refusals)
+	}
+}
