Lead: divide a target's slots among its holders by what waits

Cause: with safe parts alone, a holder where nothing waits keeps slots from one where much waits.

Ruled out: lending to a holder before another has confirmed that it uses less. A lost answer, a late one or a holder that reports to another coordinator would then make the sum exceed the total; the simulation in pkg/slotshare found such cases with two coordinators, which is why a holder confirms no share while that of an earlier coordinator is valid.

Before: every holder used its safe part. After: a holder reports what waits at each target (SlotDemand in a renewal, while something waits or waited in the last second, or to confirm a share). The group's coordinator divides the total by priority, then in proportion to what waits, at least one each, and answers with SlotShares in the promise. It lends only what holders have confirmed not to use, for at most 1 s; shares below the safe part are valid for 1.5 s, since loans rest on them. It gives no shares until those of a former coordinator have expired.

Without the switch no message changes.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -23,6 +23,7 @@
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/quota"
 	"github.com/buckthornshore/buckthornshore/pkg/routing"
+	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -129,6 +130,7 @@
 	holder      *lease.Holder
 	coordinator *lease.Coordinator
 	allocator   *quota.Allocator
+	slots       slotDivision
 	stored      map[topology.GroupID]storedRow // the groups' rows in the store
 	// era is the store's latest era whose rows this VM has read, and eraSince when it read them first.
 	era      uint64
@@ -219,6 +221,7 @@
 		holder:              lease.NewHolder(),
 		coordinator:         lease.NewCoordinator(self.ID, self.Incarnation),
 		allocator:           quota.NewAllocator(),
+		slots:               slotDivision{dividers: map[topology.TargetID]*slotshare.Divider{}},
 		stored:              map[topology.GroupID]storedRow{},
 		reports:             map[topology.GroupID]map[topology.VMID]report{},
 		renewals:            map[topology.VMID]*renewalState{},
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -8,6 +8,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/quota"
+	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -75,6 +76,10 @@
 	Usage []quota.Usage `msgpack:"q,omitempty"`
 	Quota *quota.Answer `msgpack:"y,omitempty"`
 	Near  []quota.Tag   `msgpack:"z,omitempty"`
+	// SlotDemand is, in a renewal, what waits at the targets that the sender holds and the receiver coordinates;
+	// SlotShares are, in a promise, the receiver's shares of targets' slots.
+	SlotDemand []slotshare.Demand `msgpack:"b,omitempty"`
+	SlotShares []slotshare.Share  `msgpack:"e,omitempty"`
 	// About is the coordinator that a question and its opinion refer to. Reachable is set in an
 	// opinion if its sender receives the coordinator's messages.
 	About     topology.VMID `msgpack:"a,omitempty"`
--- a/internal/lead/promise.go
+++ b/internal/lead/promise.go
@@ -34,6 +34,7 @@
 	}
 	answer.Starved = l.mergeStarved(m.Starved, now)
 	l.allocate(m, answer, now)
+	l.divideSlots(m, answer, now)
 	if l.Directory.UsesRelay() && len(l.coordinator.Groups()) > 0 {
 		answer.News = l.Directory.Relay().NewsFor(now, m.Followed)
 	}
--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -19,6 +19,7 @@
 	l.pruneFollowing(now)
 	l.renew(now)
 	l.updateCutOff(now)
+	l.noteCoordinated(now)
 	read := l.needsReading(now)
 	l.Directory.Relay().SetPublishing(len(l.coordinator.Groups()) > 0)
 	l.mu.Unlock()
@@ -66,6 +67,7 @@
 	m.Starved, m.Leaving = l.Health.Starved(), l.leaving
 	m.Followed = l.Directory.Relay().Followed()
 	l.reportUsage(to, m)
+	l.reportSlots(to, m)
 	l.sendTo(to, m)
 }
 
@@ -197,6 +199,7 @@
 	}
 	l.applyNews(m, sent)
 	l.applyQuota(m, sent)
+	l.applySlots(m, sent)
 	switch {
 	case m.Digest != 0:
 		return l.applyByDigest(m, sent, now), sent
--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -2,12 +2,14 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
 
@@ -31,8 +33,10 @@
 	// pausedUntil is until when nothing new is sent after a refusal, and pause how long the last such pause was.
 	pausedUntil mono.Time
 	pause       time.Duration
-	// waited are the priorities for which requests have waited, for the metrics.
-	waited map[int]int
+	// waitingBy is the number of waiting requests by priority when it was last counted, and waitedAt when something
+	// last waited, 0 for never.
+	waitingBy map[int]int
+	waitedAt  mono.Time
 	// logged is the allowance that was last logged, at loggedAt, and loweredFor why it was last lowered.
 	logged     int
 	loggedAt   mono.Time
@@ -74,7 +78,7 @@
 	case s == SlotShare{}:
 		p.endSlots()
 	case p.slots == nil:
-		p.slots = &slots{waited: map[int]int{}}
+		p.slots = &slots{waitingBy: map[int]int{}}
 	}
 	if p.slots != nil {
 		p.slots.limit.Configure(s.Slots, s.Holders)
@@ -90,10 +94,10 @@
 		return
 	}
 	p.resumeAll()
-	for priority := range p.slots.waited {
-		p.slots.waited[priority] = 0
+	for priority := range p.slots.waitingBy {
+		p.slots.waitingBy[priority] = 0
 	}
-	p.SlotMetrics.Use(p.target.ID, 0, 0, p.slots.waited)
+	p.SlotMetrics.Use(p.target.ID, 0, 0, p.slots.waitingBy)
 	p.slots = nil
 }
 
@@ -166,7 +170,11 @@
 	}
 	for p.resumeFirst() || p.grantFirst() {
 	}
-	p.slots.limit.Observe(p.inFlight(), p.clock.Now())
+	now := p.clock.Now()
+	p.slots.limit.Observe(p.inFlight(), now)
+	if p.waiting.Len()+p.slots.refused.Len() > 0 {
+		p.slots.waitedAt = now
+	}
 }
 
 // grantFirst gives an idle link to the first waiting request that may have one, and reports whether there was one.
@@ -320,11 +328,7 @@
 		return
 	}
 	s, inFlight, allowance := p.slots, p.inFlight(), p.slots.limit.Allowance(now)
-	for priority := range s.waited {
-		s.waited[priority] = 0
-	}
-	p.waiting.Each(func(r *waitlist.Request) { s.waited[r.Priority]++ })
-	p.SlotMetrics.Use(p.target.ID, inFlight, allowance, s.waited)
+	p.SlotMetrics.Use(p.target.ID, inFlight, allowance, p.slotsWaiting())
 	if allowance == s.logged || now.Sub(s.loggedAt) < slotLogInterval {
 		return
 	}
@@ -359,3 +363,62 @@
 	}
 	return time.Duration(p.waiting.Len()+1) * p.slots.useTime / time.Duration(p.slots.limit.Allowance(p.clock.Now()))
 }
+
+// SlotDemand returns the demand at the targets where something waits or waited a short time ago, or where this VM keeps
+// to a coordinator's share.
+func (p *Pools) SlotDemand(coordinator topology.VMID) []slotshare.Demand {
+	var all []slotshare.Demand
+	for _, pool := range p.all() {
+		if demand, ok := pool.slotDemand(coordinator); ok {
+			all = append(all, demand)
+		}
+	}
+	return all
+}
+
+// SetSlotShares applies a coordinator's shares, which answer the report of the given number, sent at the given time.
+func (p *Pools) SetSlotShares(coordinator topology.VMID, sequence uint64, shares []slotshare.Share, sent mono.Time) {
+	for _, share := range shares {
+		if pool, ok := p.Get(share.Target); ok {
+			pool.giveSlots(coordinator, sequence, share, sent)
+		}
+	}
+}
+
+func (p *Pool) slotDemand(coordinator topology.VMID) (slotshare.Demand, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	if p.slots == nil || !p.slots.limit.MustReport(p.slots.waitedAt, now) {
+		return slotshare.Demand{}, false
+	}
+	demand := slotshare.Demand{Target: p.target.ID, InFlight: p.inFlight(), Applied: p.slots.limit.Applied(coordinator, now)}
+	for priority, n := range p.slotsWaiting() {
+		if n > 0 {
+			demand.Waiting = append(demand.Waiting, slotshare.Waiting{Priority: priority, Count: n})
+		}
+	}
+	slices.SortFunc(demand.Waiting, func(a, b slotshare.Waiting) int { return a.Priority - b.Priority })
+	return demand, true
+}
+
+// slotsWaiting returns the number of waiting requests and refused statements by priority, including priorities for
+// which none wait any more.
+func (p *Pool) slotsWaiting() map[int]int {
+	waiting := p.slots.waitingBy
+	for priority := range waiting {
+		waiting[priority] = 0
+	}
+	count := func(r *waitlist.Request) { waiting[r.Priority]++ }
+	p.waiting.Each(count)
+	p.slots.refused.Each(count)
+	return waiting
+}
+
+func (p *Pool) giveSlots(coordinator topology.VMID, sequence uint64, s slotshare.Share, sent mono.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.slots != nil && p.slots.limit.Give(coordinator, sequence, s, sent, p.clock.Now()) {
+		p.grow()
+	}
+}
--- a/internal/target/slots_test.go
+++ b/internal/target/slots_test.go
@@ -2,15 +2,19 @@
 
 import (
 	"context"
+	"log/slog"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
 
@@ -203,3 +207,36 @@
 		t.Errorf("%d refusals", refusals)
 	}
 }
+
+// Guards against a share that takes effect only with the next statement that ends, against demand that is not reported,
+// and against limits for a VM whose switch is off.
+func TestASharedTargetIsLimitedByItsCoordinator(t *testing.T) {
+	f := &fakeTarget{}
+	d := directory.New(topology.VM{ID: "vm-1", Incarnation: 1})
+	d.SetConfiguration(&directory.Configuration{Connections: map[topology.GroupID]int{"g": 20}})
+	d.SetVMs([]topology.VM{{ID: "vm-1", Incarnation: 1}, {ID: "vm-2", Incarnation: 1}})
+	d.SetTarget(directory.Target{Target: topology.Target{ID: "t", Group: "g"}, Slots: 1})
+	pools := target.NewPools(d, f, mono.System{}, slog.New(slog.DiscardHandler))
+	pools.Options.SharedSlots = true
+	pools.Sync()
+	p, _ := pools.Get("t")
+	acquire(t, p, nil)
+	second := acquireLater(t, p, 0)
+	mustNotBeGranted(t, second)
+	demand := pools.SlotDemand("vm-2")
+	if len(demand) != 1 || demand[0].InFlight != 1 || len(demand[0].Waiting) != 1 || demand[0].Waiting[0].Count != 1 {
+		t.Fatalf("reported %+v", demand)
+	}
+	pools.SetSlotShares("vm-2", 1, []slotshare.Share{{Target: "t", Allowance: 2, ValidMS: 500}}, mono.System{}.Now())
+	mustBeGranted(t, second)
+	if demand := pools.SlotDemand("vm-2"); len(demand) != 1 || demand[0].Applied != 1 {
+		t.Fatalf("reported %+v", demand)
+	}
+	third := acquireLater(t, p, 0)
+	mustNotBeGranted(t, third)
+	p.SetSlotShare(target.SlotShare{}) // As with the switch off.
+	mustBeGranted(t, third)
+	if demand := pools.SlotDemand("vm-2"); demand != nil {
+		t.Fatalf("reported %+v", demand)
+	}
+}
--- a/pkg/slotshare/limit.go
+++ b/pkg/slotshare/limit.go
@@ -18,6 +18,8 @@
 type Limit struct {
 	total, safe int
 	share       heldShare
+	// ceiling is a share of an earlier coordinator, which may rest on less than the safe part being used.
+	ceiling heldShare
 	// lowered is the holder's own limit, 0 if it isn't lowered; loweredAt is when it was lowered last.
 	lowered   float64
 	loweredAt mono.Time
@@ -27,14 +29,6 @@
 	paces   map[int]*pace
 }
 
-// heldShare is a share that a coordinator gave, and until when it is valid.
-type heldShare struct {
-	allowance int
-	until     mono.Time
-}
-
-func (s *heldShare) valid(now mono.Time) bool { return now.Before(s.until) }
-
 // Configure sets the slots of the target and the number of its holders.
 func (l *Limit) Configure(slots, holders int) {
 	l.total, l.safe = Total(slots), SafePart(slots, holders)
@@ -55,6 +49,9 @@
 	if l.share.valid(now) {
 		given = l.share.allowance
 	}
+	if l.ceiling.valid(now) {
+		given = min(given, l.ceiling.allowance)
+	}
 	return max(1, given)
 }
 
