Target: count no probes as statements in flight, and pause once per refusal

Cause: a probe of a failing target that gets no answer counted as a statement in flight until its time-out, so with an allowance of 1 nothing was sent over the connections that are open. Several refusals of one round trip doubled the pause each.

Ruled out: leaving all openings of connections uncounted. They occupy slots at the target.

Before: see the cause. After: probes of a failing target are not counted, and refusals during a pause don't extend it.

--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -119,9 +119,13 @@
 	l.slotTime += now.Sub(l.slotUsedSince)
 }
 
-// inFlight returns the number of statements in flight, including the opening of connections.
+// inFlight returns the number of statements in flight, including the opening of connections except for probes of a
+// failing target: statements would wait for a probe that gets no answer.
 func (p *Pool) inFlight() int {
 	n := p.dialCount()
+	if p.health.failing() {
+		n -= p.dialing[""]
+	}
 	for l := range p.links {
 		if l.usesSlot {
 			n++
@@ -254,9 +258,13 @@
 }
 
 // pauseSlots keeps statements from being sent for a while after a refusal, unless an answer shows before that the
-// target accepts statements again.
+// target accepts statements again. Further refusals during a pause are of statements that were sent before it, or of
+// open transactions, and don't extend it.
 func (p *Pool) pauseSlots(now mono.Time) {
 	s := p.slots
+	if now.Before(s.pausedUntil) {
+		return
+	}
 	s.pause = min(max(2*s.pause, firstRefusalPause), longestRefusalPause)
 	pause := s.pause/2 + rand.N(s.pause) //nolint:gosec // Spreads load only.
 	s.pausedUntil = now.Add(pause)
