--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -23,6 +23,7 @@
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/quota"
 	"github.com/buckthornshore/buckthornshore/pkg/routing"
+	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -133,6 +134,7 @@
 	// the latest allocator term that any message has named.
 	allocatorFence uint64
 	latestTerm     allocatorTerm
+	slots          slotDivision
 	stored         map[topology.GroupID]storedRow // the groups' rows in the store
 	// era is the store's latest era whose rows this VM has read, and eraSince when it read them first.
 	era      uint64
@@ -223,6 +225,7 @@
 		holder:              lease.NewHolder(),
 		coordinator:         lease.NewCoordinator(self.ID, self.Incarnation),
 		allocator:           quota.NewAllocator(),
+		slots:               slotDivision{dividers: map[topology.TargetID]*slotshare.Divider{}},
 		stored:              map[topology.GroupID]storedRow{},
 		reports:             map[topology.GroupID]map[topology.VMID]report{},
 		renewals:            map[topology.VMID]*renewalState{},
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -8,6 +8,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/quota"
+	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -81,6 +82,10 @@
 	// the allocator before it, in the order of Usage. Fractions are the fractions of Quota's shares, in their order.
 	Carried   []carried `msgpack:"qc,omitempty"`
 	Fractions []uint16  `msgpack:"yf,omitempty"`
+	// SlotDemand is, in a renewal, what waits at the targets that the sender holds and the receiver coordinates;
+	// SlotShares are, in a promise, the receiver's shares of targets' slots.
+	SlotDemand []slotshare.Demand `msgpack:"b,omitempty"`
+	SlotShares []slotshare.Share  `msgpack:"e,omitempty"`
 	// About is the coordinator that a question and its opinion refer to. Reachable is set in an
 	// opinion if its sender receives the coordinator's messages.
 	About     topology.VMID `msgpack:"a,omitempty"`
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -60,22 +60,35 @@
 	releasedAt mono.Time
 	// used is set once a request has held the link.
 	used bool
+	// usesSlot is set while a statement of the request is in flight, since slotUsedSince. slotTime is how long its
+	// earlier ones were. All three are guarded by the pool's lock.
+	usesSlot      bool
+	slotUsedSince mono.Time
+	slotTime      time.Duration
 }
 
 // assignTo gives the link to a request that has waited for it.
 func (l *Link) assignTo(r waitlist.Request, now mono.Time, waited time.Duration) {
 	l.pool.noteGranted(l)
 	l.request, l.acquiredAt, l.waited = r, now, waited
+	l.useSlot(now)
 }
 
 // Run runs a command and updates the target's health and saturation by its answer. A command with Insist is
-// retried while the target refuses it because of its load.
+// sent again while the target refuses it because of its load: in its turn if the statements in flight are limited, and
+// otherwise at short intervals.
 func (l *Link) Run(deadline time.Time, c Command) (statement.Answer, error) {
 	for {
 		a, err := l.runOnce(deadline, c)
 		if err != nil || !c.Insist || a.Failure == nil || a.Failure.Code != result.TargetBusy {
 			return a, err
 		}
+		if inTurn, limited := l.pool.awaitTurn(l, deadline.Add(-insistReserve)); limited {
+			if !inTurn {
+				return a, nil
+			}
+			continue
+		}
 		pause := insistPause/2 + rand.N(insistPause) //nolint:gosec // Spreads load only.
 		if time.Now().Add(pause + insistReserve).After(deadline) {
 			return a, nil
@@ -104,6 +117,7 @@
 		return a, err
 	}
 	l.inTransaction = a.State != statement.Idle
+	l.pool.commandAnswered(l, begun, c.Kind, a.Failure)
 	return a, nil
 }
 
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -89,6 +89,10 @@
 	saturation      saturation
 	leaving         leaving
 	health          health
+	// SlotMetrics records the use of the target's slots; nil records nothing. It must be set before the first request.
+	SlotMetrics *metrics.Slots
+	// slots limits the statements in flight; nil if they aren't limited.
+	slots *slots
 	// resting is set while Tick has nothing to do: there is no connection, no request and no failure.
 	resting atomic.Bool
 	// retention is nil unless connections are retained by demand.
@@ -132,7 +136,7 @@
 		return l, nil
 	}
 	now := p.clock.Now()
-	wait := p.waiting.EstimateWait(r, now, p.health.latency, p.holdTime, p.grantable())
+	wait := p.estimateWait(r, now)
 	if now.Add(wait).After(r.Deadline) {
 		p.waiting.RecordMiss(r.Priority, now)
 		p.mu.Unlock()
@@ -167,7 +171,7 @@
 // takeIdle removes and returns an idle link that serves the request, preferably one on which the session's
 // values are already set, or nil.
 func (p *Pool) takeIdle(r *waitlist.Request, values map[string]string) *Link {
-	if !p.mayGrant() {
+	if !p.mayGrant(r) {
 		return nil
 	}
 	best, same := -1, false
@@ -203,8 +207,11 @@
 // assign gives a free link to the first waiting request that it serves, or keeps it idle.
 func (p *Pool) assign(l *Link) {
 	now := p.clock.Now()
-	if p.retention != nil {
-		p.assignRetained(l, now)
+	if p.grantsInTurn(l) {
+		l.releasedAt = now
+		p.idle = append(p.idle, l)
+		p.grantInTurn()
+		p.closeUnretained(now)
 		return
 	}
 	w := p.waiting.NextOf(func(r *waitlist.Request) bool { return p.serves(l, r) }, now, p.health.latency)
@@ -228,6 +235,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.noteHoldTime(p.clock.Now().Sub(l.acquiredAt))
+	p.releaseSlot(l)
+	defer p.grantInTurn()
 	if l.broken || p.closed {
 		p.drop(l, retention.Ended)
 		p.grow()
@@ -241,7 +250,7 @@
 		p.drop(l, retention.Starved)
 		return
 	}
-	if p.mustReplace(l, p.clock.Now()) {
+	if p.slots == nil && p.mustReplace(l, p.clock.Now()) {
 		p.drop(l, retention.Room)
 	} else {
 		p.assign(l)
@@ -260,6 +269,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l.sentAt = now
+	l.useSlot(now)
 	return now
 }
 
@@ -310,6 +320,7 @@
 	}
 	p.closeSurplus(now)
 	p.tickLeaving(now)
+	p.tickSlots(now)
 	p.grow()
 	p.openAhead(now)
 	p.resting.Store(len(p.links) == 0 && len(p.dialing) == 0 && p.waiting.Len() == 0 && !p.health.failing() && p.leaving.knownSince == 0)
@@ -357,10 +368,10 @@
 
 // queueTime returns how long a request behind all others would wait for a connection.
 func (p *Pool) queueTime() time.Duration {
-	if len(p.idle) > 0 && p.mayGrant() || len(p.links) == 0 {
-		return 0
+	if len(p.links) == 0 || len(p.idle) > 0 && (p.slots != nil || p.mayGrant(&waitlist.Request{})) {
+		return p.slotQueueTime()
 	}
-	return time.Duration(p.waiting.Len()+1) * p.holdTime / time.Duration(p.grantable())
+	return max(p.slotQueueTime(), time.Duration(p.waiting.Len()+1)*p.holdTime/time.Duration(p.grantable()))
 }
 
 // Load returns the target's current load and health.
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -34,6 +34,8 @@
 	Options Options
 	// Metrics may be nil. It must be set before Run.
 	Metrics *metrics.Connections
+	// SlotMetrics records the use of the targets' slots; nil records nothing. It must be set before Run.
+	SlotMetrics *metrics.Slots
 
 	directory *directory.Directory
 	driver    Driver
@@ -150,11 +152,13 @@
 		}
 		if pool == nil {
 			pool = NewPool(t.Target, share.Connections, p.driver, p.clock, p.log)
+			pool.SlotMetrics = p.SlotMetrics
 			pool.holderOf = func(c topology.CustomerID) topology.VMID { return p.directory.HolderFor(t.Target, c) }
 			pool.hasKey, pool.metrics = p.hasKey, p.Metrics
 			p.pools[t.ID] = pool
 		}
 		pool.SetShare(share)
+		pool.SetSlotShare(p.slotShareOf(t, share))
 		pool.followDirectory(t, p.Drain)
 	}
 	for id, pool := range p.pools {
--- a/internal/target/retained.go
+++ b/internal/target/retained.go
@@ -46,47 +46,14 @@
 // more are open than may be used.
 func (p *Pool) grantLimit() int { return p.shareLimit() }
 
-// mayGrant reports whether a request may be given an idle connection.
-func (p *Pool) mayGrant() bool { return p.retention == nil || p.granted() < p.grantLimit() }
-
 // grantable returns how many of the open connections requests can hold at once.
 func (p *Pool) grantable() int {
-	if p.retention == nil {
+	if p.retention == nil || p.slots != nil {
 		return len(p.links)
 	}
 	return min(len(p.links), p.grantLimit())
 }
 
-// grantIdle gives idle connections to waiting requests. Only where connections are retained by demand can both exist.
-func (p *Pool) grantIdle() {
-	if p.retention == nil {
-		return
-	}
-	now := p.clock.Now()
-	for len(p.idle) > 0 && p.mayGrant() {
-		w := p.waiting.NextOf(p.idleServes, now, p.health.latency)
-		if w == nil {
-			return
-		}
-		l := p.takeIdle(&w.Request, nil)
-		l.assignTo(w.Request, now, now.Sub(w.Since))
-		w.Value <- grant{link: l}
-	}
-}
-
-// idleServes reports whether an idle connection serves the request.
-func (p *Pool) idleServes(r *waitlist.Request) bool {
-	return slices.ContainsFunc(p.idle, func(l *Link) bool { return p.serves(l, r) })
-}
-
-// assignRetained keeps a free link idle, and gives the idle links to waiting requests.
-func (p *Pool) assignRetained(l *Link, now mono.Time) {
-	l.releasedAt = now
-	p.idle = append(p.idle, l)
-	p.grantIdle()
-	p.closeUnretained(now)
-}
-
 // releaseRetained takes back a link from a request.
 func (p *Pool) releaseRetained(l *Link, now mono.Time) {
 	l.releasedAt = now
@@ -103,11 +70,14 @@
 // other customers were given to later requests. Unlike mustReplace it closes the least valuable connection, and only if
 // all places are taken.
 func (p *Pool) openOverdue(now mono.Time) {
+	if p.slots != nil {
+		return // See dialForFirst.
+	}
 	w := p.waiting.Peek(now, p.health.latency)
 	if w == nil || now.Sub(w.Since) < switchAfter || now.Before(p.noDialUntil) || p.dialing[p.subpoolOf(w.Customer)] > 0 {
 		return
 	}
-	if !p.idleServes(&w.Request) && p.makeRoom() {
+	if p.idleLinkFor(&w.Request) < 0 && p.makeRoom() {
 		p.startDial(w.Customer)
 	}
 }
@@ -161,6 +131,9 @@
 
 // closeUnretained closes the idle connections that the policy doesn't retain.
 func (p *Pool) closeUnretained(now mono.Time) {
+	if p.retention == nil {
+		return
+	}
 	p.logClosings(now)
 	if len(p.idle) == 0 {
 		return
@@ -189,7 +162,7 @@
 // openAhead opens a connection for a customer that has none and will probably need one soon.
 func (p *Pool) openAhead(now mono.Time) {
 	if p.retention == nil || p.closed || p.waiting.Len() > 0 || p.health.failing() || now.Before(max(p.noDialUntil, p.shareLimitUntil)) ||
-		p.drainEnded(now) || !p.mayGrant() {
+		p.drainEnded(now) || !p.mayGrant(&waitlist.Request{}) {
 		return
 	}
 	customer, ok := p.retention.policy.Ahead(p.retentionState(), now)
