Start: a VM reads the store at once for its callers, and is not cut off before a reading fails

Cause: a VM that starts from another one has rows but no rights. Ruled out: longer retry times for those refused, since a right is 50 ms away; readings by all VMs without callers. Before: the two tests fail. After: they pass. Conclusion: the first reading has no pause where few groups are followed, and a VM that waits for its first right is neither out of touch nor cut off until a reading fails.

--- a/internal/lead/cutoff.go
+++ b/internal/lead/cutoff.go
@@ -37,7 +37,10 @@
 	if open > 0 && held == 0 {
 		l.connectedSince = now
 	}
-	if open == 0 || held > 0 {
+	if l.isStarting() {
+		l.outOfTouch = false // It waits for its first promise or reading, as long as neither has failed.
+	}
+	if open == 0 || held > 0 || l.isStarting() {
 		if l.isCutOff(now) {
 			l.Log.Info("event=cut_off_ended", "lasted", now.Sub(l.cutOffSince))
 		}
--- a/internal/lead/reading.go
+++ b/internal/lead/reading.go
@@ -14,7 +14,8 @@
 // needsReading reports whether to read the store: to probe it, for a missing row, or because a
 // right is about to expire that the coordinator has not renewed.
 func (l *Lead) needsReading(now mono.Time) bool {
-	if l.reading || now.Sub(l.lastRead) < l.readPause() || now.Sub(l.lastAdopted) < readGrace {
+	paused := now.Sub(l.lastRead) < l.readPause() || now.Sub(l.lastAdopted) < readGrace
+	if l.reading || paused && !l.mayReadAtOnce(now) {
 		return false
 	}
 	if l.probeStore {
@@ -36,6 +37,17 @@
 	return false
 }
 
+// isStarting reports whether this VM has had no right since its start, and has not tried to read the store: it has got
+// its rows from another VM, which gives it no rights.
+func (l *Lead) isStarting() bool { return !l.promised && l.storeSeen == 0 && l.readFailures == 0 }
+
+// mayReadAtOnce reports whether a starting VM reads the store without the usual pause: to take over from its earlier
+// incarnation, without which no VM gets a promise, or for a caller whose right no promise has brought in time. With many
+// groups the rows of all starting VMs would take the store too long.
+func (l *Lead) mayReadAtOnce(now mono.Time) bool {
+	return l.isStarting() && (l.probeStore || l.followsAll() && now.Sub(l.lastAdopted) >= readGrace)
+}
+
 // longestMissingRowPause is the longest pause between two readings for a missing row.
 const longestMissingRowPause = 20 * time.Second
 
--- a/internal/lead/reading_test.go
+++ b/internal/lead/reading_test.go
@@ -105,6 +105,68 @@
 	}
 }
 
+// startedVM returns a VM that has just got its rows from another one. If it starts again, its earlier incarnation
+// coordinates.
+func startedVM(t *testing.T, again bool) (*Lead, *mono.Manual) {
+	t.Helper()
+	l, store := readingVM(t)
+	rows, err := store.Store.List(t.Context(), Table, metastore.All)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clock := &mono.Manual{T: l.Clock.Now()}
+	l.Clock = clock
+	l.applyListing(rows.Rows, directory.Timing{Version: rows.Version, FromPeer: true})
+	if again {
+		row := *l.Row("g")
+		row.Version, row.Coordinator = 2, l.self.ID
+		l.adopt(&row, "peer")
+	}
+	return l, clock
+}
+
+// Guards against refusals after all VMs have lost power: they get their rows from each other, without rights, and nobody
+// coordinates before the coordinator of before has read the store.
+func TestAStartingVMIsNotCutOffBeforeAReadingFails(t *testing.T) {
+	l, clock := startedVM(t, false)
+	for range 20 {
+		clock.T = clock.T.Add(50 * time.Millisecond)
+		l.updateCutOff(clock.T)
+		if l.CutOff() || l.OutOfTouch() {
+			t.Fatal("it is cut off, or out of touch, though nothing has failed")
+		}
+	}
+	l.readFailures = 1
+	for range 10 {
+		clock.T = clock.T.Add(50 * time.Millisecond)
+		l.updateCutOff(clock.T)
+	}
+	if !l.CutOff() || !l.OutOfTouch() {
+		t.Fatal("it is not cut off though the store has not answered")
+	}
+}
+
+// Guards against a pause before the first reading, in which callers of all VMs wait for rights after a loss of power.
+func TestAStartingVMReadsAtOnceForItsCallersAndForItsEarlierIncarnation(t *testing.T) {
+	l, clock := startedVM(t, false)
+	clock.T = clock.T.Add(readGrace)
+	if l.needsReading(clock.T) {
+		t.Fatal("it reads without a caller")
+	}
+	l.Right("g")
+	if !l.needsReading(clock.T) {
+		t.Fatal("it does not read for its caller")
+	}
+	l, clock = startedVM(t, true)
+	if take, _, _ := l.checkCoordinator(l.self.ID, clock.T); take || !l.needsReading(clock.T) {
+		t.Fatal("it takes over before a reading, or does not read")
+	}
+	l.read(t.Context())
+	if take, _, _ := l.checkCoordinator(l.self.ID, l.Clock.Now()); !take {
+		t.Fatal("it does not take over after the reading")
+	}
+}
+
 // Guards against a right that no coordinator waits for: the registration was removed, and a
 // promotion may begin before it is restored.
 func TestAReadOfAnUnregisteredVMGivesNoRight(t *testing.T) {
