Fair queueing: customers and priorities share the requests that wait for a target

Cause: a holder orders its waiting requests by priority and objective only. So a customer that floods a class takes the capacity of all others of that class, and the least urgent class gets nothing while the more urgent ones could use all slots. Requests that have no chance wait until their deadline. Ruled out: strict priority (it starves); weighted classes without an order (urgent work waits for its share); deficit round robin (its bursts are long compared with 4 slots); a second implementation beside that of pkg/admission. Before: pkg/admission had start-time fair queueing and credits of its own. waitlist.List had one order. With the switch fair_queue, waitlist.List orders by set, priority with a minimum share of a twentieth of the grants, customers by weight, and objective. A customer is charged for the time that its requests hold connections; the expected time is charged at the grant and corrected at the release. A customer that uses less than its share may be some requests ahead, since otherwise its irregular arrivals would queue behind each other while another one floods. EstimateWait takes the fair order, the pace at which a set of a priority is granted, and the advance of the virtual time into account. Weights are the rates of the configuration in force. A transaction of a customer within its share is admitted while others' requests are late. Conclusion: off by default; without the switch the order is as before.

--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -262,7 +262,7 @@
 
 func (r *request) attachTo(pool *target.Pool, floor position.Position) *result.Error {
 	id := pool.Target().ID
-	if failure := pool.AdmitTransaction(r.class.Priority); failure != nil {
+	if failure := pool.AdmitTransaction(r.class.Priority, r.customer); failure != nil {
 		return failure
 	}
 	link, failure := r.acquire(pool)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -53,6 +53,7 @@
 			metrics.NewStore,
 			metrics.NewPeers,
 			metrics.NewCustomers,
+			metrics.NewFairQueue,
 			newStore,
 			platform.NewDriver,
 			register,
@@ -96,10 +97,11 @@
 
 func newDirectory(vm topology.VM) *directory.Directory { return directory.New(vm) }
 
-func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger) *target.Pools {
+func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger, fair *metrics.FairQueue) *target.Pools {
 	pools := target.NewPools(d, forward.NewDriver(d, driver), clock, log)
 	pools.Drain = s.Drain.Std()
 	pools.Options = s.Overload.targetOptions()
+	pools.FairQueueMetrics = fair
 	return pools
 }
 
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -85,6 +85,7 @@
 	starvedUntil    mono.Time
 	shareLimitUntil mono.Time
 	saturation      saturation
+	fair            fairness
 	leaving         leaving
 	health          health
 	// resting is set while Tick has nothing to do: there is no connection, no request and no failure.
@@ -126,9 +127,9 @@
 	now := p.clock.Now()
 	wait := p.waiting.EstimateWait(r, now, p.health.latency, p.holdTime, len(p.links))
 	if now.Add(wait).After(r.Deadline) {
-		p.waiting.RecordMiss(r.Priority, now)
+		failure := p.refuse(&r, wait, now)
 		p.mu.Unlock()
-		return nil, result.New(result.QueueFull, "%s: a connection is expected in %v", p.target.ID, wait.Round(time.Millisecond)).After(wait)
+		return nil, failure
 	}
 	w := p.waiting.Add(r, make(chan grant, 1), now, p.health.latency)
 	p.grow()
@@ -149,6 +150,7 @@
 	removed := p.waiting.Remove(w)
 	p.mu.Unlock()
 	if removed {
+		p.fair.metrics.Expired(string(p.target.ID), w.Priority)
 		return nil, result.New(result.DeadlineInQueue, "no connection to %s in time", p.target.ID)
 	}
 	g := <-w.Value // The result was sent after the timer fired or ctx ended.
@@ -194,6 +196,7 @@
 	w := p.waiting.NextOf(func(r *waitlist.Request) bool { return p.serves(l, r) }, now, p.health.latency)
 	if w != nil {
 		l.assignTo(w.Request, now, now.Sub(w.Since))
+		p.noteGrant(&w.Request, l.waited)
 		w.Value <- grant{link: l}
 		return
 	}
@@ -211,7 +214,7 @@
 func (p *Pool) release(l *Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noteHoldTime(p.clock.Now().Sub(l.acquiredAt))
+	p.noteHold(l, p.clock.Now().Sub(l.acquiredAt))
 	if l.broken || p.closed {
 		p.drop(l)
 		p.grow()
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/placement"
@@ -31,6 +32,8 @@
 	Drain time.Duration
 	// Options must be set before Run.
 	Options Options
+	// FairQueueMetrics records the work of Options.FairQueue; nil records nothing. It must be set before Run.
+	FairQueueMetrics *metrics.FairQueue
 
 	directory *directory.Directory
 	driver    Driver
@@ -148,6 +151,9 @@
 		if pool == nil {
 			pool = NewPool(t.Target, share.Connections, p.driver, p.clock, p.log)
 			pool.holderOf = func(c topology.CustomerID) topology.VMID { return p.directory.HolderFor(t.Target, c) }
+			if p.Options.FairQueue {
+				pool.enableFairQueue(func(c topology.CustomerID) float64 { return weightOf(p.directory, c) }, p.FairQueueMetrics)
+			}
 			p.pools[t.ID] = pool
 		}
 		pool.SetShare(share)
--- a/internal/target/saturation.go
+++ b/internal/target/saturation.go
@@ -5,6 +5,7 @@
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
 // saturatedFor is how long a target counts as saturated after it refused a statement because of
@@ -31,11 +32,13 @@
 
 // AdmitTransaction refuses a new transaction of a priority while the target is saturated. Under a lasting
 // overload a transaction displaces as many requests as it has statements, and a refusal within it wastes the
-// work already done for it.
-func (p *Pool) AdmitTransaction(priority int) *result.Error {
+// work already done for it. With fair queueing, a customer that uses less than its share is admitted while requests
+// that wait here miss their objective, which may be due to the load of another customer alone.
+func (p *Pool) AdmitTransaction(priority int, customer topology.CustomerID) *result.Error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.saturated(priority, p.clock.Now()) {
+	now := p.clock.Now()
+	if !p.saturated(priority, now) || !now.Before(p.saturation.until) && p.waiting.WithinShare(customer, priority) {
 		return nil
 	}
 	return result.New(result.TargetBusy, "%s is saturated, no new transaction", p.target.ID).After(saturatedFor)
--- a/internal/target/subpool.go
+++ b/internal/target/subpool.go
@@ -64,6 +64,9 @@
 		}
 		all = append(all, *r)
 	})
+	if p.fair.enabled {
+		return all // They are in fair order.
+	}
 	slices.SortStableFunc(all, func(a, b waitlist.Request) int { return a.Priority - b.Priority })
 	return all
 }
--- a/pkg/admission/level.go
+++ b/pkg/admission/level.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/pkg/fairqueue"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 )
 
@@ -42,85 +43,50 @@
 	opens  bool
 }
 
-// flow is the FIFO queue of one flowKey at one place.
-type flow struct {
-	key     flowKey
+// requests is the FIFO queue of one flowKey at one place.
+type requests struct {
 	waiting []*entry
-	// start is the virtual start time of the first waiting request.
-	start float64
-	work  time.Duration
+	work    time.Duration
 }
 
-// place holds the flows of one place of a priority and shares it among members by
-// start-time fair queueing: the flow with the earliest start is served next, and
-// each request advances its flow's start by cost divided by weight.
-type place struct {
-	flows   []*flow
-	virtual float64
+func newRequests() *requests { return &requests{} }
+
+// Len implements fairqueue.Queue.
+func (r *requests) Len() int { return len(r.waiting) }
+
+func (r *requests) remove(i int) {
+	r.work -= r.waiting[i].cost
+	copy(r.waiting[i:], r.waiting[i+1:])
+	r.waiting[len(r.waiting)-1] = nil
+	r.waiting = r.waiting[:len(r.waiting)-1]
 }
 
-func (p *place) flow(key flowKey) *flow {
-	for _, f := range p.flows {
-		if f.key == key {
-			return f
-		}
-	}
-	f := &flow{key: key}
-	p.flows = append(p.flows, f)
-	return f
+type flow = fairqueue.Flow[flowKey, *requests]
+
+// place holds the flows of one place of a priority and shares it among members.
+type place struct {
+	fairqueue.Flows[flowKey, *requests]
 }
 
 func (p *place) push(e *entry) {
-	f := p.flow(flowKey{e.Member, e.Opens})
-	if len(f.waiting) == 0 {
-		// A flow gets no credit for the time that it was idle.
-		f.start = max(f.start, p.virtual)
+	f := p.Get(flowKey{e.Member, e.Opens}, newRequests)
+	if f.Queue.Len() == 0 {
+		p.Enter(f, 0)
 	}
-	f.waiting = append(f.waiting, e)
-	f.work += e.cost
+	f.Queue.waiting = append(f.Queue.waiting, e)
+	f.Queue.work += e.cost
 }
 
 // head returns the flow to be served next, or nil if none can be.
 func (p *place) head(opensAllowed bool) *flow {
-	var best *flow
-	for _, f := range p.flows {
-		if len(f.waiting) == 0 || f.key.opens && !opensAllowed {
-			continue
-		}
-		if best == nil || f.start < best.start {
-			best = f
-		}
-	}
-	return best
+	return p.Head(func(f *flow) bool { return f.Queue.Len() > 0 && (opensAllowed || !f.Key.opens) })
 }
 
-// pop removes the first request of the flow and advances the virtual time.
+// pop removes the first request of the flow and charges it to the flow.
 func (p *place) pop(f *flow, weight float64) {
-	cost := f.waiting[0].cost
-	f.remove(0)
-	p.virtual = f.start
-	f.start += cost.Seconds() / weight
-	p.dropIdle()
-}
-
-// dropIdle drops idle flows whose start is not ahead of the virtual time, so that
-// flows of members that send no more requests don't accumulate.
-func (p *place) dropIdle() {
-	kept := p.flows[:0]
-	for _, f := range p.flows {
-		if len(f.waiting) > 0 || f.start > p.virtual {
-			kept = append(kept, f)
-		}
-	}
-	clear(p.flows[len(kept):])
-	p.flows = kept
-}
-
-func (f *flow) remove(i int) {
-	f.work -= f.waiting[i].cost
-	copy(f.waiting[i:], f.waiting[i+1:])
-	f.waiting[len(f.waiting)-1] = nil
-	f.waiting = f.waiting[:len(f.waiting)-1]
+	cost := f.Queue.waiting[0].cost
+	f.Queue.remove(0)
+	p.Serve(f, cost, weight)
 }
 
 // level holds the waiting requests of one priority.
@@ -128,9 +94,6 @@
 	places [places]place
 	count  int
 	work   time.Duration
-	// credit is the slot time that the level has earned while requests of other
-	// levels ran.
-	credit time.Duration
 }
 
 func (l *level) push(e *entry) {
@@ -153,19 +116,16 @@
 func (l *level) removed(e *entry) {
 	l.count--
 	l.work -= e.cost
-	if l.count == 0 {
-		l.credit = 0
-	}
 }
 
 // removeIf removes the waiting requests that match and calls taken for each.
 func (l *level) removeIf(match func(*entry) bool, taken func(*entry)) {
 	for i := range l.places {
-		for _, f := range l.places[i].flows {
-			for j := len(f.waiting) - 1; j >= 0; j-- {
-				e := f.waiting[j]
+		for _, f := range l.places[i].All() {
+			for j := len(f.Queue.waiting) - 1; j >= 0; j-- {
+				e := f.Queue.waiting[j]
 				if match(e) {
-					f.remove(j)
+					f.Queue.remove(j)
 					l.removed(e)
 					taken(e)
 				}
@@ -177,8 +137,8 @@
 // each calls visit for each waiting request.
 func (l *level) each(visit func(*entry)) {
 	for i := range l.places {
-		for _, f := range l.places[i].flows {
-			for _, e := range f.waiting {
+		for _, f := range l.places[i].All() {
+			for _, e := range f.Queue.waiting {
 				visit(e)
 			}
 		}
@@ -190,12 +150,12 @@
 func (l *level) youngest(member string) *entry {
 	var last *entry
 	for i := placeNew; i < places; i++ {
-		for _, f := range l.places[i].flows {
-			if member != anyMember && f.key.member != member {
+		for _, f := range l.places[i].All() {
+			if member != anyMember && f.Key.member != member {
 				continue
 			}
-			if n := len(f.waiting); n > 0 && (last == nil || f.waiting[n-1].sequence > last.sequence) {
-				last = f.waiting[n-1]
+			if n := f.Queue.Len(); n > 0 && (last == nil || f.Queue.waiting[n-1].sequence > last.sequence) {
+				last = f.Queue.waiting[n-1]
 			}
 		}
 	}
--- a/pkg/admission/next.go
+++ b/pkg/admission/next.go
@@ -64,27 +64,28 @@
 	return q.Waiting() > 1 && !e.continues() && now.Add(q.measured.service(&e.Request)) > e.Deadline
 }
 
+// The priorities of which a request may start, in ascending order.
+var (
+	anyPriority = []int{int(Urgent), int(Normal), int(Background)}
+	onlyUrgent  = anyPriority[:1]
+)
+
 // pick returns the priority that gets the next slot: the least urgent one with
 // enough credit for its first request, else the most urgent one. It returns false
 // if no request can run.
 func (q *Queue) pick(now mono.Time) (Priority, bool) {
-	lowerAllowed := q.lowerRunning < q.limits.Slots-q.reserved(now)
-	if lowerAllowed {
-		for p := Background; p > Urgent; p-- {
-			if e := q.firstWaiting(p); e != nil && q.levels[p].credit >= min(e.cost, maxCredit) {
-				return p, true
-			}
-		}
+	allowed := onlyUrgent
+	if q.lowerRunning < q.limits.Slots-q.reserved(now) {
+		allowed = anyPriority
 	}
-	for p := Urgent; p <= Background; p++ {
-		if p != Urgent && !lowerAllowed {
-			break
-		}
-		if q.firstWaiting(p) != nil {
-			return p, true
+	p, ok := q.credits.Pick(allowed, func(p int) (time.Duration, bool) {
+		e := q.firstWaiting(Priority(p))
+		if e == nil {
+			return 0, false
 		}
-	}
-	return 0, false
+		return e.cost, true
+	})
+	return Priority(p), ok
 }
 
 // reserved returns the number of slots that only urgent requests may take now.
@@ -102,34 +103,32 @@
 	if f == nil {
 		return nil
 	}
-	return f.waiting[0]
+	return f.Queue.waiting[0]
 }
 
 // pop removes the first request of the priority and reports whether to run it. A
 // request that is not run is not counted against its member's share.
 func (q *Queue) pop(p Priority, now mono.Time) (e *entry, runs bool) {
 	pl, f := q.levels[p].head(q.opensAllowed())
-	e = f.waiting[0]
+	e = f.Queue.waiting[0]
 	runs = !q.missesDeadline(e, now)
 	if runs {
 		pl.pop(f, q.limits.weight(e.Member))
 	} else {
-		f.remove(0)
+		f.Queue.remove(0)
 	}
 	q.levels[p].removed(e)
-	q.uncount(e)
+	q.removed(e)
 	return e, runs
 }
 
 // charge deducts e's cost from the credit of its own priority and gives credit to
 // the other priorities below Urgent that have requests waiting.
 func (q *Queue) charge(e *entry) {
-	own := &q.levels[e.Priority]
-	own.credit = max(0, own.credit-e.cost)
+	q.credits.Spend(int(e.Priority), e.cost)
 	for p := Normal; p <= Background; p++ {
 		if p != e.Priority && q.levels[p].count > 0 {
-			earned := time.Duration(lowerPriorityShare * float64(e.cost))
-			q.levels[p].credit = min(q.levels[p].credit+earned, maxCredit)
+			q.credits.Earn(int(p), time.Duration(lowerPriorityShare*float64(e.cost)))
 		}
 	}
 }
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/pkg/fairqueue"
 	"github.com/buckthornshore/buckthornshore/pkg/invariant"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -10,8 +11,11 @@
 
 // Queue holds the requests of one target that wait for a slot or run in one.
 type Queue struct {
-	limits           Limits
-	levels           [priorities]level
+	limits Limits
+	levels [priorities]level
+	// credits are the slot times that the priorities have earned while requests of
+	// others ran.
+	credits          fairqueue.Credits[time.Duration]
 	classes          map[string]int
 	members          map[string]int
 	running          map[uint64]started
@@ -33,6 +37,7 @@
 func NewQueue(limits Limits) *Queue {
 	return &Queue{
 		limits:           limits,
+		credits:          fairqueue.Credits[time.Duration]{Most: maxCredit},
 		classes:          make(map[string]int),
 		members:          make(map[string]int),
 		running:          make(map[uint64]started),
@@ -129,13 +134,13 @@
 func (q *Queue) shareAhead(e *entry) time.Duration {
 	own, total := time.Duration(0), 0.0
 	for i := range q.levels[e.Priority].places {
-		for _, f := range q.levels[e.Priority].places[i].flows {
-			if f.key.member == e.Member {
-				own += f.work
+		for _, f := range q.levels[e.Priority].places[i].All() {
+			if f.Key.member == e.Member {
+				own += f.Queue.work
 				continue
 			}
-			if len(f.waiting) > 0 {
-				total += q.limits.weight(f.key.member)
+			if f.Queue.Len() > 0 {
+				total += q.limits.weight(f.Key.member)
 			}
 		}
 	}
@@ -186,13 +191,17 @@
 func (q *Queue) removeMatching(match func(*entry) bool, taken func(*entry)) {
 	for i := range q.levels {
 		q.levels[i].removeIf(match, func(e *entry) {
-			q.uncount(e)
+			q.removed(e)
 			taken(e)
 		})
 	}
 }
 
-func (q *Queue) uncount(e *entry) {
+// removed updates the counts after a request was removed from its level.
+func (q *Queue) removed(e *entry) {
+	if q.levels[e.Priority].count == 0 {
+		q.credits.Clear(int(e.Priority))
+	}
 	decrement(q.classes, e.Class)
 	decrement(q.members, e.Member)
 }
--- a/pkg/waitlist/waitlist.go
+++ b/pkg/waitlist/waitlist.go
@@ -36,6 +36,16 @@
 	seq   uint64
 	index int
 	late  bool
+	// flow is the flow that the request waits in, or nil without fair queueing.
+	flow *flow[T]
+}
+
+// set returns the set that the request waits in.
+func (a *Waiter[T]) set() int {
+	if a.late {
+		return lateSet
+	}
+	return inTimeSet
 }
 
 // List orders the waiting requests while all connections of a target are in use. Requests that can
@@ -43,21 +53,54 @@
 // follow, by priority, then by deadline, with the capacity that is left. Ordering by deadline alone
 // would make all requests late once more arrive than can be served, and keep them late for as long
 // as the load lasts. The zero value is an empty list.
+//
+// With fair queueing, within each of these two sets, customers share the connections of a priority by weight, and
+// each priority with waiting requests gets at least a twentieth of the grants. The requests of one customer are in
+// the order given above.
 type List[T any] struct {
 	inTime, late queue[T]
 	seq          uint64
 	// lastMiss is when a request last became late, by priority.
 	lastMiss map[int]mono.Time
+	// fair holds the requests in place of inTime and late, or is nil without fair queueing.
+	fair *fair[T]
+}
+
+// Fair enables fair queueing. It must be called before the first request is added. weight returns a customer's
+// weight; a weight that isn't above zero counts as 1.
+func (l *List[T]) Fair(weight func(topology.CustomerID) float64) { l.fair = newFair[T](weight) }
+
+// Charge records for how long a request of the customer held its connection. Next and NextOf
+// charge a request with the usual time, which this corrects. Without fair queueing it does nothing.
+func (l *List[T]) Charge(customer topology.CustomerID, priority int, hold time.Duration) {
+	if l.fair != nil {
+		l.fair.charge(customer, priority, hold)
+	}
+}
+
+// WithinShare reports whether a customer uses less than its share of a priority, so that its next request goes
+// before those of customers that use theirs in full. Without fair queueing there are no shares, and it returns false.
+func (l *List[T]) WithinShare(customer topology.CustomerID, priority int) bool {
+	return l.fair != nil && l.fair.withinShare(customer, priority)
 }
 
 // Len returns the number of waiting requests.
-func (l *List[T]) Len() int { return len(l.inTime.items) + len(l.late.items) }
+func (l *List[T]) Len() int {
+	if l.fair != nil {
+		return l.fair.len()
+	}
+	return len(l.inTime.items) + len(l.late.items)
+}
 
 // Add adds a request. service is the usual time from getting a connection to the answer.
 func (l *List[T]) Add(r Request, value T, now mono.Time, service time.Duration) *Waiter[T] {
 	l.seq++
 	w := &Waiter[T]{Request: r, Value: value, Since: now, seq: l.seq, late: now.Add(service).After(r.Useful)}
-	heap.Push(l.queueOf(w), w)
+	if l.fair != nil {
+		l.fair.push(w)
+	} else {
+		heap.Push(l.queueOf(w), w)
+	}
 	return w
 }
 
@@ -89,6 +132,10 @@
 
 // Peek returns the next request without removing it, or nil if none is waiting.
 func (l *List[T]) Peek(now mono.Time, service time.Duration) *Waiter[T] {
+	if l.fair != nil {
+		l.fair.demote(now, service, func(priority int) { l.RecordMiss(priority, now) })
+		return l.fair.head(anyRequest)
+	}
 	for len(l.inTime.items) > 0 {
 		w := l.inTime.items[0]
 		if !now.Add(service).After(w.Useful) {
@@ -109,13 +156,13 @@
 func (l *List[T]) Next(now mono.Time, service time.Duration) *Waiter[T] {
 	w := l.Peek(now, service)
 	if w != nil {
-		l.Remove(w)
+		l.grant(w, service)
 	}
 	return w
 }
 
 // NextOf removes and returns the next request among those for which eligible returns true, or nil if
-// there is none.
+// there is none. With fair queueing, eligible must be the same for all requests with the same Customer and Anyone.
 func (l *List[T]) NextOf(eligible func(*Request) bool, now mono.Time, service time.Duration) *Waiter[T] {
 	w := l.Peek(now, service)
 	if w == nil {
@@ -125,21 +172,38 @@
 		w = l.first(eligible)
 	}
 	if w != nil {
-		l.Remove(w)
+		l.grant(w, service)
 	}
 	return w
 }
 
+// grant removes a request that gets a connection.
+func (l *List[T]) grant(w *Waiter[T], service time.Duration) {
+	if l.fair != nil {
+		l.fair.grant(w, service)
+		return
+	}
+	l.Remove(w)
+}
+
 // first returns the next of the eligible requests, or nil.
 func (l *List[T]) first(eligible func(*Request) bool) *Waiter[T] {
+	if l.fair != nil {
+		return l.fair.head(eligible)
+	}
 	if w := l.inTime.first(eligible); w != nil {
 		return w
 	}
 	return l.late.first(eligible)
 }
 
-// Each calls f for each waiting request, in no particular order.
+// Each calls f for each waiting request, in the order in which they get connections with fair queueing, and in no
+// particular order without it.
 func (l *List[T]) Each(f func(*Request)) {
+	if l.fair != nil {
+		l.fair.each(f)
+		return
+	}
 	for _, w := range l.inTime.items {
 		f(&w.Request)
 	}
@@ -153,6 +217,10 @@
 	if w.index < 0 {
 		return false
 	}
+	if l.fair != nil {
+		l.fair.remove(w)
+		return true
+	}
 	heap.Remove(l.queueOf(w), w.index)
 	return true
 }
@@ -164,6 +232,9 @@
 	if connections == 0 {
 		return 0 // No connection is known yet.
 	}
+	if l.fair != nil {
+		return l.fair.estimate(r, now, service, hold, connections)
+	}
 	waitBehind := func(n int) time.Duration { return time.Duration(n+1) * hold / time.Duration(connections) }
 	wait := waitBehind(l.inTime.countBefore(r.Priority))
 	if !now.Add(wait + service).After(r.Useful) {
@@ -172,6 +243,16 @@
 	return waitBehind(len(l.inTime.items) + l.late.countBefore(r.Priority))
 }
 
+// RetryAfter returns the time after which the caller of a request that is refused, because it would have waited for
+// the given time, should try again. With fair queueing that is at the latest when the request would have missed its
+// objective: by then all requests before it have been granted or are late, and a new one goes before the late ones.
+func (l *List[T]) RetryAfter(r Request, wait time.Duration, now mono.Time) time.Duration {
+	if l.fair == nil || !r.Useful.After(now) {
+		return wait
+	}
+	return min(wait, r.Useful.Sub(now))
+}
+
 // queue is a heap ordered by priority, then by objective or deadline, then by arrival.
 type queue[T any] struct{ items []*Waiter[T] }
 
