Fair queueing: estimates follow the lasting demand, and waiting requests are counted

Cause: the estimate of a wait was taken from the interval between grants. After an outage the less urgent requests get no grants while the others are served, so this looks like a lasting overload, and requests were refused that the slots serve soon. Ruled out: the time since the last grant alone (a flood is then noticed only when its requests expire); the median of the windows (it refuses so much that the least urgent class leaves a part of its minimum share unused). Before: the interval between grants to a set of a priority, times the requests ahead. After: the demand of each priority over the last two windows, of which the smaller counts. More urgent requests that arrive meanwhile are expected at that rate, as far as the minimum share allows. Late requests wait for the end of the overload only if the demand is above 0.7 of the connections. A gauge shows the waiting requests by target and priority.

--- a/internal/metrics/fairqueue.go
+++ b/internal/metrics/fairqueue.go
@@ -14,6 +14,7 @@
 	FairQueueWait    = "fair_queue_wait"
 	FairQueueRefused = "fair_queue_refused"
 	FairQueueExpired = "fair_queue_expired"
+	FairQueueWaiting = "fair_queue_waiting"
 
 	TagPriority = "priority"
 )
@@ -62,6 +63,13 @@
 // Expired counts a request that got no connection before its deadline, or whose caller went away.
 func (f *FairQueue) Expired(target string, priority int) { f.count(target, priority, FairQueueExpired) }
 
+// Waiting records how many requests wait for a connection.
+func (f *FairQueue) Waiting(target string, priority, requests int) {
+	if f != nil {
+		f.scope(target, priority).Gauge(FairQueueWaiting).Update(float64(requests))
+	}
+}
+
 func (f *FairQueue) count(target string, priority int, name string) {
 	if f != nil {
 		f.scope(target, priority).Counter(name).Inc(1)
--- a/internal/target/fair.go
+++ b/internal/target/fair.go
@@ -22,12 +22,14 @@
 	// refused counts the refused requests by customer since the last report, at reported.
 	refused  map[topology.CustomerID]int
 	reported mono.Time
+	// waiting is the number of waiting requests by priority, as last recorded.
+	waiting map[int]int
 }
 
 // enableFairQueue has waiting requests ordered fairly. It must be called before the first request.
 func (p *Pool) enableFairQueue(weight func(topology.CustomerID) float64, m *metrics.FairQueue) {
 	p.waiting.Fair(weight)
-	p.fair = fairness{enabled: true, metrics: m, refused: map[topology.CustomerID]int{}}
+	p.fair = fairness{enabled: true, metrics: m, refused: map[topology.CustomerID]int{}, waiting: map[int]int{}}
 }
 
 // weightOf returns a customer's weight: the rate of its limit in the configuration in force, in operations per
@@ -86,6 +88,25 @@
 	}
 }
 
+// noteWaiting records the number of waiting requests of each priority.
+func (p *Pool) noteWaiting() {
+	if !p.fair.enabled || p.waiting.Len() == 0 && len(p.fair.waiting) == 0 {
+		return
+	}
+	counts := map[int]int{}
+	for priority := range p.fair.waiting {
+		counts[priority] = 0
+	}
+	p.waiting.Each(func(r *waitlist.Request) { counts[r.Priority]++ })
+	for priority, n := range counts {
+		p.fair.metrics.Waiting(string(p.target.ID), priority, n)
+		if n == 0 {
+			delete(counts, priority) // Recorded once.
+		}
+	}
+	p.fair.waiting = counts
+}
+
 // noteHold records for how long a request held its connection. The proxy's own requests are not charged, since they
 // take no slot of the target.
 func (p *Pool) noteHold(l *Link, hold time.Duration) {
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -292,6 +292,7 @@
 	p.closeSurplus(now)
 	p.tickLeaving(now)
 	p.grow()
+	p.noteWaiting()
 	p.resting.Store(len(p.links) == 0 && len(p.dialing) == 0 && p.waiting.Len() == 0 && !p.health.failing() && p.leaving.knownSince == 0)
 }
 
--- a/pkg/waitlist/fair.go
+++ b/pkg/waitlist/fair.go
@@ -72,7 +72,7 @@
 	priority int
 	flows    fairqueue.Flows[flowKey, *requests[T]]
 	waiting  [sets]int
-	pace     [sets]pace
+	demand   demand
 	progress progress
 	// hold is the moving average of how long a request of the priority holds its connection; 0 if not known.
 	hold time.Duration
@@ -96,16 +96,13 @@
 }
 
 // push adds a request to its flow. A flow without requests that can be in time gets no credit for the grants to
-// those of others. work is that of the list, and early the flow's allowance.
-func (l *level[T]) push(w *Waiter[T], work time.Duration, early float64) {
+// those of others. early is the flow's allowance.
+func (l *level[T]) push(w *Waiter[T], early float64) {
 	set := w.set()
 	w.flow = l.flows.Get(keyOf(&w.Request), newRequests[T])
 	if w.flow.Queue.enters(set) {
 		l.flows.Enter(w.flow, early)
 	}
-	if l.waiting[set] == 0 {
-		l.pace[set] = pace{last: work}
-	}
 	heap.Push(&w.flow.Queue.sets[set], w)
 	l.waiting[set]++
 }
@@ -194,12 +191,17 @@
 	return f.levels[i]
 }
 
-func (f *fair[T]) push(w *Waiter[T]) { f.pushTo(f.level(w.Priority), w) }
-
-func (f *fair[T]) pushTo(l *level[T], w *Waiter[T]) {
-	l.push(w, f.granted, f.early(l, keyOf(&w.Request), 0))
+// add adds a request that has just arrived. service is the hold time assumed until one has been measured.
+func (f *fair[T]) add(w *Waiter[T], now mono.Time, service time.Duration) {
+	l := f.level(w.Priority)
+	if !w.late && !w.Anyone {
+		l.demand.add(l.holdOr(service), now)
+	}
+	f.push(l, w)
 }
 
+func (f *fair[T]) push(l *level[T], w *Waiter[T]) { l.push(w, f.early(l, keyOf(&w.Request), 0)) }
+
 // early returns the allowance of a flow: the virtual time by which it may start ahead of the others. hold is the hold
 // time assumed until one has been measured. The proxy's own requests go first.
 func (f *fair[T]) early(l *level[T], key flowKey, hold time.Duration) float64 {
@@ -246,7 +248,7 @@
 				w := q.items[0]
 				l.take(w)
 				w.late = true
-				f.pushTo(l, w)
+				f.push(l, w)
 				missed(w.Priority)
 			}
 		}
@@ -275,7 +277,6 @@
 // has been measured.
 func (f *fair[T]) grant(w *Waiter[T], service time.Duration) {
 	l, set := f.level(w.Priority), w.set()
-	l.pace[set].granted(f.granted)
 	l.take(w)
 	if !w.Anyone {
 		l.flows.Grant(w.flow, l.holdOr(service), f.weight(w.Customer))
--- a/pkg/waitlist/fairwait.go
+++ b/pkg/waitlist/fairwait.go
@@ -2,52 +2,50 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 )
 
-// pace measures the work, as hold time, that all requests of a list get from one grant to a request of a set of a
-// priority to the next, while requests of that set wait. It includes what the requests that wait can't show: those that arrive
-// later and go first. It is not measured in time, since a target that pauses slows down all requests alike.
-// The zero value has measured nothing.
-type pace struct {
-	interval time.Duration
-	samples  int
-	// last is the work of the list at the last grant to a request of the set, or when the first began to wait.
-	last time.Duration
+// demand measures the work, as hold time, that requests of a priority bring which can still be in time when they
+// arrive. It is counted in windows of time. The zero value has measured nothing.
+type demand struct {
+	// windows is the work in the last complete windows, and current that in the window that began at begun.
+	windows [demandWindows]time.Duration
+	current time.Duration
+	begun   mono.Time
 }
 
 const (
-	// paceWeight is the weight of a new interval in the moving average.
-	paceWeight = 0.2
-	// minPaceSamples is the number of intervals from which the average counts: the first ones depend on the
-	// order of the first arrivals.
-	minPaceSamples = 5
+	// demandWindow is the length of a window, and demandWindows the number of windows that are remembered. The least
+	// of them counts: many requests that come at once, as after an outage, are no lasting demand.
+	demandWindow  = 750 * time.Millisecond
+	demandWindows = 2
 )
 
-// granted records a grant to a request of the set. work is the work of the list before it.
-func (p *pace) granted(work time.Duration) {
-	p.interval = p.with(work - p.last)
-	p.samples++
-	p.last = work
+func (d *demand) add(work time.Duration, now mono.Time) {
+	d.advance(now)
+	d.current += work
 }
 
-func (p *pace) with(interval time.Duration) time.Duration {
-	if p.samples == 0 {
-		return interval
+// advance completes the windows that have ended.
+func (d *demand) advance(now mono.Time) {
+	if now.Sub(d.begun) >= (demandWindows+1)*demandWindow {
+		*d = demand{begun: now}
+		return
+	}
+	for now.Sub(d.begun) >= demandWindow {
+		copy(d.windows[1:], d.windows[:demandWindows-1])
+		d.windows[0], d.current = d.current, 0
+		d.begun = d.begun.Add(demandWindow)
 	}
-	return p.interval + time.Duration(paceWeight*float64(interval-p.interval))
 }
 
-// expected returns the expected work from one grant to the next: the average, or the work since the last grant if
-// that is longer.
-func (p *pace) expected(work time.Duration) time.Duration {
-	interval := work - p.last
-	if p.samples >= minPaceSamples {
-		interval = max(interval, p.interval)
-	}
-	return interval
+// connections returns how many connections the lasting demand keeps busy.
+func (d *demand) connections(now mono.Time) float64 {
+	d.advance(now)
+	return slices.Min(d.windows[:]).Seconds() / demandWindow.Seconds()
 }
 
 // progress measures how fast the virtual time of a level advances with the work of the list. A request that can be in
@@ -69,6 +67,11 @@
 	progressWeight = 0.3
 	// maxWork bounds the work that is expected from a rate.
 	maxWork = time.Hour
+	// overload is the lasting demand, as a fraction of the connections, from which requests that are late are expected
+	// to wait for as long as it lasts. Below it the requests that wait, as after an outage, are soon served.
+	overload = 0.7
+	// minShareGrants is the largest number of grants of which one is to a given priority with waiting requests.
+	minShareGrants = time.Duration(grantCost) + 1
 )
 
 // note records the state of a level, of which a request holds its connection for hold.
@@ -98,29 +101,61 @@
 
 // estimate returns how long a new request would wait; see List.EstimateWait.
 func (f *fair[T]) estimate(r Request, now mono.Time, service, hold time.Duration, connections int) time.Duration {
-	wait := f.workBefore(inTimeSet, &r, hold) / time.Duration(connections)
+	l := f.find(r.Priority)
+	if l == nil {
+		l = &level[T]{priority: r.Priority}
+	}
+	wait := f.waitInTime(l, &r, now, hold, connections)
 	if !now.Add(wait + service).After(r.Useful) {
 		return wait
 	}
-	return f.workBefore(lateSet, &r, hold) / time.Duration(connections)
+	return f.waitLate(l, &r, now, hold, connections)
 }
 
-// workBefore returns the work of the list until a new request in a set is granted: that of the requests ahead of it,
-// or what the measured pace gives, if that is more.
-func (f *fair[T]) workBefore(set int, r *Request, hold time.Duration) time.Duration {
-	l := f.find(r.Priority)
-	if l == nil {
-		l = &level[T]{priority: r.Priority}
+// waitInTime returns how long a new request would wait if it could be in time: for the work ahead of it and that of
+// more urgent requests that arrive meanwhile, as far as the minimum share allows, or until the virtual time reaches
+// its start, if that takes longer.
+func (f *fair[T]) waitInTime(l *level[T], r *Request, now mono.Time, hold time.Duration, connections int) time.Duration {
+	ahead, at := f.countAhead(l, inTimeSet, r, hold)
+	work := f.withOthers(time.Duration(ahead)*l.holdOr(hold), inTimeSet, l.priority, hold)
+	work = over(work, 1-f.demandBelow(l.priority, now)/float64(connections))
+	work = min(work, time.Duration(ahead+1)*minShareGrants*max(hold, l.hold))
+	work = max(work, l.progress.until(at-l.flows.EntryStart(0)))
+	return (work + hold) / time.Duration(connections)
+}
+
+// waitLate returns how long a new request would wait if it was late: for all requests that are in time, including
+// those that arrive meanwhile in a lasting overload, and for the late ones ahead of it.
+func (f *fair[T]) waitLate(l *level[T], r *Request, now mono.Time, hold time.Duration, connections int) time.Duration {
+	ahead, _ := f.countAhead(l, lateSet, r, hold)
+	work := f.work(inTimeSet, hold) + f.withOthers(time.Duration(ahead)*l.holdOr(hold), lateSet, l.priority, hold)
+	share := 1 - f.demandBelow(math.MaxInt, now)/float64(connections)
+	if share > 1-overload {
+		share = 1
 	}
-	ahead, at := f.countAhead(l, set, r, hold)
-	work := f.withOthers(time.Duration(ahead)*l.holdOr(hold), set, r.Priority, hold)
-	if set == lateSet {
-		work += f.work(inTimeSet, hold)
-	} else {
-		work = max(work, l.progress.until(at-l.flows.EntryStart(0)))
+	return (over(work, share) + hold) / time.Duration(connections)
+}
+
+// demandBelow returns how many connections the lasting demand of the priorities below a number keeps busy.
+func (f *fair[T]) demandBelow(priority int, now mono.Time) float64 {
+	sum := 0.0
+	for _, l := range f.levels {
+		if l.priority < priority {
+			sum += l.demand.connections(now)
+		}
+	}
+	return sum
+}
+
+// over returns the work of all connections during which the given share of them does the given work, at most maxWork.
+func over(work time.Duration, share float64) time.Duration {
+	switch {
+	case work == 0:
+		return 0
+	case share <= 0:
+		return maxWork
 	}
-	work = max(work, time.Duration(ahead)*l.pace[set].expected(f.granted))
-	return work + hold
+	return time.Duration(min(work.Seconds()/share, maxWork.Seconds()) * float64(time.Second))
 }
 
 // countAhead returns how many requests of the same set and priority are granted before a new one, and the virtual time
@@ -160,7 +195,7 @@
 }
 
 // withOthers adds to the work of a priority that of the other priorities that is done before it: all of the more
-// urgent ones, as far as the minimum share allows, and the minimum shares of the less urgent ones.
+// urgent ones, and the minimum shares of the less urgent ones.
 func (f *fair[T]) withOthers(own time.Duration, set, priority int, hold time.Duration) time.Duration {
 	urgent, lower := time.Duration(0), time.Duration(0)
 	for _, l := range f.levels {
@@ -172,7 +207,7 @@
 			lower += min(work, own/time.Duration(grantCost))
 		}
 	}
-	return own + lower + min(urgent, (own+hold)*time.Duration(grantCost))
+	return own + lower + urgent
 }
 
 // work returns the expected time for which all requests of a set hold their connections.
--- a/pkg/waitlist/waitlist.go
+++ b/pkg/waitlist/waitlist.go
@@ -97,7 +97,7 @@
 	l.seq++
 	w := &Waiter[T]{Request: r, Value: value, Since: now, seq: l.seq, late: now.Add(service).After(r.Useful)}
 	if l.fair != nil {
-		l.fair.push(w)
+		l.fair.add(w, now, service)
 	} else {
 		heap.Push(l.queueOf(w), w)
 	}
