--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -55,6 +55,7 @@
 			metrics.NewCustomers,
 			metrics.NewConnections,
 			metrics.NewSlots,
+			metrics.NewFairQueue,
 			newStore,
 			platform.NewDriver,
 			register,
@@ -98,11 +99,19 @@
 
 func newDirectory(vm topology.VM) *directory.Directory { return directory.New(vm) }
 
-func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger, connections *metrics.Connections, slots *metrics.Slots) *target.Pools {
+// poolMetrics are the recorders of the pools.
+type poolMetrics struct {
+	fx.In
+	Connections *metrics.Connections
+	Slots       *metrics.Slots
+	FairQueue   *metrics.FairQueue
+}
+
+func newPools(s Settings, d *directory.Directory, driver *platform.Driver, clock mono.Clock, log *slog.Logger, m poolMetrics) *target.Pools {
 	pools := target.NewPools(d, forward.NewDriver(d, driver), clock, log)
 	pools.Drain = s.Drain.Std()
 	pools.Options = s.Overload.targetOptions()
-	pools.Metrics, pools.SlotMetrics = connections, slots
+	pools.Metrics, pools.SlotMetrics, pools.FairQueueMetrics = m.Connections, m.Slots, m.FairQueue
 	return pools
 }
 
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -87,6 +87,7 @@
 	starvedUntil    mono.Time
 	shareLimitUntil mono.Time
 	saturation      saturation
+	fair            fairness
 	leaving         leaving
 	health          health
 	// SlotMetrics records the use of the target's slots; nil records nothing. It must be set before the first request.
@@ -138,9 +139,9 @@
 	now := p.clock.Now()
 	wait := p.estimateWait(r, now)
 	if now.Add(wait).After(r.Deadline) {
-		p.waiting.RecordMiss(r.Priority, now)
+		failure := p.refuse(&r, wait, now)
 		p.mu.Unlock()
-		return nil, result.New(result.QueueFull, "%s: a connection is expected in %v", p.target.ID, wait.Round(time.Millisecond)).After(wait)
+		return nil, failure
 	}
 	w := p.waiting.Add(r, make(chan grant, 1), now, p.health.latency)
 	p.delayOpening(&r)
@@ -162,6 +163,7 @@
 	removed := p.waiting.Remove(w)
 	p.mu.Unlock()
 	if removed {
+		p.fair.metrics.Expired(string(p.target.ID), w.Priority)
 		return nil, result.New(result.DeadlineInQueue, "no connection to %s in time", p.target.ID)
 	}
 	g := <-w.Value // The result was sent after the timer fired or ctx ended.
@@ -217,6 +219,7 @@
 	w := p.waiting.NextOf(func(r *waitlist.Request) bool { return p.serves(l, r) }, now, p.health.latency)
 	if w != nil {
 		l.assignTo(w.Request, now, now.Sub(w.Since))
+		p.noteGrant(&w.Request, l.waited)
 		w.Value <- grant{link: l}
 		return
 	}
@@ -234,7 +237,7 @@
 func (p *Pool) release(l *Link) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.noteHoldTime(p.clock.Now().Sub(l.acquiredAt))
+	p.noteHold(l, p.clock.Now().Sub(l.acquiredAt))
 	p.releaseSlot(l)
 	defer p.grantInTurn()
 	if l.broken || p.closed {
@@ -323,6 +326,7 @@
 	p.tickSlots(now)
 	p.grow()
 	p.openAhead(now)
+	p.noteWaiting()
 	p.resting.Store(len(p.links) == 0 && len(p.dialing) == 0 && p.waiting.Len() == 0 && !p.health.failing() && p.leaving.knownSince == 0)
 }
 
--- a/internal/target/pools.go
+++ b/internal/target/pools.go
@@ -36,6 +36,8 @@
 	Metrics *metrics.Connections
 	// SlotMetrics records the use of the targets' slots; nil records nothing. It must be set before Run.
 	SlotMetrics *metrics.Slots
+	// FairQueueMetrics records the work of Options.FairQueue; nil records nothing. It must be set before Run.
+	FairQueueMetrics *metrics.FairQueue
 
 	directory *directory.Directory
 	driver    Driver
@@ -155,6 +157,9 @@
 			pool.SlotMetrics = p.SlotMetrics
 			pool.holderOf = func(c topology.CustomerID) topology.VMID { return p.directory.HolderFor(t.Target, c) }
 			pool.hasKey, pool.metrics = p.hasKey, p.Metrics
+			if p.Options.FairQueue {
+				pool.enableFairQueue(func(c topology.CustomerID) float64 { return weightOf(p.directory, c) }, p.FairQueueMetrics)
+			}
 			p.pools[t.ID] = pool
 		}
 		pool.SetShare(share)
