--- a/internal/metrics/slots.go
+++ b/internal/metrics/slots.go
@@ -6,14 +6,12 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// Names of the metrics for the slots that the holders of a target share, and their tags.
+// Names of the metrics for the slots that the holders of a target share.
 const (
 	SlotStatements = "slot_statements_in_flight"
 	SlotAllowance  = "slot_allowance"
 	SlotWaiting    = "slot_requests_waiting"
 	SlotLowered    = "slot_allowance_lowered"
-
-	TagPriority = "priority"
 )
 
 // Slots records how a holder uses its targets' slots. A nil Slots records nothing.
