Connections: keep the connection that a waiting request is about to use

Cause: a connection whose opening ends while the VM's requests hold as many as they may counts as idle, although a request waits for it. As the least valuable one it was closed at once and opened again. Ruled out: counting the openings under way as held, since a hanging probe would then hold up requests. Conclusion: such connections count as busy for the policy.

--- a/internal/target/retained.go
+++ b/internal/target/retained.go
@@ -121,8 +121,16 @@
 	return l.customer
 }
 
-// retentionState returns the policy's view of the connections.
-func (p *Pool) retentionState() retention.State {
+// retentionState returns the policy's view of the connections, and the links of State.Idle. An idle link for which a
+// request of its customer waits counts as busy: closed, it would have to be opened again at once.
+func (p *Pool) retentionState() (retention.State, []*Link) {
+	wanted := map[topology.CustomerID]bool{}
+	p.waiting.Each(func(r *waitlist.Request) {
+		if !r.Anyone {
+			wanted[r.Customer] = true
+		}
+	})
+	var idle []*Link
 	s := retention.State{Open: map[topology.CustomerID]int{}}
 	for l := range p.links {
 		s.Open[customerOf(l)]++
@@ -132,11 +140,15 @@
 	}
 	for _, l := range p.idle {
 		customer := customerOf(l)
+		if wanted[customer] {
+			continue
+		}
+		idle = append(idle, l)
 		s.Idle = append(s.Idle, retention.Connection{
 			Customer: customer, Since: l.releasedAt, Revoked: !l.indirect && !p.permitted(customer),
 		})
 	}
-	return s
+	return s, idle
 }
 
 // permitted reports whether a customer may still have sessions. Those of open classes have no customer.
@@ -144,18 +156,27 @@
 	return customer == "" || p.hasKey(customer)
 }
 
-// leastValuable returns the index of the idle connection to close first.
-func (p *Pool) leastValuable() int {
+// dropLeastValuable closes the idle connection that is worth least, or without retention the least recently used one. It
+// reports whether there was one to close.
+func (p *Pool) dropLeastValuable(reason retention.Reason) bool {
+	if len(p.idle) == 0 {
+		return false
+	}
 	if p.retention == nil {
-		return 0
+		p.dropIdle(p.idle[0], reason)
+		return true
+	}
+	s, idle := p.retentionState()
+	lowest := p.retention.policy.Lowest(s, 1, p.clock.Now())
+	for _, i := range lowest {
+		p.dropIdle(idle[i], reason)
 	}
-	return p.retention.policy.Lowest(p.retentionState(), 1, p.clock.Now())[0]
+	return len(lowest) > 0
 }
 
-// dropIdle closes the idle connection at an index.
-func (p *Pool) dropIdle(i int, reason retention.Reason) {
-	l := p.idle[i]
-	p.idle = slices.Delete(p.idle, i, i+1)
+// dropIdle closes an idle connection.
+func (p *Pool) dropIdle(l *Link, reason retention.Reason) {
+	p.idle = slices.DeleteFunc(p.idle, func(other *Link) bool { return other == l })
 	p.drop(l, reason)
 }
 
@@ -165,11 +186,10 @@
 	if len(p.idle) == 0 {
 		return
 	}
-	closings := p.retention.policy.Surplus(p.retentionState(), now)
-	slices.SortFunc(closings, func(a, b retention.Closing) int { return b.Index - a.Index })
-	for _, c := range closings {
+	s, idle := p.retentionState()
+	for _, c := range p.retention.policy.Surplus(s, now) {
 		if len(p.links) > 1 || c.Reason == retention.Revoked {
-			p.dropIdle(c.Index, c.Reason)
+			p.dropIdle(idle[c.Index], c.Reason)
 		}
 	}
 }
@@ -192,7 +212,8 @@
 		p.drainEnded(now) || !p.mayGrant() {
 		return
 	}
-	customer, ok := p.retention.policy.Ahead(p.retentionState(), now)
+	s, _ := p.retentionState()
+	customer, ok := p.retention.policy.Ahead(s, now)
 	if ok && p.permitted(customer) {
 		p.startDial(customer)
 	}
@@ -289,7 +310,7 @@
 		return
 	}
 	for len(p.idle) > 0 {
-		p.dropIdle(0, retention.Ended)
+		p.dropIdle(p.idle[0], retention.Ended)
 	}
 }
 
--- a/internal/target/retained_test.go
+++ b/internal/target/retained_test.go
@@ -167,6 +167,33 @@
 	}
 }
 
+// Guards against connections that are closed before the request for which they were opened can use them.
+func TestAConnectionWithAWaitingRequestIsKept(t *testing.T) {
+	f := &slowTarget{}
+	p := newHolder(f, 2, 4)
+	for range 5 {
+		acquireFor(t, p, "a").Release()
+		acquireFor(t, p, "b").Release()
+	}
+	held := acquireFor(t, p, "c")
+	served := make(chan *result.Error)
+	go func() {
+		l, failure := tryFor(p, "d", time.Second)
+		if failure == nil {
+			l.Release()
+		}
+		served <- failure
+	}()
+	time.Sleep(5 * time.Millisecond) // The connection for d is being opened.
+	acquireFor(t, p, "a")
+	p.SetShare(target.Share{Connections: 2, Places: 4, IdlePlaces: 1})
+	time.Sleep(30 * time.Millisecond)
+	held.Release()
+	if failure := <-served; failure != nil || f.count() != 4 {
+		t.Fatalf("%v; %d connections were opened", failure, f.count())
+	}
+}
+
 // Guards against retention where it does harm or wasn't asked for, and against connections that outlive their
 // customer's key.
 func TestConnectionsAreRetainedForCustomersWithKeys(t *testing.T) {
--- a/internal/target/share.go
+++ b/internal/target/share.go
@@ -52,8 +52,7 @@
 
 // closeBeyondShare closes idle connections beyond the share.
 func (p *Pool) closeBeyondShare() {
-	for len(p.links) > p.share && len(p.idle) > 0 {
-		p.dropIdle(p.leastValuable(), retention.Starved)
+	for len(p.links) > p.share && p.dropLeastValuable(retention.Starved) {
 	}
 }
 
@@ -63,6 +62,6 @@
 		return
 	}
 	for len(p.links) > 1 && len(p.idle) > 0 && now.Sub(p.idle[0].releasedAt) > p.idleFor {
-		p.dropIdle(0, retention.Idle)
+		p.dropIdle(p.idle[0], retention.Idle)
 	}
 }
--- a/internal/target/subpool.go
+++ b/internal/target/subpool.go
@@ -90,11 +90,7 @@
 	if len(p.links)+p.dialCount() < p.connectionLimit() {
 		return true
 	}
-	if len(p.idle) == 0 {
-		return false
-	}
-	p.dropIdle(p.leastValuable(), retention.Room)
-	return true
+	return p.dropLeastValuable(retention.Room)
 }
 
 // mustReplace reports whether a link that was just released has to be closed for a request of another subpool:
--- a/pkg/retention/policy_test.go
+++ b/pkg/retention/policy_test.go
@@ -1,6 +1,7 @@
 package retention_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -39,14 +40,8 @@
 	now := 101 * second
 	check := func(what string, s retention.State, want ...retention.Closing) {
 		t.Helper()
-		got := p.Surplus(s, now)
-		if len(got) != len(want) {
-			t.Fatalf("%s: %v, want %v", what, got, want)
-		}
-		for i := range want {
-			if got[i] != want[i] {
-				t.Fatalf("%s: %v, want %v", what, got, want)
-			}
+		if got := p.Surplus(s, now); !slices.Equal(got, want) {
+			t.Errorf("%s: %v, want %v", what, got, want)
 		}
 	}
 	s := idleState(100*second, customers...)
@@ -66,13 +61,13 @@
 func TestFurtherConnectionsOfACustomerAreWorthLess(t *testing.T) {
 	p := newPolicy("rare", "other", "frequent")
 	s := idleState(100*second, "frequent", "rare", "frequent")
-	if got := p.Lowest(s, 1, 101*second); len(got) != 1 || got[0] != 0 {
+	if got := p.Lowest(s, 1, 101*second); !slices.Equal(got, []int{0}) {
 		t.Fatalf("closes %v", got)
 	}
 	for range 9 {
 		p.Use("frequent", 1, 101*second)
 	}
-	if got := p.Lowest(s, 1, 101*second); len(got) != 1 || got[0] != 1 {
+	if got := p.Lowest(s, 1, 101*second); !slices.Equal(got, []int{1}) {
 		t.Fatalf("closes %v", got)
 	}
 }
