Gateway: bounded attempts and outlier detection for reads

Cause: on a group whose replicas lag and whose primary is overloaded, a read alternated between refusals of both at pauses of 5 and 10 ms until its deadline. A target that refuses answers sooner than one that serves, so that its average latency attracted further reads.

Ruled out: pkg/retry, whose policy belongs to classes with budgets and does not retry TargetBusy; a longer fixed pause, which bounds neither the attempts nor the time.

Before: 55 to 61 attempts of single requests (docs/design/0013).

After, with avoid_outliers: targets may refuse or fail at most 8 attempts of a request, with exponential backoff and full jitter. Waits for a right, a primary or a target that can be reached are not counted. A read waits once for the replica that is expected to hold its floor in time, or waits in the primary's list; if the primary refuses it for its load, it is refused as not run with the time that the first replica needs. Targets of a group are compared by answer time and failure rate; an outlier gets one in twenty of its reads. The load is not yet measured with it.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -252,7 +252,7 @@
 	objective = 100 * time.Millisecond
 )
 
-func start(t *testing.T) *fixture {
+func start(t *testing.T, set ...func(*gateway.Options)) *fixture {
 	t.Helper()
 	f := &fixture{t: t, databases: databases{primary: {}, replica: {}}}
 	f.rights = &rights{held: true, changed: make(chan struct{}), row: lease.Row{Group: group, Version: 1, Term: 1, Primary: primary}}
@@ -280,10 +280,14 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go pools.Run(ctx)
 	registry := metrics.New()
-	f.server = gateway.NewServer(gateway.Options{
+	options := gateway.Options{
 		Directory: d, Pools: pools, Rights: f.rights, Codec: newTextCaller, Clock: mono.System{}, Log: log,
 		Metrics: metrics.NewEntry(registry), MaxSessions: 100,
-	})
+	}
+	for _, s := range set {
+		s(&options)
+	}
+	f.server = gateway.NewServer(options)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -18,7 +18,7 @@
 // certainly has not run; a read is retried also if it may have run.
 func (r *request) atPrimary() statement.Answer {
 	var last *result.Error
-	for r.hasTimeFor(sendReserve) && r.ctx.Err() == nil {
+	for r.hasTime() && r.ctx.Err() == nil {
 		answer, failure := r.tryPrimary()
 		if failure == nil {
 			return answer
@@ -33,7 +33,9 @@
 		if r.writes && failure.Ran != result.NotRun || failure.Code == result.DeadlineExceeded {
 			return statement.Fail(failure, statement.Idle)
 		}
-		r.pause(retryPause)
+		if !r.pauseBetweenAttempts(failure) {
+			break
+		}
 	}
 	return statement.Fail(withRetryAfter(last), statement.Idle)
 }
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -38,9 +38,12 @@
 // and holds what it must see. A read changes nothing, so it is retried at another target
 // when one fails.
 func (r *request) readAnywhere() statement.Answer {
+	if r.server.AvoidOutliers {
+		return r.readBounded()
+	}
 	var last, busy *result.Error
 	tried := map[topology.TargetID]bool{}
-	for r.hasTimeFor(sendReserve) && r.ctx.Err() == nil {
+	for r.hasTime() && r.ctx.Err() == nil {
 		c, failure := r.server.router.chooseRead(&r.class, r.sessionFloor(), r.maxWait(), tried)
 		if failure != nil {
 			last = failure
@@ -185,7 +188,10 @@
 		}
 		cmd.Kind, cmd.Name, cmd.Value = target.Execute, name, r.st.Arguments
 	}
-	return link.Run(wallDeadline, cmd)
+	begun := r.server.Clock.Now()
+	answer, err := link.Run(wallDeadline, cmd)
+	r.recordAnswer(begun, answer, err)
+	return answer, err
 }
 
 // notSent is a failure before the caller's statement was sent: it has not run.
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -58,6 +58,8 @@
 	mu     sync.Mutex
 	random *rand.Rand
 	groups map[topology.GroupID]*groupView
+	// outliers is nil if outliers are not avoided.
+	outliers *outliers
 }
 
 // groupView is what this VM knows of a group's log and outages.
@@ -103,6 +105,9 @@
 	pool    *target.Pool
 	floor   position.Position
 	catchUp time.Duration
+	// expected is the time until it is expected to hold the floor, without the limit of maxWait.
+	expected time.Duration
+	primary  bool
 }
 
 // chooseRead chooses the target of a read that a replica may serve. Targets in tried are
@@ -123,6 +128,7 @@
 			candidates = append(candidates, r.candidate(&targets[i], primary))
 		}
 	}
+	r.outliers.measure(c, candidates, now)
 	req := routing.Request{Staleness: c.Staleness, Floor: floor, MaxCatchUp: maxWait}
 	r.refresh(g, c, now)
 	decision, err := routing.Choose(now, req, g.freshness, candidates, r.random)
@@ -140,7 +146,11 @@
 		return choice{}, result.New(result.TargetUnreachable, "%s has just come or gone", decision.Chosen).After(routing.RetryNoTarget)
 	}
 	g.outages[needTarget].found()
-	return choice{pool: pool, floor: decision.Floor, catchUp: min(maxWait, decision.CatchUp)}, nil
+	r.outliers.chosen(c.Group, decision.Chosen, now)
+	return choice{
+		pool: pool, floor: decision.Floor, catchUp: min(maxWait, decision.CatchUp),
+		expected: decision.CatchUp, primary: decision.Chosen == primary,
+	}, nil
 }
 
 func (r *router) candidate(t *directory.Target, primary topology.TargetID) routing.Candidate {
@@ -160,7 +170,7 @@
 	case t.Leaving, load.FailingFor > suspectAfter:
 		c.State = routing.Suspect // A leaving primary still serves what no replica can.
 	}
-	c.Latency, c.InFlight = load.Latency+load.Queue, load.Busy
+	c.Latency, c.InFlight, c.Queue = load.Latency+load.Queue, load.Busy, load.Queue
 	return c
 }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -69,6 +69,8 @@
 	MaxSessions int
 	// AvoidOutliers sends fewer reads to targets that fail more, or answer more slowly, than others of their group.
 	AvoidOutliers bool
+	// Outliers counts the decisions of AvoidOutliers; nil to count nothing.
+	Outliers *metrics.Outliers
 }
 
 // Server serves sessions. Safe for concurrent use.
@@ -98,11 +100,15 @@
 
 // NewServer returns a server with the given options.
 func NewServer(o Options) *Server {
-	return &Server{
+	s := &Server{
 		Options:  o,
 		router:   newRouter(o.Directory, o.Pools, o.Rights, o.Clock),
 		sessions: map[*session]bool{},
 	}
+	if o.AvoidOutliers {
+		s.router.outliers = newOutliers(o.Log, o.Outliers)
+	}
+	return s
 }
 
 // acceptRetryPause is the pause after a failure to accept, such as too many open files.
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -12,6 +12,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/customer"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/outlier"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	floors "github.com/buckthornshore/buckthornshore/pkg/session"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
@@ -218,7 +219,9 @@
 	deadline mono.Time
 	ctx      context.Context
 	attempts int
-	target   topology.TargetID
+	// retries bounds the attempts if the server avoids outliers.
+	retries outlier.Attempts
+	target  topology.TargetID
 	// askedPosition is set once the request has asked for a position of the primary itself.
 	askedPosition bool
 	// waited is how long the request has waited for connections to targets.
@@ -363,11 +366,8 @@
 	return link, failure
 }
 
-// hasTimeFor reports whether a further attempt, which takes about the given time, can still
-// end before the deadline.
-func (r *request) hasTimeFor(attempt time.Duration) bool {
-	return r.server.Clock.Now().Add(attempt).Before(r.deadline)
-}
+// hasTime reports whether a further attempt can still end before the deadline.
+func (r *request) hasTime() bool { return r.server.Clock.Now().Before(r.sendBy()) }
 
 // settleFloors adjusts the floors of the session's reads to the group's newest row, in
 // which a failover may have lost writes of the session.
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -189,9 +189,12 @@
 func (r *request) attach() *result.Error {
 	var last, saturated *result.Error
 	tried := map[topology.TargetID]bool{}
-	for r.hasTimeFor(sendReserve) && r.ctx.Err() == nil {
+	anywhere, missing := r.tx.readOnly && r.class.Reads != directory.Newest, needPrimary
+	if anywhere && r.server.AvoidOutliers {
+		return r.attachBounded()
+	}
+	for r.hasTime() && r.ctx.Err() == nil {
 		var failure *result.Error
-		anywhere, missing := r.tx.readOnly && r.class.Reads != directory.Newest, needPrimary
 		if anywhere {
 			failure, missing = r.attachAnywhere(tried), needTarget
 		} else {
@@ -213,7 +216,7 @@
 		if failure.Code == result.NoRight && r.server.router.recordMissing(r.class.Group, needRight) || r.ageMissingForLong(failure) {
 			break
 		}
-		if r.server.router.noTargetSoon(&r.class, failure, missing) {
+		if r.server.router.noTargetSoon(&r.class, failure, missing) || !r.mayTryAgain() {
 			break
 		}
 	}
@@ -252,7 +255,7 @@
 		return failure
 	}
 	if failure := r.attachTo(pool, position.Position{}); failure != nil {
-		r.pause(retryPause)
+		r.pauseBetweenAttempts(failure)
 		return failure
 	}
 	r.server.router.recordFound(r.class.Group, needPrimary)
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -53,6 +53,7 @@
 			metrics.NewStore,
 			metrics.NewPeers,
 			metrics.NewCustomers,
+			metrics.NewOutliers,
 			newStore,
 			platform.NewDriver,
 			register,
@@ -139,11 +140,11 @@
 	return limits
 }
 
-func newServer(s Settings, d *directory.Directory, pools *target.Pools, l *lead.Lead, limits *limit.Limiter, clock mono.Clock, log *slog.Logger, m *metrics.Entry, customers *metrics.Customers) *gateway.Server {
+func newServer(s Settings, d *directory.Directory, pools *target.Pools, l *lead.Lead, limits *limit.Limiter, clock mono.Clock, log *slog.Logger, m *metrics.Entry, customers *metrics.Customers, outliers *metrics.Outliers) *gateway.Server {
 	return gateway.NewServer(gateway.Options{
 		Directory: d, Pools: pools, Rights: l, Limits: limits, Clock: clock, Log: log, Metrics: m, Customers: customers, MaxSessions: s.MaxSessions,
-		AvoidOutliers: s.Overload.AvoidOutliers,
-		Codec:         func(nc net.Conn) gateway.Caller { return platform.NewCaller(nc) },
+		AvoidOutliers: s.Overload.AvoidOutliers, Outliers: outliers,
+		Codec: func(nc net.Conn) gateway.Caller { return platform.NewCaller(nc) },
 	})
 }
 
--- a/pkg/routing/choose.go
+++ b/pkg/routing/choose.go
@@ -21,6 +21,8 @@
 	// SuspectCost keeps reads away from a target that may be dead, unless no
 	// other target is usable.
 	SuspectCost = time.Second
+	// OutlierCost keeps reads away from an outlier, unless no other target is usable.
+	OutlierCost = time.Second
 )
 
 // Reads spill to the primary when every replica's wait is at least SpillWait and
@@ -57,6 +59,8 @@
 	State   State
 	// Latency is the average response time without the time spent queueing.
 	Latency time.Duration
+	// Queue is the part of Latency that a request is expected to wait for a connection of this proxy.
+	Queue time.Duration
 	// Service is the average time a request holds a slot.
 	Service time.Duration
 	// Slots is how many requests the target runs at once; 0 counts as 1.
@@ -65,6 +69,19 @@
 	QueueLength int
 	// InFlight is the number of this proxy's requests that are unanswered.
 	InFlight int
+	// Weight is the share of its usual reads that an outlier still gets; 0 counts as 1.
+	Weight float64
+}
+
+// weightResolution is the resolution with which reads are drawn by a candidate's weight.
+const weightResolution = 1000
+
+// avoided draws whether a read avoids the target.
+func (c *Candidate) avoided(random Random) bool {
+	if c.Weight <= 0 || c.Weight >= 1 {
+		return false
+	}
+	return random.IntN(weightResolution) >= int(c.Weight*weightResolution)
 }
 
 // ExpectedWait returns the expected time until the answer to a request sent now.
@@ -97,6 +114,10 @@
 	ageShown := e.raiseFloor(now, req, f)
 	for i := range targets {
 		e.Candidates = append(e.Candidates, evaluate(now, req, f, &targets[i], e.Floor, ageShown))
+		if v := &e.Candidates[i]; !req.Write && targets[i].avoided(random) {
+			v.Avoided = true
+			v.cost += OutlierCost
+		}
 	}
 	chosen := e.pick(targets, req.MaxCatchUp, random)
 	if chosen < 0 {
@@ -187,6 +208,9 @@
 	if replica < 0 {
 		return primary
 	}
+	if primary >= 0 && e.Candidates[replica].Avoided && e.Candidates[primary].cost < e.Candidates[replica].cost {
+		return primary
+	}
 	if primary >= 0 && e.Candidates[replica].CatchUp > max(UnconfirmedCost, min(maxCatchUp, e.Candidates[primary].Wait)) {
 		return primary
 	}
@@ -237,6 +261,9 @@
 			shortest = min(shortest, e.Candidates[i].Wait)
 		}
 	}
+	if e.Candidates[primary].Avoided {
+		return false
+	}
 	return shortest >= SpillWait && e.Candidates[primary].Wait <= shortest/SpillWaitRatio
 }
 
--- a/pkg/routing/explain.go
+++ b/pkg/routing/explain.go
@@ -48,6 +48,8 @@
 	// Unconfirmed.
 	CatchUp time.Duration `json:"catch_up_ns"`
 	Reason  Reason        `json:"reason"`
+	// Avoided is set if the read avoids the target because it is an outlier.
+	Avoided bool `json:"avoided,omitempty"`
 	cost    time.Duration
 }
 
