--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -107,7 +107,9 @@
 	catchUp time.Duration
 	// expected is the time until it is expected to hold the floor, without the limit of maxWait.
 	expected time.Duration
-	primary  bool
+	// unconfirmed is set if it isn't known to hold it.
+	unconfirmed bool
+	primary     bool
 }
 
 // chooseRead chooses the target of a read that a replica may serve. Targets in tried are
@@ -149,7 +151,7 @@
 	r.outliers.chosen(c.Group, decision.Chosen, now)
 	return choice{
 		pool: pool, floor: decision.Floor, catchUp: min(maxWait, decision.CatchUp),
-		expected: decision.CatchUp, primary: decision.Chosen == primary,
+		expected: decision.CatchUp, unconfirmed: decision.Unconfirmed, primary: decision.Chosen == primary,
 	}, nil
 }
 
--- a/pkg/outlier/attempts.go
+++ b/pkg/outlier/attempts.go
@@ -13,6 +13,8 @@
 	// attempt to the next. The pause is drawn between 0 and that.
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = 80 * time.Millisecond
+	// maxDoublings is how often minBackoff may double without an overflow.
+	maxDoublings = 8
 )
 
 // Random draws a number in [0, n). *rand.Rand of math/rand/v2 implements it.
@@ -23,7 +25,9 @@
 // Attempts decides whether one request is tried again, and for how long it waits before. The zero value is that of
 // a new request.
 type Attempts struct {
-	failed int
+	// refused is the number of attempts that a target refused or failed, or that a full queue refused, and lost the
+	// number of those whose connection broke.
+	refused, lost int
 	// waited is set once the request has waited for a replica to catch up.
 	waited bool
 	// primaryBusy and replicaBusy are set once the primary, or a replica, has refused the request for its load.
@@ -33,35 +37,58 @@
 	behind time.Duration
 }
 
-// Failed records a failed attempt, and reports whether another one is allowed.
-func (a *Attempts) Failed(code result.Code) bool {
-	if countsAsAttempt(code) {
-		a.failed++
-	}
-	return a.Left()
-}
+// kind is what a failure means for further attempts.
+type kind int
 
-// Left reports whether another attempt is allowed.
-func (a *Attempts) Left() bool { return a.failed < MaxAttempts }
+const (
+	// refused counts as one of MaxAttempts.
+	refused kind = iota
+	// lost doesn't count: the connections to a target that has died break one after another, which would use up
+	// all attempts before the failover is over.
+	lost
+	// unavailable doesn't count: a wait for a right, a primary or a target that can be reached lasts as long as a
+	// failover, and puts no load on a target.
+	unavailable
+)
 
-// countsAsAttempt reports whether a failure is that of an attempt that reached a target, or was refused by a full
-// queue. Waits for a right, a primary or a target that can be reached are as long as a failover may take, and put no
-// load on a target.
-func countsAsAttempt(code result.Code) bool {
+func kindOf(code result.Code) kind {
 	switch code {
 	case result.NoRight, result.NoPrimary, result.TermRefused, result.AgeNotShown, result.TargetUnreachable,
 		result.TargetLeaving, result.WrongTarget:
-		return false
+		return unavailable
+	case result.OutcomeUnknown:
+		return lost
 	}
-	return true
+	return refused
 }
 
-// Backoff returns the pause after a failure. uncounted is the pause if the failure does not count as an attempt.
-func (a *Attempts) Backoff(code result.Code, uncounted time.Duration, random Random) time.Duration {
-	if !countsAsAttempt(code) || a.failed == 0 {
-		return uncounted
+// Failed records a failed attempt, and reports whether another one is allowed.
+func (a *Attempts) Failed(code result.Code) bool {
+	switch kindOf(code) {
+	case refused:
+		a.refused++
+	case lost:
+		a.lost++
+	case unavailable:
+	}
+	return a.Left()
+}
+
+// Left reports whether another attempt is allowed.
+func (a *Attempts) Left() bool { return a.refused < MaxAttempts }
+
+// Backoff returns the pause after a failure that was recorded. unavailablePause is the pause after a failure that put
+// no load on a target.
+func (a *Attempts) Backoff(code result.Code, unavailablePause time.Duration, random Random) time.Duration {
+	n := a.refused
+	switch kindOf(code) {
+	case unavailable:
+		return unavailablePause
+	case lost:
+		n = a.lost
+	case refused:
 	}
-	longest := min(maxBackoff, minBackoff<<min(a.failed-1, MaxAttempts))
+	longest := min(maxBackoff, minBackoff<<min(max(n-1, 0), maxDoublings))
 	return time.Duration(random.Int64N(int64(longest)))
 }
 
@@ -80,15 +107,16 @@
 	return max(0, left)
 }
 
-// Wait reports whether the request waits for a replica that is expected to catch up after the given time, if it has
-// the given time left.
+// Wait reports whether the request is sent to a replica that is not known to hold its floor, after waiting for the
+// time in which it is expected to catch up. left is the time that the request has left. The last attempt is kept for
+// a target that holds the floor: while the primary is being replaced, replicas may not catch up at all.
 func (a *Attempts) Wait(catchUp, left time.Duration) bool {
-	if catchUp <= a.LongestWait(left) {
-		a.waited = true
+	if a.refused < MaxAttempts-1 && catchUp <= a.LongestWait(left) {
+		a.waited = a.waited || catchUp > 0
 		return true
 	}
 	if a.behind == 0 || catchUp < a.behind {
-		a.behind = catchUp
+		a.behind = max(catchUp, minBackoff)
 	}
 	return false
 }
