Outlier: answers that can't be compared show no recovery

Cause: a slow primary counted as recovered after five answers of a class that only primaries serve.

Ruled out: verdicts by class, since a target that is slow for one class is slow.

Before: the verdict changed back and forth.

Conclusion: routing's test covers the weight of a candidate, and the choice of the primary or of an outlier without another target.

--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -42,8 +42,10 @@
 type record struct {
 	classes map[string]*window
 	reason  Reason
-	// good is the number of consecutive good answers since the target became an outlier.
-	good int
+	// good is the number of consecutive good answers since the target became an outlier, and judged when the last
+	// answer was judged good or bad.
+	good   int
+	judged mono.Time
 }
 
 // NewDetector returns a detector without any answers, for which no target is an outlier.
@@ -61,7 +63,7 @@
 	w.add(answer{at: now, took: took, failed: failed})
 	before = r.reason
 	if before == Usual {
-		r.reason, r.good = d.compare(target, now), 0
+		r.reason, r.good, r.judged = d.compare(target, now), 0, now
 	} else {
 		d.recover(r, target, class, took, failed, now)
 	}
@@ -93,23 +95,24 @@
 	return true
 }
 
-// recover ends the state of an outlier after enough good answers, or once the others fail as well.
+// recover ends the state of an outlier after enough good answers, once the others fail as well, or if its answers can
+// no longer be compared. Answers of a class that no other target serves don't show whether a slow target has recovered.
 func (d *Detector) recover(r *record, target topology.TargetID, class string, took time.Duration, failed bool, now mono.Time) {
-	r.good++
-	if failed || d.slow(target, class, took, now) {
-		r.good = 0
+	median, comparable := d.otherAnswerTime(target, class, now)
+	switch {
+	case failed || comparable && took > slowFactor*median:
+		r.good, r.judged = 0, now
+	case comparable || r.reason == Failing:
+		r.good++
+		r.judged = now
 	}
 	rate, known := d.otherFailureRate(target, now)
-	if r.good >= recoveryAnswers || r.reason == Failing && known && rate > maxFailureRate {
+	othersFail := r.reason == Failing && known && rate > maxFailureRate
+	if r.good >= recoveryAnswers || othersFail || now.Sub(r.judged) > maxAge {
 		*r = record{classes: map[string]*window{}} // Answers from before the recovery would make it an outlier again.
 	}
 }
 
-func (d *Detector) slow(target topology.TargetID, class string, took time.Duration, now mono.Time) bool {
-	median, known := d.otherAnswerTime(target, class, now)
-	return known && took > slowFactor*median
-}
-
 // Weight returns the share of a target's usual reads that it gets.
 func (d *Detector) Weight(target topology.TargetID, _ mono.Time) float64 {
 	if r := d.targets[target]; r != nil && r.reason != Usual {
--- a/pkg/outlier/detector_test.go
+++ b/pkg/outlier/detector_test.go
@@ -166,3 +166,19 @@
 		t.Fatal("outlier because of its class")
 	}
 }
+
+// Guards against a slow primary that counts as recovered because of statements that only a primary serves.
+func TestAnswersThatCannotBeComparedShowNoRecovery(t *testing.T) {
+	l := newLoad()
+	l.took["p"] = 200 * time.Millisecond
+	if !l.answers(20, 20*ms, "p") {
+		t.Fatal("no outlier")
+	}
+	for range 50 {
+		l.now += 20 * ms
+		l.detector.Record("p", "writes", 5*time.Millisecond, false, l.now)
+	}
+	if !l.outlier("p") {
+		t.Fatal("recovered")
+	}
+}
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -260,6 +260,21 @@
 		Expect(choose(read)).To(BeEquivalentTo("far"), "a suspect replica is better than none")
 	})
 
+	It("sends few reads to an outlier, and all if no other target is usable", func() {
+		targets[1].Weight = 0.05
+		outlier := 0
+		for range 1000 {
+			if choose(read) == "near" {
+				outlier++
+			}
+		}
+		Expect(outlier).To(BeNumerically("~", 50, 30))
+		targets[2].State = routing.Dead
+		Expect(choose(read)).To(BeEquivalentTo("primary"), "the primary is better than an outlier")
+		targets[0].State = routing.Dead
+		Expect(choose(read)).To(BeEquivalentTo("near"), "an outlier is better than none")
+	})
+
 	It("spills to an idle primary only when every replica is overloaded", func() {
 		targets[1].QueueLength = 200
 		Expect(choose(read)).To(BeEquivalentTo("far"))
