Outlier: a primary is saturated for a read after three refusals

Cause: a read was refused after the first refusal of the primary, though the primary's queue is often full only for a moment.

Ruled out: a single refusal, and all eight attempts: under a lasting overload these send the primary several times the statements.

--- a/internal/gateway/outliers_test.go
+++ b/internal/gateway/outliers_test.go
@@ -50,7 +50,7 @@
 }
 
 // lagging makes the replica hold what the primary wrote the given time ago, and opens a session that has written
-// since. The primary then refuses what exceeds the given number of statements.
+// since. The primary then refuses all statements because of its load.
 func (f *fixture) lagging(lag time.Duration) *client {
 	f.t.Helper()
 	f.server.Positions().Add(group, routing.Sample{Begun: mono.System{}.Now().Add(-lag), Position: position.Position{Term: 1, Index: 1}})
--- a/pkg/outlier/attempts.go
+++ b/pkg/outlier/attempts.go
@@ -13,6 +13,9 @@
 	// attempt to the next. The pause is drawn between 0 and that.
 	minBackoff = 10 * time.Millisecond
 	maxBackoff = 80 * time.Millisecond
+	// saturatedRefusals is the number of refusals after which the primary counts as saturated for a request. A queue
+	// that is full only for a moment accepts it at the next attempts.
+	saturatedRefusals = 3
 	// maxDoublings is how often minBackoff may double without an overflow.
 	maxDoublings = 8
 )
@@ -30,8 +33,10 @@
 	refused, lost int
 	// waited is set once the request has waited for a replica to catch up.
 	waited bool
-	// primaryBusy and replicaBusy are set once the primary, or a replica, has refused the request for its load.
-	primaryBusy, replicaBusy bool
+	// primaryBusy is the number of times that the primary refused the request for its load. replicaBusy is set once a
+	// replica has.
+	primaryBusy int
+	replicaBusy bool
 	// behind is the shortest time that a replica was expected to need to catch up when the request could not
 	// wait for it; 0 if there was none.
 	behind time.Duration
@@ -94,8 +99,11 @@
 
 // Busy records that the primary, or a replica, refused the request for its load.
 func (a *Attempts) Busy(primary bool) {
-	a.primaryBusy = a.primaryBusy || primary
-	a.replicaBusy = a.replicaBusy || !primary
+	if primary {
+		a.primaryBusy++
+		return
+	}
+	a.replicaBusy = true
 }
 
 // LongestWait returns for how long a request that has the given time left may wait for a replica. It waits once.
@@ -121,8 +129,8 @@
 	return false
 }
 
-// Behind reports whether the request is better refused now: the primary refused it for its load, and no replica
-// will hold the position that it needs in time. retryAfter is when the first replica is expected to hold it.
+// Behind reports whether the request is better refused now: the primary is saturated, and no replica will hold the
+// position that it needs in time. retryAfter is when the first replica is expected to hold it.
 func (a *Attempts) Behind() (retryAfter time.Duration, refuse bool) {
-	return a.behind, a.behind > 0 && a.primaryBusy && !a.replicaBusy
+	return a.behind, a.behind > 0 && a.primaryBusy >= saturatedRefusals && !a.replicaBusy
 }
--- a/pkg/outlier/attempts_test.go
+++ b/pkg/outlier/attempts_test.go
@@ -83,7 +83,12 @@
 	if !a.Wait(200*time.Millisecond, left) || a.Wait(200*time.Millisecond, left) || !a.Wait(20*time.Millisecond, left) {
 		t.Fatal("does not wait once")
 	}
-	a.Busy(true)
+	for range 3 {
+		if _, refuse := a.Behind(); refuse {
+			t.Fatal("refused although the primary may only be busy for a moment")
+		}
+		a.Busy(true)
+	}
 	if after, refuse := a.Behind(); !refuse || after != 200*time.Millisecond {
 		t.Fatalf("refused %t after %v", refuse, after)
 	}
