--- a/pkg/outlier/detector_test.go
+++ b/pkg/outlier/detector_test.go
@@ -22,8 +22,8 @@
 	replicas = targets[1:]
 )
 
-// load is a simulated load of one VM's reads on three replicas, in virtual time, with a fixed answer time and
-// failure rate for each.
+// load is a simulated load of one VM on the targets of a group, in virtual time, with a fixed answer time and
+// failure rate for each target.
 type load struct {
 	detector *outlier.Detector
 	random   *rand.Rand
