Metrics: refused requests by target and result

Cause: operators could see which result refused a customer, but not at which target: only the log lines named it. Ruled out: a tag for the customer beside the target, since 24 targets times 31 names times the results are too many series; counting attempts instead of requests, since an attempt that is retried with success loses nothing. Before: no metric. After: target_refusals by target and result counts each request that ended as not run, at the target of its last attempt. Requests refused before any target was chosen, as by a limit, are in customer_requests only. Conclusion: `go test ./internal/gateway -run 'Refusals|Saturated'` passes; the new test guards against refusals that aren't counted, and against counting retried ones and those whose outcome is unknown.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -243,6 +243,7 @@
 	databases databases
 	directory *directory.Directory
 	rights    *rights
+	registry  *metrics.Registry
 	address   string
 }
 
@@ -279,10 +280,10 @@
 	pools := target.NewPools(d, f.databases, mono.System{}, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	go pools.Run(ctx)
-	registry := metrics.New()
+	f.registry = metrics.New()
 	f.server = gateway.NewServer(gateway.Options{
 		Directory: d, Pools: pools, Rights: f.rights, Codec: newTextCaller, Clock: mono.System{}, Log: log,
-		Metrics: metrics.NewEntry(registry), MaxSessions: 100,
+		Metrics: metrics.NewEntry(f.registry), Refusals: metrics.NewRefusals(f.registry), MaxSessions: 100,
 	})
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -293,7 +294,7 @@
 	t.Cleanup(func() {
 		cancel()
 		l.Close()
-		_ = registry.Close()
+		_ = f.registry.Close()
 	})
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		if _, ok := pools.Get(replica); ok {
--- a/internal/gateway/overload_test.go
+++ b/internal/gateway/overload_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
 
@@ -77,3 +78,32 @@
 		t.Fatalf("refused after %v", took)
 	}
 }
+
+// Guards against refusals that are missing from the target's metrics, or that are counted for requests that succeeded
+// in the end or whose outcome is unknown.
+func TestRefusalsAreCountedByTarget(t *testing.T) {
+	f := start(t)
+	var refusals atomic.Int64
+	f.refuseStatements(&refusals)
+	refusals.Store(1)
+	f.open("newest").expect("write a 1", "I ok d") // At its second attempt.
+	refusals.Store(1 << 40)
+	f.open("hasty").expect("write a 1", "I TargetBusy not run")
+	refusals.Store(0)
+	f.databases[primary].before = func(string) (*result.Error, error) {
+		return result.New(result.TargetFailed, ""), nil
+	}
+	f.open("newest").expect("write a 1", "I TargetFailed unknown")
+	if err := f.registry.Close(); err != nil {
+		t.Fatal(err)
+	}
+	var counted []metrics.Counter
+	for _, c := range f.registry.Snapshot().Counters {
+		if c.Name == metrics.TargetRefusals {
+			counted = append(counted, c)
+		}
+	}
+	if len(counted) != 1 || counted[0].Value != 1 || counted[0].Tags[metrics.TagTarget] != string(primary) || counted[0].Tags[metrics.TagResult] != "TargetBusy" {
+		t.Errorf("%+v", counted)
+	}
+}
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -162,6 +162,7 @@
 	took := r.server.Clock.Now().Sub(r.begun)
 	r.server.Metrics.Request(string(r.class.Group), r.class.Name, a.Failure, took)
 	r.server.Customers.Request(r.customer, a.Failure, took)
+	r.server.Refusals.Request(r.target, a.Failure)
 	if a.Failure == nil && took <= r.class.Objective {
 		return
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -65,6 +65,8 @@
 	Metrics *metrics.Entry
 	// Customers counts requests and sessions by customer; nil to count nothing.
 	Customers *metrics.Customers
+	// Refusals counts refused requests by target; nil to count nothing.
+	Refusals *metrics.Refusals
 	// MaxSessions is the maximum number of open sessions.
 	MaxSessions int
 	// AvoidOutliers sends fewer reads to targets that fail more, or answer more slowly, than others of their group.
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -53,6 +53,7 @@
 			metrics.NewStore,
 			metrics.NewPeers,
 			metrics.NewCustomers,
+			metrics.NewRefusals,
 			metrics.NewConnections,
 			metrics.NewSlots,
 			metrics.NewFairQueue,
@@ -151,9 +152,17 @@
 	return limits
 }
 
-func newServer(s Settings, d *directory.Directory, pools *target.Pools, l *lead.Lead, limits *limit.Limiter, clock mono.Clock, log *slog.Logger, m *metrics.Entry, customers *metrics.Customers) *gateway.Server {
+// serverMetrics are the recorders of the server.
+type serverMetrics struct {
+	fx.In
+	Entry     *metrics.Entry
+	Customers *metrics.Customers
+	Refusals  *metrics.Refusals
+}
+
+func newServer(s Settings, d *directory.Directory, pools *target.Pools, l *lead.Lead, limits *limit.Limiter, clock mono.Clock, log *slog.Logger, m serverMetrics) *gateway.Server {
 	return gateway.NewServer(gateway.Options{
-		Directory: d, Pools: pools, Rights: l, Limits: limits, Clock: clock, Log: log, Metrics: m, Customers: customers, MaxSessions: s.MaxSessions,
+		Directory: d, Pools: pools, Rights: l, Limits: limits, Clock: clock, Log: log, Metrics: m.Entry, Customers: m.Customers, Refusals: m.Refusals, MaxSessions: s.MaxSessions,
 		AvoidOutliers: s.Overload.AvoidOutliers,
 		Codec:         func(nc net.Conn) gateway.Caller { return platform.NewCaller(nc) },
 	})
--- a/internal/metrics/recorders.go
+++ b/internal/metrics/recorders.go
@@ -48,14 +48,14 @@
 	tagged sync.Map // scopeKey to tally.Scope
 }
 
-type scopeKey struct{ member, class, customer, reason, extraName, extra string }
+type scopeKey struct{ member, class, customer, target, reason, extraName, extra string }
 
 func (s *scopes) get(key scopeKey) tally.Scope {
 	if tagged, ok := s.tagged.Load(key); ok {
 		return tagged.(tally.Scope)
 	}
 	tags := map[string]string{}
-	for name, value := range map[string]string{TagMember: key.member, TagClass: key.class, TagCustomer: key.customer, TagReason: key.reason, key.extraName: key.extra} {
+	for name, value := range map[string]string{TagMember: key.member, TagClass: key.class, TagCustomer: key.customer, TagTarget: key.target, TagReason: key.reason, key.extraName: key.extra} {
 		if name != "" && value != "" {
 			tags[name] = value
 		}
