bts-ctl: the load of targets, and why a customer is refused

Cause: the metrics of connections, slots and fair queues are in each daemon's /metrics.json, but nothing summed them by target. `customers` counted all refusals but those over the limit as failed, so a full queue looked like a broken target. Ruled out: a partial sum if a daemon can't be read, since it looks complete; adding slot_requests_waiting and fair_queue_waiting, since a VM with both reports the same requests twice (the larger one counts); the busiest customers of a target, since no metric holds them and the pools keep no list of them; connections per second, which need two readings. Before: no command. Conclusion: `go test ./internal/ctl ./pkg/result` passes, also with the lint rules.

--- a/internal/ctl/args.go
+++ b/internal/ctl/args.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/alexflint/go-arg"
+
+	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
 
 // arguments holds the parsed command line.
@@ -15,6 +17,7 @@
 	Trace     *traceCommand     `arg:"subcommand:trace" help:"tell from daemons' logs why a request failed or was late, offline"`
 	Report    *reportCommand    `arg:"subcommand:report" help:"tell from daemons' logs when requests were lost, of which class and why, offline"`
 	Customers *customersCommand `arg:"subcommand:customers" help:"tell what customers ask for at bts-gateway daemons, from their metrics"`
+	Targets   *targetsCommand   `arg:"subcommand:targets" help:"tell the load of targets at bts-gateway daemons, from their metrics"`
 	Apply     *applyCommand     `arg:"subcommand:apply" help:"put a configuration file in force"`
 	History   *historyCommand   `arg:"subcommand:history" help:"list the accepted configurations"`
 	Rollback  *rollbackCommand  `arg:"subcommand:rollback" help:"put the content of an earlier version in force again"`
@@ -57,6 +60,11 @@
 }
 
 type customersCommand struct {
+	Why       string   `arg:"--why" placeholder:"CUSTOMER" help:"tell what one customer was refused, and why"`
+	Addresses []string `arg:"positional,required" help:"the admin addresses of the daemons, ip:port"`
+}
+
+type targetsCommand struct {
 	Addresses []string `arg:"positional,required" help:"the admin addresses of the daemons, ip:port"`
 }
 
@@ -137,7 +145,7 @@
 	}
 	if err != nil {
 		p.WriteUsage(stderr)
-		printLine(stderr, "%s: %v", programName, err)
+		printLine(stderr, "%s: %v", programName, result.New(result.BadArgument, "%v", err))
 		return nil, ExitUsage, false
 	}
 	return a, ExitOK, true
@@ -156,5 +164,5 @@
 		return (a.Drain.Target == "") != (a.Drain.VM == "")
 	}
 	daemonOrCompletion := a.Status != nil || a.Explain != nil || a.Switchover != nil || a.Completion != nil
-	return daemonOrCompletion || a.Check != nil || a.Diff != nil || a.Trace != nil || a.Report != nil || a.Customers != nil || a.Apply != nil || a.History != nil || a.Rollback != nil
+	return daemonOrCompletion || a.Check != nil || a.Diff != nil || a.Trace != nil || a.Report != nil || a.Customers != nil || a.Targets != nil || a.Apply != nil || a.History != nil || a.Rollback != nil
 }
--- a/internal/ctl/completion.go
+++ b/internal/ctl/completion.go
@@ -15,8 +15,10 @@
     config) words="status" ;;
     status) words="groups targets vms sessions config" ;;
     completion) words="bash" ;;
+    customers) words="--why" ;;
+    targets) words="" ;;
     check|diff|trace|report|apply) COMPREPLY=($(compgen -f -- "$word")); return ;;
-    *) words="check diff trace report customers apply history rollback preset config status explain switchover drain completion" ;;
+    *) words="check diff trace report customers targets apply history rollback preset config status explain switchover drain completion" ;;
   esac
   COMPREPLY=($(compgen -W "$words --json --settings --help" -- "$word"))
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -60,6 +60,8 @@
 		return t.report(a.Report)
 	case a.Customers != nil:
 		return t.customers(ctx, a.Customers)
+	case a.Targets != nil:
+		return t.targets(ctx, a.Targets)
 	case a.Completion != nil:
 		return t.completion(a.Completion)
 	}
@@ -100,6 +102,8 @@
 	}
 	r := result.From(err)
 	switch {
+	case r.Code == result.BadArgument:
+		return ExitUsage
 	case r.Code == result.PlatformUnavailable, r.Code == result.PoolerUnreachable:
 		return ExitUnavailable
 	case r.Ran == result.Unknown:
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -92,6 +92,7 @@
 		code, _, stderr := run(argv...)
 		Expect(code).To(Equal(ctl.ExitUsage))
 		Expect(stderr).To(ContainSubstring("Usage: bts-ctl"))
+		Expect(stderr).To(ContainSubstring("BTS-1308 "))
 	},
 		Entry("no command"),
 		Entry("an unknown command", "destroy"),
--- a/internal/ctl/customers.go
+++ b/internal/ctl/customers.go
@@ -3,12 +3,9 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"maps"
-	"net/http"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -30,52 +27,47 @@
 	buckets []metrics.Bucket
 }
 
-// metricsTimeout is the timeout for reading the metrics of one VM.
-const metricsTimeout = 3 * time.Second
-
 // customers prints the daemons' per-customer metrics, summed over the daemons. It needs no
 // settings file: it reads the admin addresses given as arguments.
 func (t *tool) customers(ctx context.Context, c *customersCommand) error {
+	all, err := readAllMetrics(ctx, c.Addresses)
+	if err != nil {
+		return err
+	}
 	rows := map[string]*customerRow{}
-	for _, address := range c.Addresses {
-		s, err := readMetrics(ctx, address)
-		if err != nil {
-			return result.New(result.PlatformUnavailable, "%s: %v", address, err)
-		}
+	for _, s := range all {
 		addMetrics(rows, s)
 	}
+	if c.Why != "" {
+		return t.why(rows, c.Why)
+	}
 	sorted := slices.SortedFunc(maps.Values(rows), func(a, b *customerRow) int {
 		return cmp.Or(cmp.Compare(b.Served, a.Served), cmp.Compare(a.Customer, b.Customer))
 	})
+	refusals := map[string]bool{}
 	for _, r := range sorted {
 		r.P50, r.P99 = quantile(r.buckets, 0.5), quantile(r.buckets, 0.99)
+		for name := range r.Results {
+			if isRefusal(name) && name != result.MemberLimit.Name() { // MemberLimit has a column of its own.
+				refusals[name] = true
+			}
+		}
 	}
-	table := table{header: []string{"CUSTOMER", "SESSIONS", "SERVED", "OVER LIMIT", "FAILED", "P50", "P99"}}
+	columns := slices.Sorted(maps.Keys(refusals))
+	table := table{header: append([]string{"CUSTOMER", "SESSIONS", "SERVED", "OVER LIMIT", "FAILED", "P50", "P99"}, columns...)}
 	for _, r := range sorted {
-		table.rows = append(table.rows, []string{
+		row := []string{
 			r.Customer, strconv.Itoa(r.Sessions), strconv.FormatInt(r.Served, 10), strconv.FormatInt(r.Limited, 10),
 			strconv.FormatInt(r.Failed, 10), orDash(r.P50), orDash(r.P99),
-		})
+		}
+		for _, name := range columns {
+			row = append(row, strconv.FormatInt(r.Results[name], 10))
+		}
+		table.rows = append(table.rows, row)
 	}
 	return t.out.answer(sorted, table)
 }
 
-func readMetrics(ctx context.Context, address string) (metrics.Snapshot, error) {
-	var s metrics.Snapshot
-	ctx, cancel := context.WithTimeout(ctx, metricsTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+metrics.PathJSON, nil)
-	if err != nil {
-		return s, err
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return s, err
-	}
-	defer response.Body.Close()
-	return s, json.NewDecoder(response.Body).Decode(&s)
-}
-
 func addMetrics(rows map[string]*customerRow, s metrics.Snapshot) {
 	row := func(tags metrics.Tags) *customerRow {
 		name := tags[metrics.TagCustomer]
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -70,6 +70,7 @@
 	UnknownPreset       Code = 1305
 	NotAuthorized       Code = 1306
 	NotFound            Code = 1307
+	BadArgument         Code = 1308
 )
 
 // Codes 1900 and up: faults of the program itself.
@@ -143,6 +144,7 @@
 	UnknownPreset:       {"UnknownPreset", "no such preset", NotRun},
 	NotAuthorized:       {"NotAuthorized", "not authorized", NotRun},
 	NotFound:            {"NotFound", "not found", NotRun},
+	BadArgument:         {"BadArgument", "the command line is wrong", NotRun},
 
 	Internal:        {"Internal", "internal error", Unknown},
 	InvariantBroken: {"InvariantBroken", "an invariant of the program is broken", Unknown},
