Target: a closed pool reports no statements, allowance or waiting requests

Cause: the gauges of a pool keep their last values when its target is gone, so `bts-ctl targets` would show this VM as a holder of a target that no longer exists, with the statements in flight of its last tick. Ruled out: ending the limit itself (endSlots), which sends refused statements again at a target that is gone.

--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -341,6 +341,8 @@
 	}
 	p.idle = nil
 	p.refuseAll(result.New(result.TargetUnreachable, "%s is gone", p.target.ID))
+	p.noteWaiting()
+	p.noteSlotsUnused()
 }
 
 // refuseAll fails all waiting requests with the given error.
--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -94,11 +94,19 @@
 		return
 	}
 	p.resumeAll()
+	p.noteSlotsUnused()
+	p.slots = nil
+}
+
+// noteSlotsUnused reports that this VM uses none of the target's slots any more.
+func (p *Pool) noteSlotsUnused() {
+	if p.slots == nil {
+		return
+	}
 	for priority := range p.slots.waitingBy {
 		p.slots.waitingBy[priority] = 0
 	}
 	p.SlotMetrics.Use(p.target.ID, 0, 0, p.slots.waitingBy)
-	p.slots = nil
 }
 
 // useSlot counts a link's statement as in flight. Requests that any customer's connection can serve are commands of
@@ -307,7 +315,7 @@
 
 // tickSlots reports the use of the slots.
 func (p *Pool) tickSlots(now mono.Time) {
-	if p.slots == nil {
+	if p.slots == nil || p.closed {
 		return
 	}
 	s, inFlight, allowance := p.slots, p.inFlight(), p.slots.limit.Allowance(now)
--- a/internal/target/slots_test.go
+++ b/internal/target/slots_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/metrics"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -240,3 +241,37 @@
 		t.Fatalf("reported %+v", demand)
 	}
 }
+
+// Guards against a target that is gone and still appears with an allowance, statements or waiting requests in the
+// metrics, which would show this VM as its holder.
+func TestClosedPoolReportsNoLoad(t *testing.T) {
+	registry := metrics.New()
+	p := newLimitedPool(&fakeTarget{})
+	p.SlotMetrics = metrics.NewSlots(registry)
+	target.EnableFairQueue(p, equalWeights, metrics.NewFairQueue(registry))
+	acquire(t, p, nil)
+	acquire(t, p, nil)
+	acquireLater(t, p, 0)
+	p.Tick()
+	for end := time.Now().Add(2 * time.Second); loadReported(registry) < 4; time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("reported while the pool was in use: %+v", registry.Snapshot().Gauges)
+		}
+	}
+	p.Close()
+	p.Tick() // As if it had begun before the pool was removed.
+	if err := registry.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if sum := loadReported(registry); sum != 0 {
+		t.Errorf("%v reported after the pool was closed: %+v", sum, registry.Snapshot().Gauges)
+	}
+}
+
+// loadReported returns the sum of all gauges as last reported.
+func loadReported(registry *metrics.Registry) (sum float64) {
+	for _, g := range registry.Snapshot().Gauges {
+		sum += g.Value
+	}
+	return sum
+}
