--- a/internal/gateway/outliers.go
+++ b/internal/gateway/outliers.go
@@ -79,14 +79,6 @@
 		"took", took.Round(time.Millisecond), "failed", failed)
 }
 
-// IsSlow reports whether the statements of this VM show a group's target as an outlier that answers slowly.
-func (s *Server) IsSlow(group topology.GroupID, id topology.TargetID) bool {
-	r := s.router
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.outliers != nil && r.outliers.groups[group] != nil && r.outliers.groups[group].Reason(id) == outlier.Slow
-}
-
 // recordAnswer records the answer of the request's target to a statement that was sent at begun.
 func (r *request) recordAnswer(begun mono.Time, a statement.Answer, err error) {
 	router := r.server.router
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -215,9 +215,6 @@
 func (d *daemon) start(context.Context) error {
 	ctx := d.State.context
 	d.Lead.SharePositions(d.Server.Positions())
-	if d.Settings.Overload.AvoidOutliers {
-		d.Lead.ReplaceSlow(d.Server.IsSlow)
-	}
 	go d.configurationWatcher().Run(ctx)
 	go d.followKept(ctx)
 	go d.targetWatcher().Run(ctx)
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -49,7 +49,6 @@
 	var newCoordinator topology.VM
 	for _, group := range groups {
 		l.checkReplicaLag(ctx, group, now)
-		l.checkOutlier(ctx, group, now)
 		l.mu.Lock()
 		if row := l.coordinator.Row(group); row == nil || l.ofEarlierEra(row) {
 			l.mu.Unlock()
@@ -115,9 +114,6 @@
 	if l.replicasLag(group, now) {
 		return replicasLag
 	}
-	if l.outlierLasts(row, now) {
-		return primaryOutlier
-	}
 	t, ok := l.Directory.Target(row.Primary)
 	switch {
 	case ok && t.Superseded:
--- a/internal/lead/lagging.go
+++ b/internal/lead/lagging.go
@@ -118,13 +118,7 @@
 	if g.laggingChecks < lagChecks || !l.coordinator.Settled(group, now) {
 		return false
 	}
-	g.laggingChecks = 0
-	g.primaryChanged(now)
+	g.laggingChecks, g.changedAt, g.pause = 0, now, min(longestLagChangePause, max(lagChangePause, 2*g.pause))
 	l.lagState[group] = g
 	return true
 }
-
-// primaryChanged records a change of the primary and doubles the pause before the next one.
-func (g *lagState) primaryChanged(now mono.Time) {
-	g.changedAt, g.pause = now, min(longestLagChangePause, max(lagChangePause, 2*g.pause))
-}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -150,7 +150,6 @@
 	relocation          relocation
 	primaryMissingSince map[topology.GroupID]mono.Time
 	lagState            map[topology.GroupID]lagState
-	outlierState        map[topology.GroupID]outlierState
 	firstSeen           map[topology.GroupID]mono.Time
 	// writingFirstRows is set while first rows are being written. vmCount is the last known number
 	// of VMs, and vmCountChanged when that number last changed.
@@ -174,9 +173,7 @@
 	// positions are shared with the other VMs, nil if none are; samples holds those that this VM
 	// sends.
 	positions Positions
-	// isSlow is set by ReplaceSlow; nil if primaries are not replaced because they are slow.
-	isSlow  func(topology.GroupID, topology.TargetID) bool
-	samples map[topology.GroupID]routing.Sample
+	samples   map[topology.GroupID]routing.Sample
 	// storeRegained is when a read of the store last succeeded after earlier ones had failed.
 	storeRegained mono.Time
 	// storeReported is when a coordinator last reported that it reaches the store. As long as such
@@ -237,7 +234,6 @@
 		changing:            map[topology.GroupID]bool{},
 		primaryMissingSince: map[topology.GroupID]mono.Time{},
 		lagState:            map[topology.GroupID]lagState{},
-		outlierState:        map[topology.GroupID]outlierState{},
 		following:           newFollowing(),
 		subscribed:          map[topology.VMID][]topology.GroupID{},
 		firstSeen:           map[topology.GroupID]mono.Time{},
--- a/pkg/outlier/detector.go
+++ b/pkg/outlier/detector.go
@@ -113,17 +113,9 @@
 	}
 }
 
-// Reason returns why a target is an outlier, or Usual.
-func (d *Detector) Reason(target topology.TargetID) Reason {
-	if r := d.targets[target]; r != nil {
-		return r.reason
-	}
-	return Usual
-}
-
 // Weight returns the share of a target's usual reads that it gets.
 func (d *Detector) Weight(target topology.TargetID, _ mono.Time) float64 {
-	if d.Reason(target) != Usual {
+	if r := d.targets[target]; r != nil && r.reason != Usual {
 		return ProbeShare
 	}
 	return 1
