Review of the parts: what it found, mended

Limits: VMs that are gone for good kept a part of every limit as long as the allocator lived (test: all of a customer's usual load refused before, none after); a pause lowered the budget before the levels; the first reports of a VM were counted several times; a former allocator took empty renewals for reports. Pools: retained connections blocked new ones though slots were free, and were exempt from closing while another VM was short; one slowdown lowered an allowance several times, and it rose only while requests waited; statements of a closed pool were resent at once; shares from a VM that does not coordinate the group were applied; the list was sorted though no slot was free; grants in turn were not counted. Waiting list: a late request was told to retry after up to an hour (test). Attempts: only refusals and failures of a target count, so that the seconds after a loss of power don't use them up.

--- a/internal/lead/quota.go
+++ b/internal/lead/quota.go
@@ -98,7 +98,12 @@
 
 // reportUsage adds what this VM admitted to a renewal if it goes to the allocator.
 func (l *Lead) reportUsage(to topology.VMID, m *message) {
-	if l.Limits != nil && to == l.allocatorVM() {
+	if l.Limits == nil || len(l.Limits.Limits()) == 0 {
+		return
+	}
+	// A former allocator, which this VM may renew other groups with, must not take an empty report for no demand.
+	m.Term = l.term()
+	if to == l.allocatorVM() {
 		m.Usage = l.Limits.Report(to)
 		m.Carried = carriedOf(m.Usage)
 		m.Term = l.term()
--- a/internal/lead/slots.go
+++ b/internal/lead/slots.go
@@ -39,10 +39,19 @@
 	}
 }
 
-// applySlots applies the shares in an answer to a renewal.
+// applySlots applies the shares in an answer to a renewal, of targets whose groups the sender coordinates.
 func (l *Lead) applySlots(m *message, sent mono.Time) {
-	if holder, ok := l.Health.(SlotHolder); ok && len(m.SlotShares) > 0 {
-		holder.SetSlotShares(m.From, m.Sequence, m.SlotShares, sent)
+	holder, ok := l.Health.(SlotHolder)
+	if !ok {
+		return
+	}
+	shares := slices.DeleteFunc(m.SlotShares, func(s slotshare.Share) bool {
+		t, _ := l.Directory.Target(s.Target)
+		row := l.holder.Row(t.Group)
+		return row == nil || row.Coordinator != m.From
+	})
+	if len(shares) > 0 {
+		holder.SetSlotShares(m.From, m.Sequence, shares, sent)
 	}
 }
 
--- a/internal/target/dial.go
+++ b/internal/target/dial.go
@@ -15,6 +15,9 @@
 	if p.waiting.Len() == 0 || p.closed || p.clock.Now().Before(p.noDialUntil) {
 		return
 	}
+	if !p.slotFree() {
+		return
+	}
 	for _, r := range p.requestsWithoutDial() {
 		if !p.mayDialFor(&r) {
 			continue
--- a/internal/target/fair.go
+++ b/internal/target/fair.go
@@ -48,7 +48,11 @@
 // refuse returns the error for a request that would wait for longer than it may.
 func (p *Pool) refuse(r *waitlist.Request, wait time.Duration, now mono.Time) *result.Error {
 	p.waiting.RecordMiss(r.Priority, now)
-	wait = p.waiting.RetryAfter(*r, wait, now)
+	hold, connections := p.holdTime, p.grantable()
+	if p.slots != nil {
+		hold, connections = p.slots.useTime, p.slots.limit.Allowance(now)
+	}
+	wait = p.waiting.RetryAfter(*r, wait, now, hold, connections)
 	p.fair.noteRefusal(r, wait, now, p.waiting.Len(), p.log, p.target.ID)
 	return result.New(result.QueueFull, "%s: a connection is expected in %v", p.target.ID, wait.Round(time.Millisecond)).After(wait)
 }
--- a/internal/target/grant.go
+++ b/internal/target/grant.go
@@ -53,6 +53,7 @@
 	l := p.idle[i]
 	p.idle = append(p.idle[:i], p.idle[i+1:]...)
 	l.assignTo(w.Request, now, now.Sub(w.Since))
+	p.noteGrant(&w.Request, l.waited)
 	w.Value <- grant{link: l}
 	return true
 }
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -133,6 +133,7 @@
 	p.noteUse(&r)
 	if l := p.takeIdle(&r, values); l != nil {
 		l.assignTo(r, p.clock.Now(), 0)
+		p.observeSlots()
 		p.mu.Unlock()
 		return l, nil
 	}
@@ -273,6 +274,7 @@
 	defer p.mu.Unlock()
 	l.sentAt = now
 	l.useSlot(now)
+	p.observeSlots()
 	return now
 }
 
--- a/internal/target/retained.go
+++ b/internal/target/retained.go
@@ -92,14 +92,13 @@
 }
 
 // retentionState returns the policy's view of the connections, and the links of State.Idle. An idle link for which a
-// request of its customer waits counts as busy: closed, it would have to be opened again at once.
+// request of its customer waits counts as busy: closed, it would have to be opened again at once. While another VM is
+// short of connections it is idle all the same.
 func (p *Pool) retentionState() (retention.State, []*Link) {
 	wanted := map[topology.CustomerID]bool{}
-	p.waiting.Each(func(r *waitlist.Request) {
-		if !r.Anyone {
-			wanted[r.Customer] = true
-		}
-	})
+	if !p.clock.Now().Before(p.shareLimitUntil) {
+		p.waiting.Each(func(r *waitlist.Request) { wanted[r.Customer] = wanted[r.Customer] || !r.Anyone })
+	}
 	var idle []*Link
 	s := retention.State{Open: map[topology.CustomerID]int{}}
 	for l := range p.links {
--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -259,7 +259,7 @@
 // in flight aren't limited here, and inTurn is false if the turn didn't come before the deadline.
 func (p *Pool) awaitTurn(l *Link, deadline time.Time) (inTurn, limited bool) {
 	p.mu.Lock()
-	if p.slots == nil || l.indirect {
+	if p.slots == nil || p.closed || l.indirect {
 		p.mu.Unlock()
 		return false, false
 	}
--- a/internal/target/subpool.go
+++ b/internal/target/subpool.go
@@ -87,7 +87,7 @@
 // makeRoom reports whether another connection may be opened. At the limit it closes an idle connection, if there is one,
 // to make room: the least recently used one, unless connections are retained by demand.
 func (p *Pool) makeRoom() bool {
-	if p.retention != nil && p.granted()+p.dialCount() >= p.grantLimit() {
+	if p.retention != nil && p.slots == nil && p.granted()+p.dialCount() >= p.grantLimit() {
 		return false
 	}
 	if len(p.links)+p.dialCount() < p.connectionLimit() {
--- a/pkg/outlier/attempts.go
+++ b/pkg/outlier/attempts.go
@@ -51,20 +51,19 @@
 	// lost doesn't count: the connections to a target that has died break one after another, which would use up
 	// all attempts before the failover is over.
 	lost
-	// unavailable doesn't count: a wait for a right, a primary or a target that can be reached lasts as long as a
-	// failover, and puts no load on a target.
+	// unavailable doesn't count: a wait for a right, a primary, a holder or a target that can be reached lasts as long
+	// as a failover, or until the target drops the connections of a VM that was lost, and puts no load on a target.
 	unavailable
 )
 
 func kindOf(code result.Code) kind {
 	switch code {
-	case result.NoRight, result.NoPrimary, result.TermRefused, result.AgeNotShown, result.TargetUnreachable,
-		result.TargetLeaving, result.WrongTarget:
-		return unavailable
+	case result.TargetBusy, result.QueueFull, result.DeadlineInQueue, result.ReplicaBehind, result.TargetFailed:
+		return refused
 	case result.OutcomeUnknown:
 		return lost
 	}
-	return refused
+	return unavailable
 }
 
 // Failed records a failed attempt, and reports whether another one is allowed.
--- a/pkg/quota/allocator.go
+++ b/pkg/quota/allocator.go
@@ -21,10 +21,9 @@
 	resumed mono.Time
 	// vms is how many VMs there are, as far as known.
 	vms int
-	// missing are the VMs that have reported before, but not in the last silentAfter; gone of them not within
-	// shareLifetime either.
+	// missing are the VMs that have reported within shareLifetime, but not in the last silentAfter, and for how long
+	// they have been silent.
 	missing map[topology.VMID]time.Duration
-	gone    int
 }
 
 // customerState is the state of one customer's limit.
@@ -244,8 +243,9 @@
 			continue
 		}
 		a.decay(c, l, now)
-		c.budget = max(0, 1-a.reserved(c, l, now))
+		// The budget of the time that has passed is the one before: after a pause all VMs count as missing.
 		c.level = max(floor, c.level-c.budget*l.Rate*passed.Seconds())
+		c.budget = max(0, 1-a.reserved(c, l, now))
 		if a.updateNear(c, l) {
 			near = append(near, tag)
 		}
@@ -262,13 +262,14 @@
 	return 0
 }
 
-// findMissing finds the VMs that have reported before and no longer do.
+// findMissing finds the VMs that no longer report. One that has been silent for longer than shareLifetime counts as
+// one that has never reported: if it is gone for good, the number of VMs falls and nothing is left to it any more.
 func (a *Allocator) findMissing(now mono.Time) {
-	a.missing, a.gone = map[topology.VMID]time.Duration{}, 0
+	a.missing = map[topology.VMID]time.Duration{}
 	for vm, at := range a.reported {
 		switch silent := now.Sub(at); {
 		case silent > shareLifetime:
-			a.gone++
+			delete(a.reported, vm)
 		case silent > silentAfter:
 			a.missing[vm] = silent
 		}
@@ -324,7 +325,7 @@
 		others = 0
 	}
 	if a.vms > 0 {
-		part += float64(others+a.gone) / float64(a.vms)
+		part += float64(others) / float64(a.vms)
 	}
 	return part
 }
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -97,12 +97,13 @@
 	return n
 }
 
-// unansweredFor returns for how many milliseconds no report has been answered, or 0 if none ever was.
+// unansweredFor returns for how many milliseconds no report has been answered: at least 1, since 0 stands for a report
+// to an allocator that has answered.
 func (m *Meter) unansweredFor(now mono.Time) uint32 {
 	if m.answeredReport == 0 {
-		return 0
+		return 1
 	}
-	return uint32(min(now.Sub(m.answeredReport), time.Hour) / time.Millisecond)
+	return uint32(max(1, min(now.Sub(m.answeredReport), time.Hour)/time.Millisecond))
 }
 
 // NewMeter returns a meter for a VM that has just started.
--- a/pkg/quota/partition_test.go
+++ b/pkg/quota/partition_test.go
@@ -446,3 +446,25 @@
 func (w *split) allowed() float64 {
 	return (w.limit.Rate*window.Seconds()+w.limit.Burst)*(1+excess) + slack
 }
+
+// Guards against a limit of which a part stays reserved for VMs that are gone for good: customers at their usual load
+// were refused for as long as the allocator lived.
+func TestNothingIsReservedForVMsThatAreGone(t *testing.T) {
+	for _, l := range limits {
+		w := newWorld(manyVMs, 1, l, usual*l.Rate, demandVMsOf(manyVMs, l))
+		w.run(4 * time.Second)
+		w.vms = w.vms[:manyVMs/2]
+		w.demandVMs = min(w.demandVMs, len(w.vms))
+		w.run(6 * time.Second)
+		w.size = len(w.vms) // Their registrations are removed.
+		for _, v := range w.vms {
+			v.meter.SetVMs(w.size)
+		}
+		w.run(8 * time.Second)
+		w.offered, w.refused = 0, 0
+		w.run(10 * time.Second)
+		if part := float64(w.refused) / float64(w.offered); part > 0.01 {
+			t.Errorf("limit %v: %.3f of %d refused", l.Rate, part, w.offered)
+		}
+	}
+}
--- a/pkg/slotshare/limit.go
+++ b/pkg/slotshare/limit.go
@@ -71,7 +71,11 @@
 		l.paces[priority] = p
 	}
 	p.add(now.Sub(sent), now)
-	return p.slow() && l.lower(sent, now)
+	if !p.slow() || !l.lower(sent, now) {
+		return false
+	}
+	p.answers = 0 // The average still holds answers from before, which would lower the allowance again.
+	return true
 }
 
 // lower lowers the allowance unless the statement was sent before it was last lowered, so that it falls once in a
--- a/pkg/waitlist/fair_sim_test.go
+++ b/pkg/waitlist/fair_sim_test.go
@@ -145,7 +145,7 @@
 		t.waiting[j.class] = append(t.waiting[j.class], t.list.Add(r, j, j.at, t.hold))
 		return
 	}
-	retry := t.list.RetryAfter(r, wait, j.at)
+	retry := t.list.RetryAfter(r, wait, j.at, t.hold, slots)
 	s.count(j, func(o *results) {
 		o.refused++
 		o.longestRetry = max(o.longestRetry, retry)
--- a/pkg/waitlist/fair_test.go
+++ b/pkg/waitlist/fair_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
@@ -151,3 +152,19 @@
 		t.Errorf("%v, %d left", order, l.Len())
 	}
 }
+
+// Guards against callers that are told to retry after minutes: the wait of a request that is late already includes all
+// requests that arrive for as long as an overload lasts.
+func TestALateRequestIsToldToRetryOnceTheOthersAreServed(t *testing.T) {
+	const hold, connections = 20 * time.Millisecond, 4
+	var l waitlist.List[int]
+	l.Fair(func(topology.CustomerID) float64 { return 1 })
+	now := mono.Time(time.Minute)
+	for i := range 100 {
+		l.Add(waitlist.Request{Useful: now.Add(time.Second), Deadline: now.Add(5 * time.Second), Customer: "c"}, i, now, hold)
+	}
+	late := waitlist.Request{Useful: now, Deadline: now.Add(time.Second), Customer: "c"}
+	if got := l.RetryAfter(late, time.Hour/connections, now, hold, connections); got <= 0 || got > time.Second {
+		t.Errorf("retry after %v, though the slots serve what waits in half a second", got)
+	}
+}
--- a/pkg/waitlist/waitlist.go
+++ b/pkg/waitlist/waitlist.go
@@ -244,13 +244,18 @@
 }
 
 // RetryAfter returns the time after which the caller of a request that is refused, because it would have waited for
-// the given time, should try again. With fair queueing that is at the latest when the request would have missed its
-// objective: by then all requests before it have been granted or are late, and a new one goes before the late ones.
-func (l *List[T]) RetryAfter(r Request, wait time.Duration, now mono.Time) time.Duration {
-	if l.fair == nil || !r.Useful.After(now) {
+// the given time, should try again; hold and connections are those of EstimateWait. With fair queueing the wait
+// includes requests that are yet to arrive. The caller is asked to return when the request would have missed its
+// objective, by which time most requests before it have been granted or are late, or if it is late itself, once those
+// that wait now have been granted.
+func (l *List[T]) RetryAfter(r Request, wait time.Duration, now mono.Time, hold time.Duration, connections int) time.Duration {
+	switch {
+	case l.fair == nil:
 		return wait
+	case r.Useful.After(now):
+		return min(wait, r.Useful.Sub(now))
 	}
-	return min(wait, r.Useful.Sub(now))
+	return min(wait, time.Duration(l.Len()+1)*hold/time.Duration(max(connections, 1)))
 }
 
 // queue is a heap ordered by priority, then by objective or deadline, then by arrival.
