--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -45,8 +45,7 @@
 
 const (
 	// firstRefusalPause is for how long nothing new is sent after a refusal: about as long as a statement takes at a
-	// target. It doubles with each further refusal, up to longestRefusalPause, about as long as a target with a full
-	// queue takes to answer.
+	// target. It doubles with each further refusal, up to longestRefusalPause.
 	firstRefusalPause   = insistPause
 	longestRefusalPause = 80 * time.Millisecond
 	// slotLogInterval is the time between two log lines about the allowance at one target.
--- a/pkg/retention/policy.go
+++ b/pkg/retention/policy.go
@@ -19,11 +19,11 @@
 	MaxIdle = 15 * time.Second
 	// recentlyUsed is how long a connection counts as busy after it was used, while few connections are open.
 	recentlyUsed = 250 * time.Millisecond
-	// cautiousFor is how long fewer idle connections are kept after the target had no connection left: as long as the
+	// reducedFor is how long fewer idle connections are kept after the target had no connection left: as long as the
 	// connections of a VM that lost power count at the target.
-	cautiousFor = 3 * time.Second
-	// cautiousDivisor divides the number of idle connections during that time.
-	cautiousDivisor = 2
+	reducedFor = 3 * time.Second
+	// reducedDivisor divides the number of idle connections during that time.
+	reducedDivisor = 2
 	// aheadWithin is the time within which a connection that is opened ahead of need must be expected to be used.
 	aheadWithin = time.Second
 	// maxOpenDelay bounds OpenDelay: opening takes long at a target that is overloaded, and a connection that has been
@@ -95,8 +95,8 @@
 	demand demand
 	// cost is the moving average of the time that opening a connection takes.
 	cost time.Duration
-	// cautiousUntil is until when fewer idle connections are kept.
-	cautiousUntil mono.Time
+	// reducedUntil is until when fewer idle connections are kept.
+	reducedUntil mono.Time
 }
 
 // Use records that a request of a customer needs a connection while the given number of its connections is busy.
@@ -114,15 +114,15 @@
 }
 
 // Refused records that the target had no connection left.
-func (p *Policy) Refused(now mono.Time) { p.cautiousUntil = now.Add(cautiousFor) }
+func (p *Policy) Refused(now mono.Time) { p.reducedUntil = now.Add(reducedFor) }
 
-func (p *Policy) cautious(now mono.Time) bool { return now.Before(p.cautiousUntil) }
+func (p *Policy) reduced(now mono.Time) bool { return now.Before(p.reducedUntil) }
 
 // idleLimit returns the greatest number of idle connections to keep now.
 func (p *Policy) idleLimit(now mono.Time) int {
 	limit := p.IdlePlaces
-	if p.cautious(now) {
-		limit /= cautiousDivisor
+	if p.reduced(now) {
+		limit /= reducedDivisor
 	}
 	return max(limit, 1)
 }
@@ -130,7 +130,7 @@
 // idleAllowed returns how many of the idle connections may be kept.
 func (p *Policy) idleAllowed(s *State, now mono.Time) int {
 	limit := p.idleLimit(now)
-	if p.cautious(now) {
+	if p.reduced(now) {
 		return limit
 	}
 	recent := 0
@@ -160,7 +160,7 @@
 		}
 	}
 	reason := Idle
-	if p.cautious(now) {
+	if p.reduced(now) {
 		reason = Refused
 	}
 	for _, i := range p.lowest(s, len(s.Idle)-len(closings)-p.idleAllowed(&s, now), closings, now) {
@@ -212,7 +212,7 @@
 // with the highest demand among those without a connection, if a request is expected soon. There must be so few
 // connections that all could be idle: otherwise the new one would be closed as soon as others become idle.
 func (p *Policy) Ahead(s State, now mono.Time) (topology.CustomerID, bool) {
-	if p.cautious(now) || s.total() >= p.idleLimit(now) {
+	if p.reduced(now) || s.total() >= p.idleLimit(now) {
 		return "", false
 	}
 	least := 1 / aheadWithin.Seconds()
--- a/pkg/slotshare/pace.go
+++ b/pkg/slotshare/answertime.go
@@ -15,10 +15,10 @@
 	minimumStep   = time.Second
 )
 
-// pace compares a target's answer time with its lowest of the last ten seconds. It covers statements of one priority,
+// answerTime compares a target's answer time with its lowest of the last ten seconds. It covers statements of one priority,
 // since those of another class may take several times as long. The averages are compared: the shortest single
 // answer says little of a class whose statements differ.
-type pace struct {
+type answerTime struct {
 	average time.Duration
 	answers int
 	minima  [minimumWindow / minimumStep]minimum
@@ -30,37 +30,37 @@
 	value time.Duration
 }
 
-func (p *pace) add(took time.Duration, now mono.Time) {
-	p.answers = min(p.answers+1, answersAveraged)
-	p.average += (took - p.average) / time.Duration(p.answers)
-	if p.answers < answersAveraged {
+func (a *answerTime) add(took time.Duration, now mono.Time) {
+	a.answers = min(a.answers+1, answersAveraged)
+	a.average += (took - a.average) / time.Duration(a.answers)
+	if a.answers < answersAveraged {
 		return
 	}
 	step := int64(now) / int64(minimumStep)
-	m := &p.minima[step%int64(len(p.minima))]
-	if m.step != step || p.average < m.value {
-		*m = minimum{step: step, value: p.average}
+	m := &a.minima[step%int64(len(a.minima))]
+	if m.step != step || a.average < m.value {
+		*m = minimum{step: step, value: a.average}
 	}
 }
 
 // slow reports whether answers take more than slowFactor times as long as expected: each slot serves queuePerSlot
 // statements in turn.
-func (p *pace) slow() bool {
-	if p.answers < answersAveraged {
+func (a *answerTime) slow() bool {
+	if a.answers < answersAveraged {
 		return false
 	}
-	return p.average > slowFactor*queuePerSlot*p.lowest()
+	return a.average > slowFactor*queuePerSlot*a.lowest()
 }
 
 // lowest returns the lowest average of the window that ends with the newest answer.
-func (p *pace) lowest() time.Duration {
+func (a *answerTime) lowest() time.Duration {
 	newest := int64(0)
-	for _, m := range p.minima {
+	for _, m := range a.minima {
 		newest = max(newest, m.step)
 	}
-	lowest := p.average
-	for _, m := range p.minima {
-		if m.value > 0 && newest-m.step < int64(len(p.minima)) {
+	lowest := a.average
+	for _, m := range a.minima {
+		if m.value > 0 && newest-m.step < int64(len(a.minima)) {
 			lowest = min(lowest, m.value)
 		}
 	}
--- a/pkg/slotshare/divider.go
+++ b/pkg/slotshare/divider.go
@@ -55,7 +55,7 @@
 }
 
 // Configure sets the slots of the target and its holders. After a change it gives no shares until all have expired,
-// since the safe parts have changed with which the shares were reckoned.
+// since the safe parts have changed with which the shares were computed.
 func (d *Divider) Configure(slots int, holders []topology.VMID, now mono.Time) {
 	if d.total != 0 && (d.total != Total(slots) || !slices.Equal(d.holders, holders)) {
 		clear(d.state)
--- a/pkg/slotshare/limit.go
+++ b/pkg/slotshare/limit.go
@@ -24,9 +24,9 @@
 	lowered   float64
 	loweredAt mono.Time
 	// full is set while the whole allowance is used; checked is when that was last observed.
-	full    bool
-	checked mono.Time
-	paces   map[int]*pace
+	full        bool
+	checked     mono.Time
+	answerTimes map[int]*answerTime
 }
 
 // Configure sets the slots of the target and the number of its holders.
@@ -62,13 +62,13 @@
 // Answered records an answer to a statement of a priority, and reports whether it lowered the allowance because the
 // target has slowed down.
 func (l *Limit) Answered(priority int, sent, now mono.Time) bool {
-	if l.paces == nil {
-		l.paces = map[int]*pace{}
+	if l.answerTimes == nil {
+		l.answerTimes = map[int]*answerTime{}
 	}
-	p := l.paces[priority]
+	p := l.answerTimes[priority]
 	if p == nil {
-		p = &pace{}
-		l.paces[priority] = p
+		p = &answerTime{}
+		l.answerTimes[priority] = p
 	}
 	p.add(now.Sub(sent), now)
 	if !p.slow() || !l.lower(sent, now) {
