--- a/internal/target/slots.go
+++ b/internal/target/slots.go
@@ -2,14 +2,12 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
-	"github.com/buckthornshore/buckthornshore/pkg/topology"
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
 
@@ -55,12 +53,6 @@
 	loweredSlow    = "slow"
 )
 
-// refusedStatement is a statement that waits to be sent again over its link; turn receives when it may be sent.
-type refusedStatement struct {
-	link *Link
-	turn chan struct{}
-}
-
 // slotShareOf returns the share of a target's slots, or the zero value if this VM isn't limited there.
 func (p *Pools) slotShareOf(t directory.Target, s Share) SlotShare {
 	if !p.Options.SharedSlots || s.Indirect || t.Slots <= 0 {
@@ -254,64 +246,6 @@
 	})
 }
 
-// awaitTurn waits until a refused statement of an open transaction may be sent again. limited is false if statements
-// in flight aren't limited here, and inTurn is false if the turn didn't come before the deadline.
-func (p *Pool) awaitTurn(l *Link, deadline time.Time) (inTurn, limited bool) {
-	p.mu.Lock()
-	if p.slots == nil || p.closed || l.indirect {
-		p.mu.Unlock()
-		return false, false
-	}
-	now := p.clock.Now()
-	l.freeSlot(now)
-	refused := &p.slots.refused
-	w := refused.Add(l.request, refusedStatement{link: l, turn: make(chan struct{}, 1)}, now, p.health.latency)
-	p.grantInTurn()
-	p.mu.Unlock()
-	timer := time.NewTimer(time.Until(deadline))
-	defer timer.Stop()
-	select {
-	case <-w.Value.turn:
-		return true, true
-	case <-timer.C:
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return !refused.Remove(w), true
-}
-
-// resumeFirst has the first refused statement sent again if there is a free slot, and reports whether it did. Refused
-// statements go before waiting requests of the same priority, since their transactions hold connections and locks.
-func (p *Pool) resumeFirst() bool {
-	if p.slots == nil || p.slots.refused.Len() == 0 || !p.slotFree() {
-		return false
-	}
-	now := p.clock.Now()
-	first, other := p.slots.refused.Peek(now, p.health.latency), p.waiting.Peek(now, p.health.latency)
-	if other != nil && other.Priority < first.Priority && p.idleLinkFor(&other.Request) >= 0 {
-		return false
-	}
-	p.resume(first, now)
-	return true
-}
-
-// resumeAll has all refused statements sent again at once.
-func (p *Pool) resumeAll() {
-	if p.slots == nil {
-		return
-	}
-	now := p.clock.Now()
-	for w := p.slots.refused.Peek(now, 0); w != nil; w = p.slots.refused.Peek(now, 0) {
-		p.resume(w, now)
-	}
-}
-
-func (p *Pool) resume(w *waitlist.Waiter[refusedStatement], now mono.Time) {
-	p.slots.refused.Remove(w)
-	w.Value.link.useSlot(now)
-	w.Value.turn <- struct{}{}
-}
-
 // tickSlots reports the use of the slots.
 func (p *Pool) tickSlots(now mono.Time) {
 	if p.slots == nil || p.closed {
@@ -353,62 +287,3 @@
 	}
 	return time.Duration(p.waiting.Len()+1) * p.slots.useTime / time.Duration(p.slots.limit.Allowance(p.clock.Now()))
 }
-
-// SlotDemand returns the demand at the targets where something waits or waited a short time ago, or where this VM keeps
-// to a coordinator's share.
-func (p *Pools) SlotDemand(coordinator topology.VMID) []slotshare.Demand {
-	var all []slotshare.Demand
-	for _, pool := range p.all() {
-		if demand, ok := pool.slotDemand(coordinator); ok {
-			all = append(all, demand)
-		}
-	}
-	return all
-}
-
-// SetSlotShares applies a coordinator's shares, which answer the report of the given number, sent at the given time.
-func (p *Pools) SetSlotShares(coordinator topology.VMID, sequence uint64, shares []slotshare.Share, sent mono.Time) {
-	for _, share := range shares {
-		if pool, ok := p.Get(share.Target); ok {
-			pool.giveSlots(coordinator, sequence, share, sent)
-		}
-	}
-}
-
-func (p *Pool) slotDemand(coordinator topology.VMID) (slotshare.Demand, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	now := p.clock.Now()
-	if p.slots == nil || !p.slots.limit.MustReport(p.slots.waitedAt, now) {
-		return slotshare.Demand{}, false
-	}
-	demand := slotshare.Demand{Target: p.target.ID, InFlight: p.inFlight(), Applied: p.slots.limit.Applied(coordinator, now)}
-	for priority, n := range p.slotsWaiting() {
-		if n > 0 {
-			demand.Waiting = append(demand.Waiting, slotshare.Waiting{Priority: priority, Count: n})
-		}
-	}
-	slices.SortFunc(demand.Waiting, func(a, b slotshare.Waiting) int { return a.Priority - b.Priority })
-	return demand, true
-}
-
-// slotsWaiting returns the number of waiting requests and refused statements by priority, including priorities for
-// which none wait any more.
-func (p *Pool) slotsWaiting() map[int]int {
-	waiting := p.slots.waitingBy
-	for priority := range waiting {
-		waiting[priority] = 0
-	}
-	count := func(r *waitlist.Request) { waiting[r.Priority]++ }
-	p.waiting.Each(count)
-	p.slots.refused.Each(count)
-	return waiting
-}
-
-func (p *Pool) giveSlots(coordinator topology.VMID, sequence uint64, s slotshare.Share, sent mono.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.slots != nil && p.slots.limit.Give(coordinator, sequence, s, sent, p.clock.Now()) {
-		p.grow()
-	}
-}
