--- a/internal/target/slotreport.go
+++ b/internal/target/slotreport.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
