Lead: a line for each promotion order

No line told when an order is sent, nor on what: whether it went out before the cut and was held up, or after it, and what the VM knew of the group and of the duty by then. Hypotheses that the line tells apart: (1) the order is sent after a reading that shows the row open for another coordinator; (2) it is sent before that reading, on an old one; (3) it was sent before the cut and arrives late. Before: event=promotion_unanswered only. After: event=promotion_ordered with candidate, fence, the replacement's row version beside the known one, its coordinator, and the ages of both readings.

--- a/internal/lead/promote.go
+++ b/internal/lead/promote.go
@@ -85,8 +85,12 @@
 		return errors.Wrap(err, "the duty")
 	}
 	r.mu.Lock()
-	r.relocation.orderedAt = r.Clock.Now()
+	now := r.Clock.Now()
+	r.relocation.orderedAt = now
+	known, dutyAge, rowAge := r.holder.Row(r.group), now.Sub(r.duty.read), now.Sub(r.coordinator.Confirmed(r.group))
 	r.mu.Unlock()
+	r.Log.Info("event=promotion_ordered", "group", r.group, "candidate", candidate, "fence", fence, "duty_age", dutyAge,
+		"version", r.row.Version, "known_version", known.Version, "coordinator", known.Coordinator, "open", known.Open(), "row_age", rowAge)
 	return r.Promotions.Promote(ctx, r.group, candidate, r.self.ID, fence)
 }
 
