Lead: order a promotion only for a group that is still coordinated

Cause: orderPromotion looked at the coordination of the group, and then read the duty, claimed it if another VM held it and waited 0.7 s until it had settled. A coordinator that was cut off learns by that reading that another VM has opened the row for another primary; it claimed the duty all the same and ordered its old candidate. Ruled out: an order on a reading of before (the newer row was known), and one that was held up by the cut (its fence is that of the claim after the cut). The fix: acquireDuty is given the reason for which the duty is needed and asks it after each reading and wait, before it claims and last as it returns the token. For an order: this VM coordinates the group and knows no other version of the row. After a takeover: a group taken is still coordinated and no usable VM holds the duty. After a restoration of the store: the duty still names this VM. It works since the reading of the duty brings the groups' rows as of the same moment, and a VM that claims the duty after it waits longer than an order may be in flight.

--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -90,42 +90,60 @@
 
 // acquireDuty makes this VM the holder of the duty and returns its fencing token once this VM may
 // send orders.
-func (l *Lead) acquireDuty(ctx context.Context) (fence uint64, err error) {
-	l.mu.Lock()
-	moving := l.relocation.moving
-	l.mu.Unlock()
-	if moving {
-		return 0, errSuperseded
-	}
+//
+// entitled reports whether this VM still has a reason to hold the duty, such as a group that it coordinates. It is
+// called under the lock, after each call to the store and each wait: while this VM was cut off another one may
+// have taken the group over, and a reading of the duty shows that too.
+func (l *Lead) acquireDuty(ctx context.Context, entitled func() bool) (fence uint64, err error) {
 	if err := l.readDuty(ctx); err != nil {
 		return 0, err
 	}
-	l.mu.Lock()
-	held, former := l.holdsDuty(), l.duty
-	l.mu.Unlock()
-	if !held {
-		if err := l.claimDuty(ctx, former); err != nil {
+	state, err := l.checkDuty(entitled)
+	if err != nil {
+		return 0, err
+	}
+	if !state.held {
+		if err := l.claimDuty(ctx, state.dutyState); err != nil {
 			return 0, err
 		}
 	}
+	if err := l.awaitDutySettled(ctx); err != nil {
+		return 0, err
+	}
+	state, err = l.checkDuty(entitled)
+	if err == nil && !state.held {
+		// Claiming it back at once would make two VMs take it from each other forever.
+		err = errSuperseded
+	}
+	return state.Fence, err
+}
+
+// checkedDuty is the known duty, and whether this VM holds it.
+type checkedDuty struct {
+	dutyState
+	held bool
+}
+
+// checkDuty returns the known duty if this VM may hold it.
+func (l *Lead) checkDuty(entitled func() bool) (checkedDuty, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.relocation.moving || !entitled() {
+		return checkedDuty{}, errSuperseded
+	}
+	return checkedDuty{dutyState: l.duty, held: l.holdsDuty()}, nil
+}
+
+// awaitDutySettled waits until no order of a former holder can be in flight, and reads the duty again.
+func (l *Lead) awaitDutySettled(ctx context.Context) error {
 	l.mu.Lock()
 	settling := l.duty.usableFrom.Sub(l.Clock.Now())
-	fence = l.duty.Fence
 	l.mu.Unlock()
 	if settling <= 0 {
-		return fence, nil
+		return nil
 	}
 	wait.For(ctx, settling)
-	if err := l.readDuty(ctx); err != nil {
-		return 0, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if !l.holdsDuty() {
-		// Claiming it back at once would make two VMs take it from each other forever.
-		return 0, errSuperseded
-	}
-	return l.duty.Fence, nil
+	return l.readDuty(ctx)
 }
 
 // readDuty reads the row unless it was read within maxDutyAge.
--- /dev/null
+++ b/internal/lead/order_test.go
@@ -0,0 +1,205 @@
+package lead
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/metastore"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// interleavedStore runs the changes of other VMs between the calls of this one. A hook runs once.
+type interleavedStore struct {
+	metastore.Store
+	// beforeList runs before a reading, and afterPut after a write of the key in afterPutOf.
+	beforeList, afterPut func()
+	afterPutOf           string
+}
+
+func (s *interleavedStore) List(ctx context.Context, table string, keys metastore.Range) (metastore.Rows, error) {
+	if hook := s.beforeList; hook != nil {
+		s.beforeList = nil
+		hook()
+	}
+	return s.Store.List(ctx, table, keys)
+}
+
+func (s *interleavedStore) Put(ctx context.Context, table, key string, value []byte, expected metastore.Version) (metastore.Version, error) {
+	version, err := s.Store.Put(ctx, table, key, value, expected)
+	if hook := s.afterPut; hook != nil && key == s.afterPutOf {
+		s.afterPut = nil
+		hook()
+	}
+	return version, err
+}
+
+// orderCounter counts the promotion orders that it receives.
+type orderCounter struct{ orders int }
+
+func (o *orderCounter) Promote(context.Context, topology.GroupID, topology.TargetID, topology.VMID, uint64) error {
+	o.orders++
+	return nil
+}
+
+// replacing is a VM that replaces the primary of the group g: the row is closed, with the candidate b.
+type replacing struct {
+	t        *testing.T
+	memory   *metastore.Memory
+	store    *interleavedStore
+	orders   *orderCounter
+	replaces *replacement
+}
+
+func newReplacing(t *testing.T, dutyHolder topology.VMID) *replacing {
+	t.Helper()
+	x := &replacing{t: t, memory: metastore.NewMemory(), orders: &orderCounter{}}
+	x.store = &interleavedStore{Store: x.memory}
+	open := &lease.Row{Group: "g", Version: 1, Term: 1, Primary: "a", Coordinator: "vm-1", Incarnation: 1, Fence: 1}
+	row := open.Closed("primary_failed").WithCandidate("b", position.Position{Term: 1, Index: 9}, false)
+	x.put(groupPrefix+"g", row)
+	x.put(dutyKey, duty{Holder: dutyHolder, Incarnation: 1, Fence: 1})
+	l := New(Options{
+		Directory: directory.New(topology.VM{ID: "vm-1", Incarnation: 1}), Store: x.store, Promotions: x.orders,
+		Clock: mono.System{}, Log: slog.New(slog.DiscardHandler), Transport: silentTransport(t),
+	})
+	l.reading = true // Keeps a reading in the background from running the hooks.
+	if err := l.readDecisions(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	l.duty.usableFrom, l.duty.read = 0, 0 // It has held the duty for long, and must read it again.
+	x.replaces = &replacement{Lead: l, group: "g", row: l.coordinator.Row("g")}
+	return x
+}
+
+// put writes a row at its present version.
+func (x *replacing) put(key string, value any) {
+	x.t.Helper()
+	rows, err := x.memory.List(x.t.Context(), Table, metastore.Key(key))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	var version metastore.Version
+	if len(rows.Rows) > 0 {
+		version = rows.Rows[0].Version
+	}
+	mustPut(x.t, x.memory, key, value, version)
+}
+
+// loseGroup lets vm-2 take the group over and open its row for another primary.
+func (x *replacing) loseGroup() {
+	x.t.Helper()
+	taken := x.replaces.row.TakenBy("vm-2", 1, "vm-2", nil)
+	x.put(groupPrefix+"g", taken.WithCandidate("c", position.Position{Term: 1, Index: 9}, false).Opened(2))
+}
+
+// loseAll is loseGroup, with the duty.
+func (x *replacing) loseAll() {
+	x.t.Helper()
+	x.loseGroup()
+	x.put(dutyKey, duty{Holder: "vm-2", Incarnation: 1, Fence: 2})
+}
+
+func (x *replacing) dutyHolder() topology.VMID {
+	x.t.Helper()
+	rows, err := x.memory.List(x.t.Context(), Table, metastore.Key(dutyKey))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	var d duty
+	if err := json.Unmarshal(rows.Rows[0].Value, &d); err != nil {
+		x.t.Fatal(err)
+	}
+	return d.Holder
+}
+
+// Guards against a promotion of the former candidate after another VM has opened the row for another
+// primary: the callers' writes there are acknowledged and rolled back.
+func TestNoOrderForAGroupThatWasLostMeanwhile(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		dutyHolder topology.VMID
+		interleave func(*replacing)
+		wantDuty   topology.VMID
+	}{
+		{"before the duty is read", "vm-1", func(x *replacing) { x.store.beforeList = x.loseAll }, "vm-2"},
+		{"before the duty is read, which stays with this VM", "vm-1", func(x *replacing) { x.store.beforeList = x.loseGroup }, "vm-1"},
+		{"while the duty is claimed", "vm-2", func(x *replacing) { x.store.afterPut, x.store.afterPutOf = x.loseGroup, dutyKey }, "vm-1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			x := newReplacing(t, c.dutyHolder)
+			c.interleave(x)
+			err := x.replaces.orderPromotion(t.Context(), "b")
+			if x.orders.orders != 0 || !errors.Is(err, errSuperseded) {
+				t.Errorf("%d orders for a group of another VM, error %v", x.orders.orders, err)
+			}
+			if holder := x.dutyHolder(); holder != c.wantDuty {
+				t.Errorf("the duty is with %s", holder)
+			}
+		})
+	}
+}
+
+// Guards against orders that are never sent: nothing changes while the duty is read, claimed and waited for.
+func TestAnOrderForAGroupThatIsStillCoordinated(t *testing.T) {
+	for _, holder := range []topology.VMID{"vm-1", "vm-2"} {
+		x := newReplacing(t, holder)
+		if err := x.replaces.orderPromotion(t.Context(), "b"); err != nil || x.orders.orders != 1 {
+			t.Errorf("duty with %s: %d orders, error %v", holder, x.orders.orders, err)
+		}
+	}
+}
+
+// Guards against a duty that is taken from its holder for groups that another VM has taken over meanwhile: the holder's next
+// order waits until the duty has settled again.
+func TestTheDutyIsNotClaimedForGroupsThatWereLostMeanwhile(t *testing.T) {
+	x := newReplacing(t, "vm-9")
+	l := x.replaces.Lead
+	x.put(groupPrefix+"g", x.replaces.row.TakenBy("vm-9", 1, "vm-9", nil))
+	if err := l.readDecisions(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	x.store.afterPutOf, x.store.afterPut = groupPrefix+"g", func() {
+		taken := x.replaces.row.TakenBy("vm-9", 1, "vm-9", nil).TakenBy("vm-1", 1, "vm-1", nil)
+		x.put(groupPrefix+"g", taken.TakenBy("vm-2", 1, "vm-2", nil))
+	}
+	l.takeOver(t.Context(), "vm-9", []topology.GroupID{"g"}, "silent")
+	if holder := x.dutyHolder(); holder != "vm-9" {
+		t.Fatalf("the duty is with %s", holder)
+	}
+}
+
+// Guards against a VM that takes the duty from its present holder after a restoration of the store, since it held it before.
+func TestTheDutyIsNotClaimedAgainFromItsNextHolder(t *testing.T) {
+	x := newReplacing(t, "vm-1")
+	l := x.replaces.Lead
+	x.memory.Restore(x.memory.Backup())
+	if err := l.readDecisions(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	x.store.beforeList = func() { x.put(dutyKey, duty{Holder: "vm-2", Incarnation: 1, Fence: fencesPerEra}) }
+	l.mu.Lock()
+	l.renewDuty(t.Context())
+	l.mu.Unlock()
+	for l.isRenewingDuty() {
+		time.Sleep(time.Millisecond)
+	}
+	if holder := x.dutyHolder(); holder != "vm-2" {
+		t.Fatalf("the duty is with %s", holder)
+	}
+}
+
+func (l *Lead) isRenewingDuty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.renewingDuty
+}
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -61,10 +61,8 @@
 }
 
 // dutyHeldElsewhere reports whether another usable VM holds the duty.
-func (l *Lead) dutyHeldElsewhere() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	vm, ok := l.usableDutyHolder(l.Clock.Now())
+func (l *Lead) dutyHeldElsewhere(now mono.Time) bool {
+	vm, ok := l.usableDutyHolder(now)
 	return ok && vm.ID != l.self.ID
 }
 
--- a/internal/lead/promote.go
+++ b/internal/lead/promote.go
@@ -35,7 +35,7 @@
 	ordered, seen := time.Time{}, time.Now()
 	var accepted time.Time // When an order was first answered with success.
 	for {
-		if r.coordinatedRow() == nil || ctx.Err() != nil {
+		if !r.isCurrent() || ctx.Err() != nil {
 			return errSuperseded
 		}
 		candidate, ok := r.Directory.Target(r.row.Handover.Candidate)
@@ -48,6 +48,8 @@
 			switch {
 			case errors.Is(err, ErrNotPromotable):
 				return r.dropCandidate(ctx, "not_promotable")
+			case errors.Is(err, errSuperseded):
+				r.Log.Info("event=promotion_withheld", "group", r.group, "candidate", candidate.ID, "version", r.row.Version, "error", err)
 			case err != nil:
 				r.Log.Warn("event=promotion_unanswered", "group", r.group, "candidate", candidate.ID, "error", err)
 			case accepted.IsZero():
@@ -71,29 +73,28 @@
 	}
 }
 
-// orderPromotion sends the order right after checking the age of the coordinator's last
-// confirmation: a VM that was paused before may have been replaced as the coordinator.
+// orderPromotion sends the order if this VM may, judged by what it knows when it sends it.
 func (r *replacement) orderPromotion(ctx context.Context, candidate topology.TargetID) error {
-	r.mu.Lock()
-	fresh := r.Clock.Now().Sub(r.coordinator.Confirmed(r.group)) < lease.CoordinatorLimit
-	r.mu.Unlock()
-	if !fresh {
-		return errSuperseded
-	}
-	fence, err := r.acquireDuty(ctx)
+	fence, err := r.acquireDuty(ctx, r.mayOrder)
 	if err != nil {
 		return errors.Wrap(err, "the duty")
 	}
 	r.mu.Lock()
 	now := r.Clock.Now()
 	r.relocation.orderedAt = now
-	known, dutyAge, rowAge := r.holder.Row(r.group), now.Sub(r.duty.read), now.Sub(r.coordinator.Confirmed(r.group))
+	dutyAge, rowAge := now.Sub(r.duty.read), now.Sub(r.coordinator.Confirmed(r.group))
 	r.mu.Unlock()
-	r.Log.Info("event=promotion_ordered", "group", r.group, "candidate", candidate, "fence", fence, "duty_age", dutyAge,
-		"version", r.row.Version, "known_version", known.Version, "coordinator", known.Coordinator, "open", known.Open(), "row_age", rowAge)
+	r.Log.Info("event=promotion_ordered", "group", r.group, "candidate", candidate, "version", r.row.Version, "fence", fence,
+		"row_age", rowAge, "duty_age", dutyAge)
 	return r.Promotions.Promote(ctx, r.group, candidate, r.self.ID, fence)
 }
 
+// mayOrder reports whether this VM coordinates the group under the row that the replacement works on, and was
+// confirmed as the coordinator recently. The caller holds the lock.
+func (r *replacement) mayOrder() bool {
+	return r.coordinator.Coordinates(r.row) && r.Clock.Now().Sub(r.coordinator.Confirmed(r.group)) < lease.CoordinatorLimit
+}
+
 // dropCandidate drops a candidate that failed; the next run chooses another one.
 func (r *replacement) dropCandidate(ctx context.Context, reason string) error {
 	failed := r.row.Handover.Candidate
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -90,6 +90,13 @@
 	return r.coordinator.Row(r.group)
 }
 
+// isCurrent reports whether this VM still coordinates the group under the row that the replacement works on.
+func (r *replacement) isCurrent() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.coordinator.Coordinates(r.row)
+}
+
 // change commits the next version of the row.
 func (r *replacement) change(ctx context.Context, next *lease.Row) error {
 	if err := r.commit(ctx, r.row, next); err != nil {
@@ -122,7 +129,7 @@
 	registered, err := r.registered(ctx)
 	remindedAt, pause := r.Clock.Now(), reminderPeriod
 	for {
-		if r.coordinatedRow() == nil {
+		if !r.isCurrent() {
 			return errSuperseded
 		}
 		r.mu.Lock()
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -160,7 +160,7 @@
 	}
 	l.renewingDuty = true
 	go func() {
-		if _, err := l.acquireDuty(ctx); err != nil {
+		if _, err := l.acquireDuty(ctx, l.namedByDuty); err != nil {
 			l.Log.Info("event=duty_not_claimed", "error", err)
 			wait.For(ctx, handoverRetryDelay)
 		}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -268,15 +268,26 @@
 	}
 	taken = append(taken, l.takeOverGroups(ctx, from, groups[1:], reason)...)
 	l.notify(taken...) // One message for all groups, as every VM answers each message.
-	if len(taken) == 0 || l.dutyHeldElsewhere() {
-		return // Another VM holds the duty, and the groups will be handed over to it.
+	needed := func() bool { return l.needsDutyFor(taken) }
+	l.mu.Lock()
+	claim := needed()
+	l.mu.Unlock()
+	if !claim {
+		return
 	}
 	// Claiming the duty now lets its settling time pass before a primary fails.
-	if _, err := l.acquireDuty(ctx); err != nil {
+	if _, err := l.acquireDuty(ctx, needed); err != nil {
 		l.Log.Info("event=duty_not_claimed", "error", err)
 	}
 }
 
+// needsDutyFor reports whether this VM coordinates any of the groups that it took over and no other usable VM holds the
+// duty, to which the groups would be handed over. The caller holds the lock.
+func (l *Lead) needsDutyFor(taken []*lease.Row) bool {
+	coordinated := func(row *lease.Row) bool { return l.coordinator.Row(row.Group) != nil }
+	return slices.ContainsFunc(taken, coordinated) && !l.dutyHeldElsewhere(l.Clock.Now())
+}
+
 // stillCoordinates reads from the store whether a VM still coordinates any group.
 //
 // The locally known rows may be old: when a partition heals, the VMs that were cut off together
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -195,6 +195,12 @@
 	return nil
 }
 
+// Coordinates reports whether this VM coordinates the row's group and knows no other version of the row.
+func (c *Coordinator) Coordinates(row *Row) bool {
+	known := c.Row(row.Group)
+	return known != nil && known.Version == row.Version
+}
+
 // Groups lists the groups that this VM coordinates.
 func (c *Coordinator) Groups() []topology.GroupID {
 	ids := make([]topology.GroupID, 0, len(c.groups))
