Lease: an older row does not renew the coordination

What callers may see: rights by the former coordinator for a VM that does not know the newer row. Ruled out: that the conditional write stops it: promises are given without a write. Before: TestAnOlderRowDoesNotRenewTheCoordination fails (the former coordinator promises again).

--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -13,6 +13,8 @@
 	vm          topology.VMID
 	incarnation topology.Incarnation
 	groups      map[topology.GroupID]*coordinatedGroup
+	// newest is the newest version known of each group's row, whoever coordinates the group.
+	newest map[topology.GroupID]uint64
 }
 
 // coordinatedGroup is the state of one group.
@@ -56,12 +58,15 @@
 
 // NewCoordinator returns a coordinator without groups.
 func NewCoordinator(vm topology.VMID, incarnation topology.Incarnation) *Coordinator {
-	return &Coordinator{vm: vm, incarnation: incarnation, groups: map[topology.GroupID]*coordinatedGroup{}}
+	return &Coordinator{
+		vm: vm, incarnation: incarnation, groups: map[topology.GroupID]*coordinatedGroup{}, newest: map[topology.GroupID]uint64{},
+	}
 }
 
 // Supersede applies a row that is no evidence that its coordinator still is the only one: it ends
 // this VM's coordination if the row is newer and names another VM.
 func (c *Coordinator) Supersede(row *Row) {
+	c.newest[row.Group] = max(c.newest[row.Group], row.Version)
 	ours := row.Coordinator == c.vm && row.Incarnation == c.incarnation
 	if g := c.groups[row.Group]; g != nil && !ours && row.Version > g.row.Version {
 		delete(c.groups, row.Group)
@@ -70,9 +75,12 @@
 
 // Observe applies a row that was read from the store or written by this VM. began is
 // when the read or write was sent, now when its answer arrived.
+//
+// An answer may be applied after one with a newer row, for example if this VM was paused before it
+// applied either. The older row would make this VM the coordinator again, beside its successor.
 func (c *Coordinator) Observe(row *Row, began, now mono.Time) {
 	c.Supersede(row)
-	if row.Coordinator != c.vm || row.Incarnation != c.incarnation {
+	if row.Coordinator != c.vm || row.Incarnation != c.incarnation || row.Version < c.newest[row.Group] {
 		return
 	}
 	g := c.groups[row.Group]
@@ -83,9 +91,6 @@
 		}
 		c.groups[row.Group] = g
 	}
-	if row.Version < g.row.Version {
-		return
-	}
 	if row.Version > g.row.Version || row.Version == g.row.Version && g.confirmed == 0 {
 		g.setRow(row, now)
 	}
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -274,3 +274,16 @@
 		t.Fatal("a settled row still has earlier coordinators")
 	}
 }
+
+// Guards against two coordinators: an answer with an older row is applied after the one with the row by which another VM
+// took the group over.
+func TestAnOlderRowDoesNotRenewTheCoordination(t *testing.T) {
+	c := lease.NewCoordinator("vm-1", 1)
+	row := firstRow()
+	c.Observe(row, second, second)
+	c.Observe(row.TakenBy("vm-2", 1, "vm-2", nil), 2*second, 2*second)
+	c.Observe(row, second, 3*second)
+	if c.Row("g") != nil || c.Promise("g", "vm-3", 1, row.Version, second) {
+		t.Fatal("the former coordinator promises again")
+	}
+}
