Lead: a coordinator that learns of its successor from another VM stops

A row of a successor that came from another VM was adopted, and told to the successor as adopted, but only a reading of the store ended the coordination. The successor takes a former coordinator that has adopted its row to have stopped, and waits for its last promise only; the former one went on promising for up to 800 ms, or longer in contact with most witnesses, to VMs that still knew the old row, since an answer by digest compares with the coordinated rows. What callers may see: a write acknowledged at the former primary, if a VM loses the successor's notices meanwhile. Ruled out: that the answer brings the newer row: it does so only if the rows differ, and by digest they were the same. Before: TestACoordinatorThatLearnsOfItsSuccessorStops fails; the model of pkg/lease, which learns notices and answers without rows with this commit, finds a right at a promotion with the fault put back.

--- a/internal/lead/order_test.go
+++ b/internal/lead/order_test.go
@@ -203,3 +203,22 @@
 	defer l.mu.Unlock()
 	return l.renewingDuty
 }
+
+// Guards against rights for a replaced primary: a coordinator that learns from another VM that it has a successor, which it
+// confirms, gives promises until it reads the store.
+func TestACoordinatorThatLearnsOfItsSuccessorStops(t *testing.T) {
+	x := newReplacing(t, "vm-1")
+	l, row := x.replaces.Lead, x.replaces.row.Resumed()
+	x.put(groupPrefix+"g", row)
+	if err := l.readDecisions(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	promises := func() bool { return l.coordinator.Promise("g", "vm-3", 1, row.Version, l.Clock.Now()) }
+	if !promises() {
+		t.Fatal("no promise before")
+	}
+	l.handleNotice(&message{From: "vm-2", Groups: []groupEntry{{Group: "g", Row: row.TakenBy("vm-2", 1, "vm-2", nil)}}})
+	if promises() {
+		t.Fatal("a promise after its successor's row was adopted")
+	}
+}
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -204,6 +204,8 @@
 	if !l.holder.Adopt(row) {
 		return
 	}
+	// This VM now tells its successor that it has adopted the row, and the successor then takes it to have stopped.
+	l.coordinator.Supersede(row)
 	l.lastAdopted = l.Clock.Now()
 	l.Directory.Relay().NoteCoordinator()
 	if former == nil || former.Coordinator != row.Coordinator {
--- a/pkg/lease/model_test.go
+++ b/pkg/lease/model_test.go
@@ -51,6 +51,8 @@
 	readsEarlierEras bool
 	// takesOverOpen leaves a row open that is taken over after a restoration.
 	takesOverOpen bool
+	// ignoresSuccessor lets a coordinator go on that learns of its successor from another VM.
+	ignoresSuccessor bool
 }
 
 type model struct {
@@ -63,6 +65,8 @@
 	version      metastore.Version
 	restorations bool
 	copies       []storeCopy
+	// notices tells whether VMs send rows to others that have not asked.
+	notices bool
 	// leader is the target that was promoted last, in term.
 	leader topology.TargetID
 	term   uint64
@@ -213,8 +217,28 @@
 	if c.coordinator.Promise("g", v.vm.ID, v.vm.Incarnation, row.Version, m.now) {
 		v.holder.RecordPromise("g", row.Version, m.now)
 	}
+	if c.coordinator.Coordinates(row) {
+		return // Both know the same row, so the answer has none.
+	}
 	if newer := c.holder.Row("g"); newer != nil && newer.Version > row.Version {
-		v.holder.Adopt(newer)
+		m.learn(i, newer)
+	}
+}
+
+// learn has a VM adopt a row that another VM sent.
+func (m *model) learn(i int, row *lease.Row) {
+	v := m.vms[i]
+	v.holder.Adopt(row)
+	if !m.bug.ignoresSuccessor {
+		v.coordinator.Supersede(row)
+	}
+}
+
+// notify sends a row to another VM.
+func (m *model) notify(i int) {
+	row, to := m.vms[i].holder.Row("g"), m.random.IntN(modelVMs)
+	if row != nil && m.linked(i, to) {
+		m.learn(to, row)
 	}
 }
 
@@ -325,6 +349,8 @@
 		m.writeAgain(i)
 	case n < 84 && m.random.IntN(3) == 0:
 		m.restore()
+	case n < 87 && m.notices:
+		m.notify(i)
 	default:
 		return m.promote(t, i, seed)
 	}
@@ -354,11 +380,12 @@
 }
 
 // checkModel runs the model for all seeds and reports what it found.
-func checkModel(t *testing.T, restorations bool) {
+func checkModel(t *testing.T, restorations, notices bool) {
 	t.Helper()
 	promotions, restored := 0, 0
 	for seed := range seeds(t) {
 		m := newModel(seed, restorations)
+		m.notices = notices
 		m.run(t, seed)
 		promotions += m.promotions
 		restored += m.restoration
@@ -374,16 +401,22 @@
 
 // Link failures, restarts, takeovers and replacements in any order must not leave a VM that
 // acknowledges requests to a replaced primary.
-func TestModelNoRightAtPromotion(t *testing.T) { checkModel(t, false) }
+func TestModelNoRightAtPromotion(t *testing.T) { checkModel(t, false, false) }
 
 // The same must hold if the store is restored from older copies, and gives out versions again.
-func TestModelNoRightAtPromotionAcrossRestorations(t *testing.T) { checkModel(t, true) }
+func TestModelNoRightAtPromotionAcrossRestorations(t *testing.T) { checkModel(t, true, false) }
+
+// The same must hold if VMs also learn of rows from others.
+func TestModelNoRightAtPromotionWithNotices(t *testing.T) {
+	checkModel(t, false, true)
+	checkModel(t, true, true)
+}
 
 // detects reports whether the model finds an injected fault.
 func detects(t *testing.T, bug modelBug, restorations bool) bool {
 	for seed := range uint64(40 * modelSeeds) {
 		m := newModel(seed, restorations)
-		m.bug, m.isBuggy = bug, true
+		m.bug, m.isBuggy, m.notices = bug, true, bug.ignoresSuccessor
 		if m.run(t, seed) {
 			return true
 		}
@@ -411,6 +444,13 @@
 	}
 }
 
+// The model must detect a coordinator that still promises after it has confirmed its successor's row.
+func TestModelDetectsACoordinatorThatIgnoresItsSuccessor(t *testing.T) {
+	if !detects(t, modelBug{ignoresSuccessor: true}, false) {
+		t.Error("not detected")
+	}
+}
+
 // The model must detect the faults of restorations: rights by rows that the store has lost changes of,
 // and coordinators that the store has lost.
 func TestModelDetectsInjectedBugsOfRestorations(t *testing.T) {
