Lead: command targets only for a group that is still coordinated

Another VM may have taken the group over meanwhile, as this one may know by then; three commands to step down take up to 1.2 s. What callers may see: the primary of the other coordinator's row becomes a replica, or its candidate stops receiving until it is restarted, and writes wait for another replacement. Ruled out: that the terms stop it: a row that is opened again for a target that leads already keeps its term, and the command names the next one. Before: TestNoCommandForAGroupThatWasLostMeanwhile fails in its three cases (a command to stop receiving, one to resume, three to step down where one was sent before the loss). After: it passes, five times with the race detector.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -83,9 +83,9 @@
 	if r.leadsAlready(best.status) {
 		return r.reopenFor(ctx, best)
 	}
-	ctxStop, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	s, err := r.Control.StopReceiving(ctxStop, best.target, r.row.Term+1)
+	s, err := r.command(ctx, controlTimeout, func(ctx context.Context) (target.Status, error) {
+		return r.Control.StopReceiving(ctx, best.target, r.row.Term+1)
+	})
 	if err != nil {
 		return errors.Wrapf(err, "stop %s from receiving", best.target.ID)
 	}
@@ -115,10 +115,10 @@
 	var s target.Status
 	var err error
 	for range attempts {
-		ctx, cancel := context.WithTimeout(ctx, timeout)
-		s, err = r.Control.StepDown(ctx, t.Target, r.row.Term+1)
-		cancel()
-		if err == nil {
+		s, err = r.command(ctx, timeout, func(ctx context.Context) (target.Status, error) {
+			return r.Control.StepDown(ctx, t.Target, r.row.Term+1)
+		})
+		if err == nil || errors.Is(err, errSuperseded) {
 			break
 		}
 	}
--- a/internal/lead/order_test.go
+++ b/internal/lead/order_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -50,25 +53,79 @@
 	return nil
 }
 
+// interleavedControl runs the change of another VM, once, as it answers a status or fails a command to step down, and
+// records the commands that it receives.
+type interleavedControl struct {
+	mu       sync.Mutex
+	hook     func()
+	commands []string
+}
+
+func (c *interleavedControl) record(command string, runsHook bool) {
+	c.mu.Lock()
+	hook := c.hook
+	if runsHook {
+		c.hook = nil
+	}
+	if command != "" {
+		c.commands = append(c.commands, command)
+	}
+	c.mu.Unlock()
+	if runsHook && hook != nil {
+		hook()
+	}
+}
+
+func (c *interleavedControl) sent() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.commands)
+}
+
+func (c *interleavedControl) Status(context.Context, topology.Target) (target.Status, error) {
+	c.record("", true)
+	return target.Status{Term: 1, Received: position.Position{Term: 1, Index: 9}}, nil
+}
+
+func (c *interleavedControl) StopReceiving(context.Context, topology.Target, uint64) (target.Status, error) {
+	c.record("stop receiving", false)
+	return target.Status{}, nil
+}
+
+func (c *interleavedControl) Resume(context.Context, topology.Target) (target.Status, error) {
+	c.record("resume", false)
+	return target.Status{}, nil
+}
+
+func (c *interleavedControl) StepDown(context.Context, topology.Target, uint64) (target.Status, error) {
+	c.record("step down", true)
+	return target.Status{}, errors.New("no answer")
+}
+
 // replacing is a VM that replaces the primary of the group g: the row is closed, with the candidate b.
 type replacing struct {
 	t        *testing.T
 	memory   *metastore.Memory
 	store    *interleavedStore
 	orders   *orderCounter
+	control  *interleavedControl
 	replaces *replacement
 }
 
 func newReplacing(t *testing.T, dutyHolder topology.VMID) *replacing {
 	t.Helper()
-	x := &replacing{t: t, memory: metastore.NewMemory(), orders: &orderCounter{}}
+	x := &replacing{t: t, memory: metastore.NewMemory(), orders: &orderCounter{}, control: &interleavedControl{}}
 	x.store = &interleavedStore{Store: x.memory}
 	open := &lease.Row{Group: "g", Version: 1, Term: 1, Primary: "a", Coordinator: "vm-1", Incarnation: 1, Fence: 1}
 	row := open.Closed("primary_failed").WithCandidate("b", position.Position{Term: 1, Index: 9}, false)
 	x.put(groupPrefix+"g", row)
 	x.put(dutyKey, duty{Holder: dutyHolder, Incarnation: 1, Fence: 1})
+	d := directory.New(topology.VM{ID: "vm-1", Incarnation: 1})
+	for _, id := range []topology.TargetID{"a", "b"} {
+		d.SetTarget(directory.Target{Target: topology.Target{ID: id, Group: "g"}})
+	}
 	l := New(Options{
-		Directory: directory.New(topology.VM{ID: "vm-1", Incarnation: 1}), Store: x.store, Promotions: x.orders,
+		Directory: d, Store: x.store, Promotions: x.orders, Control: x.control, Health: fixedAnswerTime{},
 		Clock: mono.System{}, Log: slog.New(slog.DiscardHandler), Transport: silentTransport(t),
 	})
 	l.reading = true // Keeps a reading in the background from running the hooks.
@@ -101,6 +158,15 @@
 	x.put(groupPrefix+"g", taken.WithCandidate("c", position.Position{Term: 1, Index: 9}, false).Opened(2))
 }
 
+// learnLoss is loseGroup, which this VM learns of at once.
+func (x *replacing) learnLoss() {
+	x.t.Helper()
+	x.loseGroup()
+	if err := x.replaces.readDecisions(x.t.Context()); err != nil {
+		x.t.Error(err)
+	}
+}
+
 // loseAll is loseGroup, with the duty.
 func (x *replacing) loseAll() {
 	x.t.Helper()
@@ -159,6 +225,33 @@
 	}
 }
 
+// Guards against commands to another coordinator's targets: its primary would step down, and its replicas would stop
+// receiving.
+func TestNoCommandForAGroupThatWasLostMeanwhile(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		run  func(context.Context, *replacement)
+		want []string
+	}{
+		{"a candidate is stopped", func(ctx context.Context, r *replacement) { _ = r.choose(ctx, stepDownResult{}) }, nil},
+		{"the primary steps down", func(ctx context.Context, r *replacement) { r.stepDown(ctx, "primary_leaving") }, []string{"step down"}},
+		{"a candidate resumes", func(ctx context.Context, r *replacement) {
+			_, _ = r.Control.Status(ctx, topology.Target{})
+			r.resumeReceiving(ctx, "b")
+		}, nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			x := newReplacing(t, "vm-1")
+			x.control.hook = x.learnLoss
+			c.run(t.Context(), x.replaces)
+			if sent := x.control.sent(); !slices.Equal(sent, c.want) {
+				t.Fatalf("commands %v", sent)
+			}
+		})
+	}
+}
+
 // Guards against a duty that is taken from its holder for groups that another VM has taken over meanwhile: the holder's next
 // order waits until the duty has settled again.
 func TestTheDutyIsNotClaimedForGroupsThatWereLostMeanwhile(t *testing.T) {
--- a/internal/lead/promote.go
+++ b/internal/lead/promote.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -112,9 +113,8 @@
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
-	defer cancel()
-	if _, err := r.Control.Resume(ctx, t.Target); err != nil {
+	_, err := r.command(ctx, controlTimeout, func(ctx context.Context) (target.Status, error) { return r.Control.Resume(ctx, t.Target) })
+	if err != nil {
 		r.Log.Info("event=resume_failed", "target", id, "error", err)
 	}
 }
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
@@ -97,6 +98,17 @@
 	return r.coordinator.Coordinates(r.row)
 }
 
+// command sends a command to a target, unless this VM has lost the group meanwhile: the target may be the primary of
+// another coordinator's row by then, or its candidate.
+func (r *replacement) command(ctx context.Context, timeout time.Duration, send func(context.Context) (target.Status, error)) (target.Status, error) {
+	if !r.isCurrent() {
+		return target.Status{}, errSuperseded
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	return send(ctx)
+}
+
 // change commits the next version of the row.
 func (r *replacement) change(ctx context.Context, next *lease.Row) error {
 	if err := r.commit(ctx, r.row, next); err != nil {
