Lead: judge the age of the duty's reading as the order is sent

A coordinator that stood still between the store's answer and its use, or while its claim was answered, ordered with the lower token after its successor had acted. The fix: once nothing is left to wait for, a reading that is 500 ms old is made again, three times at most. A claim keeps the age of the reading before it: the write says nothing of the groups' rows. It works since a VM that claims the duty after the reading sends its first order 700 ms later. While each answer of the store takes over 500 ms, no promotion is ordered. Ruled out: that the check of the coordination alone suffices: the reading of before the pause names this VM.

--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -20,10 +20,18 @@
 	// dutySettleTime is how long a new holder of the duty waits if another VM held it before. It is
 	// longer than an order of that VM may be in flight.
 	dutySettleTime = 700 * time.Millisecond
-	// maxDutyAge is how long before an order the duty must have been read as held by this VM.
+	// maxDutyAge is the age of a reading of the duty from which it is read again before an order.
 	maxDutyAge = 300 * time.Millisecond
+	// maxOrderReadingAge is the age that the reading must not have reached as an order is sent. A VM that claims the duty
+	// right after the reading sends its first order dutySettleTime later; the rest is for the order's way.
+	maxOrderReadingAge = dutySettleTime - 200*time.Millisecond
+	// maxDutyReadings is how often the duty is looked at for one order: each answer may be applied too late.
+	maxDutyReadings = 3
 )
 
+// errReadingTooOld is returned if each reading of the duty was too old once it was applied.
+var errReadingTooOld = errors.New("lead: the reading of the duty is too old for an order")
+
 // duty is the right to order promotions for all groups. One VM holds it at a time, and its fencing
 // token increases with each holder. The platform does not check the token, so a late order of a
 // former holder would still take effect.
@@ -46,7 +54,7 @@
 type dutyState struct {
 	duty
 	version metastore.Version
-	// read is when the newest read that returned it began, and seen is when this VM learned of it.
+	// read is when the newest read of the duty and the groups' rows began, and seen is when this VM learned of the duty.
 	read, seen mono.Time
 	// usableFrom is when this VM may start to send orders, provided that it holds the duty.
 	usableFrom mono.Time
@@ -107,15 +115,29 @@
 			return 0, err
 		}
 	}
-	if err := l.awaitDutySettled(ctx); err != nil {
-		return 0, err
-	}
-	state, err = l.checkDuty(entitled)
-	if err == nil && !state.held {
-		// Claiming it back at once would make two VMs take it from each other forever.
-		err = errSuperseded
+	l.awaitDutySettled(ctx)
+	return l.confirmDuty(ctx, entitled)
+}
+
+// confirmDuty returns the token if this VM still holds the duty by a reading that is recent enough for an order. The age
+// is judged once the reading has been applied: this VM may have been paused since the reading was sent.
+func (l *Lead) confirmDuty(ctx context.Context, entitled func() bool) (fence uint64, err error) {
+	for range maxDutyReadings {
+		state, err := l.checkDuty(entitled)
+		switch {
+		case err != nil:
+			return 0, err
+		case !state.held:
+			// Claiming it back at once would make two VMs take it from each other forever.
+			return 0, errSuperseded
+		case l.Clock.Now().Sub(state.read) < maxOrderReadingAge:
+			return state.Fence, nil
+		}
+		if err := l.readDecisions(ctx); err != nil {
+			return 0, err
+		}
 	}
-	return state.Fence, err
+	return 0, errReadingTooOld
 }
 
 // checkedDuty is the known duty, and whether this VM holds it.
@@ -134,16 +156,14 @@
 	return checkedDuty{dutyState: l.duty, held: l.holdsDuty()}, nil
 }
 
-// awaitDutySettled waits until no order of a former holder can be in flight, and reads the duty again.
-func (l *Lead) awaitDutySettled(ctx context.Context) error {
+// awaitDutySettled waits until no order of a former holder can be in flight.
+func (l *Lead) awaitDutySettled(ctx context.Context) {
 	l.mu.Lock()
 	settling := l.duty.usableFrom.Sub(l.Clock.Now())
 	l.mu.Unlock()
-	if settling <= 0 {
-		return nil
+	if settling > 0 {
+		wait.For(ctx, settling)
 	}
-	wait.For(ctx, settling)
-	return l.readDuty(ctx)
 }
 
 // readDuty reads the row unless it was read within maxDutyAge.
@@ -192,7 +212,6 @@
 	if err != nil {
 		return err
 	}
-	began := l.Clock.Now()
 	version, err := l.Store.Put(ctx, Table, dutyKey, raw, former.version)
 	if errors.Is(err, metastore.ErrConflict) {
 		return errSuperseded // It is read again before the next attempt: this VM may hold it after all.
@@ -203,7 +222,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
-	l.duty = dutyState{duty: next, version: version, read: began, usableFrom: now}
+	// The write shows nothing of the groups' rows, so the age remains that of the reading before it.
+	l.duty = dutyState{duty: next, version: version, read: former.read, usableFrom: now}
 	lost := former.Fence < era*fencesPerEra
 	if former.Holder != "" && former.Holder != l.self.ID || lost {
 		l.duty.usableFrom = now.Add(dutySettleTime)
--- a/internal/lead/order_test.go
+++ b/internal/lead/order_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,9 +24,10 @@
 // interleavedStore runs the changes of other VMs between the calls of this one. A hook runs once.
 type interleavedStore struct {
 	metastore.Store
-	// beforeList runs before a reading, and afterPut after a write of the key in afterPutOf.
-	beforeList, afterPut func()
-	afterPutOf           string
+	// beforeList and afterList run before a reading and before its answer is applied, and afterPut after a write of the key
+	// in afterPutOf.
+	beforeList, afterList, afterPut func()
+	afterPutOf                      string
 }
 
 func (s *interleavedStore) List(ctx context.Context, table string, keys metastore.Range) (metastore.Rows, error) {
@@ -33,7 +35,12 @@
 		s.beforeList = nil
 		hook()
 	}
-	return s.Store.List(ctx, table, keys)
+	rows, err := s.Store.List(ctx, table, keys)
+	if hook := s.afterList; hook != nil {
+		s.afterList = nil
+		hook()
+	}
+	return rows, err
 }
 
 func (s *interleavedStore) Put(ctx context.Context, table, key string, value []byte, expected metastore.Version) (metastore.Version, error) {
@@ -45,6 +52,13 @@
 	return version, err
 }
 
+// pausedClock is the system's clock on a VM that is paused for some time.
+type pausedClock struct{ paused atomic.Int64 }
+
+func (c *pausedClock) Now() mono.Time { return mono.System{}.Now().Add(time.Duration(c.paused.Load())) }
+
+func (c *pausedClock) pause(d time.Duration) { c.paused.Add(int64(d)) }
+
 // orderCounter counts the promotion orders that it receives.
 type orderCounter struct{ orders int }
 
@@ -109,12 +123,13 @@
 	store    *interleavedStore
 	orders   *orderCounter
 	control  *interleavedControl
+	clock    *pausedClock
 	replaces *replacement
 }
 
 func newReplacing(t *testing.T, dutyHolder topology.VMID) *replacing {
 	t.Helper()
-	x := &replacing{t: t, memory: metastore.NewMemory(), orders: &orderCounter{}, control: &interleavedControl{}}
+	x := &replacing{t: t, memory: metastore.NewMemory(), orders: &orderCounter{}, control: &interleavedControl{}, clock: &pausedClock{}}
 	x.store = &interleavedStore{Store: x.memory}
 	open := &lease.Row{Group: "g", Version: 1, Term: 1, Primary: "a", Coordinator: "vm-1", Incarnation: 1, Fence: 1}
 	row := open.Closed("primary_failed").WithCandidate("b", position.Position{Term: 1, Index: 9}, false)
@@ -126,7 +141,7 @@
 	}
 	l := New(Options{
 		Directory: d, Store: x.store, Promotions: x.orders, Control: x.control, Health: fixedAnswerTime{},
-		Clock: mono.System{}, Log: slog.New(slog.DiscardHandler), Transport: silentTransport(t),
+		Clock: x.clock, Log: slog.New(slog.DiscardHandler), Transport: silentTransport(t),
 	})
 	l.reading = true // Keeps a reading in the background from running the hooks.
 	if err := l.readDecisions(t.Context()); err != nil {
@@ -174,6 +189,15 @@
 	x.put(dutyKey, duty{Holder: "vm-2", Incarnation: 1, Fence: 2})
 }
 
+func (x *replacing) isStored(key string) bool {
+	x.t.Helper()
+	rows, err := x.memory.List(x.t.Context(), Table, metastore.Key(key))
+	if err != nil {
+		x.t.Fatal(err)
+	}
+	return len(rows.Rows) > 0
+}
+
 func (x *replacing) dutyHolder() topology.VMID {
 	x.t.Helper()
 	rows, err := x.memory.List(x.t.Context(), Table, metastore.Key(dutyKey))
@@ -215,6 +239,50 @@
 	}
 }
 
+// Guards against an order with a lower token than one that was sent before it: the VM is paused after it has read or claimed
+// the duty, and another VM takes group and duty meanwhile.
+func TestNoOrderByAReadingOfBeforeAPause(t *testing.T) {
+	const pause = 2 * time.Second
+	for _, c := range []struct {
+		name       string
+		dutyHolder topology.VMID
+		interleave func(x *replacing, paused func())
+	}{
+		{"before the reading is applied", "vm-1", func(x *replacing, paused func()) { x.store.afterList = paused }},
+		{"before the claim is answered", "", func(x *replacing, paused func()) { x.store.afterPut, x.store.afterPutOf = paused, dutyKey }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			x := newReplacing(t, c.dutyHolder)
+			c.interleave(x, func() {
+				x.clock.pause(pause)
+				x.loseAll()
+			})
+			err := x.replaces.orderPromotion(t.Context(), "b")
+			if x.orders.orders != 0 || !errors.Is(err, errSuperseded) {
+				t.Errorf("%d orders after a pause, error %v", x.orders.orders, err)
+			}
+		})
+	}
+}
+
+// Guards against orders that are never sent, or by a reading of any age, while every answer of the store takes long.
+func TestOrdersWhileTheStoreIsSlow(t *testing.T) {
+	for answer, want := range map[time.Duration]int{maxDutyAge + 50*time.Millisecond: 1, maxOrderReadingAge + 50*time.Millisecond: 0} {
+		x := newReplacing(t, "vm-1")
+		var slow func()
+		slow = func() {
+			x.clock.pause(answer)
+			x.store.afterList = slow
+		}
+		x.store.afterList = slow
+		err := x.replaces.orderPromotion(t.Context(), "b")
+		if x.orders.orders != want || want == 0 && !errors.Is(err, errReadingTooOld) {
+			t.Errorf("%d orders with answers after %v, error %v", x.orders.orders, answer, err)
+		}
+	}
+}
+
 // Guards against orders that are never sent: nothing changes while the duty is read, claimed and waited for.
 func TestAnOrderForAGroupThatIsStillCoordinated(t *testing.T) {
 	for _, holder := range []topology.VMID{"vm-1", "vm-2"} {
