Lead: keep the registration of a VM that is heard again

After a pause all VMs seem silent until the messages that waited are handled, which happens during the reading. What callers may see: VMs without the right by their own readings until they have registered again. Ruled out: the row's version stops it: a registration is not written again while its VM runs. Before: TestAVMThatIsHeardAgainKeepsItsRegistration fails (the registration was removed). After: it passes.

--- a/internal/lead/register.go
+++ b/internal/lead/register.go
@@ -112,6 +112,9 @@
 	l.Log.Warn("event=registered_again", "error", err)
 }
 
+// errHeardAgain is returned if a VM that seemed silent has sent a message.
+var errHeardAgain = errors.New("lead: the VM has sent a message")
+
 // prune removes the registrations of VMs that have been silent for long: each of them makes a
 // replacement of a primary wait until its rights expire. The coordinators do this, since all VMs
 // send messages to them; where VMs do not follow all groups, only the coordinator of the first one, which
@@ -132,13 +135,19 @@
 			l.listeningSince[vm.ID] = now
 		case now.Sub(max(since, l.lastMessage[vm.ID])) > pruneAfter:
 			l.listeningSince[vm.ID] = now // One attempt per pruneAfter.
-			go l.unregister(ctx, vm.ID)
+			go l.unregister(ctx, vm.ID, l.lastMessage[vm.ID])
 		}
 	}
 }
 
-func (l *Lead) unregister(ctx context.Context, id topology.VMID) {
+// unregister removes the registration of a VM whose last message arrived at heard, unless another one has arrived
+// once the registration was read: after a pause of this VM all others seem silent until it has handled the messages that
+// waited.
+func (l *Lead) unregister(ctx context.Context, id topology.VMID, heard mono.Time) {
 	rows, err := l.Store.List(ctx, Table, metastore.Key(vmPrefix+string(id)))
+	if err == nil && l.heardSince(id, heard) {
+		err = errHeardAgain
+	}
 	if err != nil {
 		l.Log.Info("event=prune_deferred", "vm", id, "error", err)
 		return
@@ -148,3 +157,10 @@
 		l.Log.Info("event=vm_pruned", "vm", id, "error", err)
 	}
 }
+
+// heardSince reports whether a message of a VM has arrived after the one that arrived at heard.
+func (l *Lead) heardSince(id topology.VMID, heard mono.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lastMessage[id] != heard
+}
--- a/internal/lead/register_test.go
+++ b/internal/lead/register_test.go
@@ -81,3 +81,20 @@
 		t.Fatalf("a late message reset it to %d", vm.Incarnation)
 	}
 }
+
+// Guards against the registrations of all VMs being removed after a pause of the coordinator: their messages wait and are
+// handled only after it has decided that they are silent.
+func TestAVMThatIsHeardAgainKeepsItsRegistration(t *testing.T) {
+	x := newReplacing(t, "vm-1")
+	l, key := x.replaces.Lead, vmPrefix+"vm-3"
+	x.put(key, topology.VM{ID: "vm-3", Incarnation: 1})
+	x.store.beforeList = func() { l.handleNotice(&message{From: "vm-3"}) }
+	l.unregister(t.Context(), "vm-3", 0)
+	if !x.isStored(key) {
+		t.Fatal("the registration was removed")
+	}
+	l.unregister(t.Context(), "vm-3", l.lastMessage["vm-3"])
+	if x.isStored(key) {
+		t.Fatal("a silent VM is still registered")
+	}
+}
