Lead: judge the contact with witnesses when a row is written again

If the process was paused since the tick began, contact from before the pause counted. What callers may see: rights by a coordinator that has had a successor in a row that the store has lost. Ruled out: that the conditional write stops it: the successor's row is lost. No test fails before: the time was handed from the tick to a goroutine, and the parameter that could be old is gone; the tests of restorations pass.

--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -28,7 +28,7 @@
 	}
 	l.renewPositions()
 	l.firstRows(ctx, now)
-	l.restoreRows(ctx, now)
+	l.restoreRows(ctx)
 	l.takeOverFailed(ctx, now)
 	l.checkPrimaries(ctx, now)
 	l.prune(ctx, now)
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -70,7 +70,7 @@
 
 // restoreRows writes the rows that name this VM as the coordinator again after the store was restored
 // from an older copy, and claims the duty again if its row names this VM.
-func (l *Lead) restoreRows(ctx context.Context, now mono.Time) {
+func (l *Lead) restoreRows(ctx context.Context) {
 	l.mu.Lock()
 	var due []*lease.Row
 	for _, row := range l.rowsOf(l.self.ID) {
@@ -81,15 +81,16 @@
 	l.renewDuty(ctx)
 	l.mu.Unlock()
 	for _, row := range due {
-		l.startChange(row.Group, func() { l.restoreRow(ctx, row, now) })
+		l.startChange(row.Group, func() { l.restoreRow(ctx, row) })
 	}
 }
 
 // restoreRow writes one row again. A coordinator in contact with most witnesses keeps giving promises,
 // provided that the row's primary leads. Otherwise another VM may have been the coordinator since, in a
 // row that the store has lost, and the row is closed until it is known which target leads.
-func (l *Lead) restoreRow(ctx context.Context, row *lease.Row, now mono.Time) {
+func (l *Lead) restoreRow(ctx context.Context, row *lease.Row) {
 	l.mu.Lock()
+	now := l.Clock.Now() // That of the tick is too early if this VM was paused since.
 	coordinated := l.coordinator.Row(row.Group)
 	inContact := coordinated != nil && coordinated.Version == row.Version && l.coordinator.InContact(row.Group, now)
 	settled := l.coordinator.Settled(row.Group, now)
