Lead: a duty that returns settles again

A VM that lost the duty without reading so, and was given it again, ordered at once, although an order of the holder in between may be in flight with a lower token. The wait is now judged by the token, and confirmDuty asks for it last, with the age of the reading; a wait that ends early does not count as settled.

--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -29,8 +29,8 @@
 	maxDutyReadings = 3
 )
 
-// errReadingTooOld is returned if each reading of the duty was too old once it was applied.
-var errReadingTooOld = errors.New("lead: the reading of the duty is too old for an order")
+// errDutyNotConfirmed is returned if each reading of the duty was too old for an order once it was applied.
+var errDutyNotConfirmed = errors.New("lead: no recent reading shows the duty")
 
 // duty is the right to order promotions for all groups. One VM holds it at a time, and its fencing
 // token increases with each holder. The platform does not check the token, so a late order of a
@@ -83,15 +83,16 @@
 	if l.duty.version.After(r.Version) {
 		return
 	}
-	was := l.holdsDuty()
+	held, fence := l.holdsDuty(), l.duty.Fence
 	if r.Version.After(l.duty.version) {
 		l.duty.seen = l.Clock.Now()
 	}
 	l.duty.duty, l.duty.version = d, r.Version
 	l.duty.read = max(l.duty.read, began)
-	if l.holdsDuty() && !was {
-		// The former holder gave it to this VM. An order that it sent just before may still be in
-		// flight, and would arrive with a lower fence after an order of this VM.
+	if l.holdsDuty() && (!held || l.duty.Fence != fence) {
+		// The former holder gave it to this VM, perhaps after this VM had lost it without reading so. An order that
+		// the former holder sent just before may still be in flight, and would arrive with a lower fence after an
+		// order of this VM.
 		l.duty.usableFrom = l.Clock.Now().Add(dutySettleTime)
 	}
 }
@@ -115,29 +116,31 @@
 			return 0, err
 		}
 	}
-	l.awaitDutySettled(ctx)
 	return l.confirmDuty(ctx, entitled)
 }
 
-// confirmDuty returns the token if this VM still holds the duty by a reading that is recent enough for an order. The age
-// is judged once the reading has been applied: this VM may have been paused since the reading was sent.
+// confirmDuty waits until the duty has settled and returns its token, if this VM still holds it by a reading that is recent
+// enough for an order. The age is judged once the reading has been applied: this VM may have been paused since the reading
+// was sent.
 func (l *Lead) confirmDuty(ctx context.Context, entitled func() bool) (fence uint64, err error) {
 	for range maxDutyReadings {
+		l.awaitDutySettled(ctx)
 		state, err := l.checkDuty(entitled)
+		now := l.Clock.Now()
 		switch {
 		case err != nil:
 			return 0, err
 		case !state.held:
 			// Claiming it back at once would make two VMs take it from each other forever.
 			return 0, errSuperseded
-		case l.Clock.Now().Sub(state.read) < maxOrderReadingAge:
+		case !now.Before(state.usableFrom) && now.Sub(state.read) < maxOrderReadingAge:
 			return state.Fence, nil
 		}
 		if err := l.readDecisions(ctx); err != nil {
 			return 0, err
 		}
 	}
-	return 0, errReadingTooOld
+	return 0, errDutyNotConfirmed
 }
 
 // checkedDuty is the known duty, and whether this VM holds it.
--- a/internal/lead/order_test.go
+++ b/internal/lead/order_test.go
@@ -277,7 +277,7 @@
 		}
 		x.store.afterList = slow
 		err := x.replaces.orderPromotion(t.Context(), "b")
-		if x.orders.orders != want || want == 0 && !errors.Is(err, errReadingTooOld) {
+		if x.orders.orders != want || want == 0 && !errors.Is(err, errDutyNotConfirmed) {
 			t.Errorf("%d orders with answers after %v, error %v", x.orders.orders, answer, err)
 		}
 	}
@@ -383,3 +383,18 @@
 		t.Fatal("a promise after its successor's row was adopted")
 	}
 }
+
+// Guards against an order before that of a former holder that is still in flight: this VM has not read that it lost the duty,
+// and the former holder gives it back.
+func TestADutyThatReturnsSettlesAgain(t *testing.T) {
+	x := newReplacing(t, "vm-1")
+	x.put(dutyKey, duty{Holder: "vm-2", Incarnation: 1, Fence: 2})
+	x.put(dutyKey, duty{Holder: "vm-1", Incarnation: 1, Fence: 3})
+	begun := x.clock.Now()
+	if err := x.replaces.orderPromotion(t.Context(), "b"); err != nil || x.orders.orders != 1 {
+		t.Fatalf("%d orders, error %v", x.orders.orders, err)
+	}
+	if took := x.clock.Now().Sub(begun); took < dutySettleTime {
+		t.Fatalf("ordered after %v", took)
+	}
+}
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -203,7 +203,7 @@
 // Coordinates reports whether this VM coordinates the row's group and knows no other version of the row.
 func (c *Coordinator) Coordinates(row *Row) bool {
 	known := c.Row(row.Group)
-	return known != nil && known.Version == row.Version
+	return known != nil && known.Version == row.Version && c.newest[row.Group] == row.Version
 }
 
 // Groups lists the groups that this VM coordinates.
