Lead: tell a promotion that was not ordered from one that is unanswered

Cause: an order that was not sent, for lack of the duty or since the group was lost, was logged as one that the platform had not answered, which may take effect later. Before: event=promotion_unanswered error="the duty: ..." for both. After: event=promotion_withheld if none was sent.

--- a/internal/lead/promote.go
+++ b/internal/lead/promote.go
@@ -49,7 +49,7 @@
 			switch {
 			case errors.Is(err, ErrNotPromotable):
 				return r.dropCandidate(ctx, "not_promotable")
-			case errors.Is(err, errSuperseded):
+			case errors.Is(err, errNotOrdered):
 				r.Log.Info("event=promotion_withheld", "group", r.group, "candidate", candidate.ID, "version", r.row.Version, "error", err)
 			case err != nil:
 				r.Log.Warn("event=promotion_unanswered", "group", r.group, "candidate", candidate.ID, "error", err)
@@ -74,11 +74,14 @@
 	}
 }
 
+// errNotOrdered marks errors of an order that was not sent.
+var errNotOrdered = errors.New("lead: no order was sent")
+
 // orderPromotion sends the order if this VM may, judged by what it knows when it sends it.
 func (r *replacement) orderPromotion(ctx context.Context, candidate topology.TargetID) error {
 	fence, err := r.acquireDuty(ctx, r.mayOrder)
 	if err != nil {
-		return errors.Wrap(err, "the duty")
+		return errors.Mark(errors.Wrap(err, "the duty"), errNotOrdered)
 	}
 	r.mu.Lock()
 	now := r.Clock.Now()
