Integration: count only the reads' own retries

Cause: the spec "switch over and drain under load without a failed request" took the difference of the counter of retries over all classes of all proxies, which is published every 250 ms. Why the check is wrong: it is about reads that are still routed to the leaving target; it counted a class that it does not read. The replacement is as strict: the same reads through every proxy, none of which may be retried. It counts the class that is read, and waits until every read and two report periods more are published, so retries of the last reads count too, which the former check missed if they were not published yet.

--- a/internal/integration/operators_test.go
+++ b/internal/integration/operators_test.go
@@ -55,8 +55,8 @@
 	return string(ctlJSON[[]status.Group](d, "status", "groups")[0].Primary)
 }
 
-// counter returns the sum of a counter over all proxies.
-func (d *deployment) counter(name string) (sum int64) {
+// counter returns the sum of a counter of a class over all proxies, as last published.
+func (d *deployment) counter(name, class string) (sum int64) {
 	GinkgoHelper()
 	for _, address := range d.admins {
 		resp, err := http.Get("http://" + address + metrics.PathJSON)
@@ -65,7 +65,7 @@
 		Expect(json.NewDecoder(resp.Body).Decode(&s)).To(Succeed())
 		Expect(resp.Body.Close()).To(Succeed())
 		for _, c := range s.Counters {
-			if c.Name == name {
+			if c.Name == name && c.Tags[metrics.TagClass] == class {
 				sum += c.Value
 			}
 		}
@@ -73,18 +73,23 @@
 	return sum
 }
 
-// countReadRetries reads through every proxy and returns how many attempts were
-// retried.
+// countReadRetries reads through every proxy and returns how many attempts of these reads were retried. It returns
+// once the counts are published, so that a later call does not count them.
 func (d *deployment) countReadRetries() int64 {
 	GinkgoHelper()
-	before := d.counter(metrics.Retries)
+	const class, readsPerProxy = "balance-overview", 40
+	retries, requests := d.counter(metrics.Retries, class), d.counter(metrics.Requests, class)
 	for i := range d.proxies {
-		reader := d.mustConnect(i, "balance-overview")
-		for range 40 {
+		reader := d.mustConnect(i, class)
+		for range readsPerProxy {
 			Expect(get(reader, "ready")).To(Equal("yes"))
 		}
 	}
-	return d.counter(metrics.Retries) - before
+	reads := int64(readsPerProxy * len(d.proxies))
+	Eventually(func() int64 { return d.counter(metrics.Requests, class) - requests }).
+		WithTimeout(10 * time.Second).Should(BeNumerically(">=", reads))
+	time.Sleep(2 * metrics.ReportPeriod) // The retries may be published one period after the requests.
+	return d.counter(metrics.Retries, class) - retries
 }
 
 var _ = Describe("Operators", func() {
--- a/internal/metrics/registry.go
+++ b/internal/metrics/registry.go
@@ -15,9 +15,9 @@
 	"go.uber.org/fx"
 )
 
-// reportPeriod is how often the scope reports its values, and so the largest age of
+// ReportPeriod is how often the scope reports its values, and so the largest age of
 // the values served over HTTP.
-const reportPeriod = 250 * time.Millisecond
+const ReportPeriod = 250 * time.Millisecond
 
 // Registry is a daemon's root scope with the values that it has reported.
 type Registry struct {
@@ -32,7 +32,7 @@
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		CachedReporter:         s,
 		OmitCardinalityMetrics: true,
-	}, reportPeriod)
+	}, ReportPeriod)
 	return &Registry{scope: scope, closer: closer, reporter: s}
 }
 
