--- a/review/standins2/client.go
+++ b/review/standins2/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"strings"
@@ -42,7 +43,7 @@
 	return c, nil
 }
 
-var errNotOpened = fmt.Errorf("the session was not opened")
+var errNotOpened = errors.New("the session was not opened")
 
 func (c *client) line() (string, error) {
 	line, err := c.reader.ReadString('\n')
@@ -83,6 +84,25 @@
 	}
 }
 
+// queryUntilServed repeats a query, with a new id each time, while the answer promises that nothing was done.
+func (c *client) queryUntilServed(text string) (answer, error) {
+	for range 20 {
+		a, err := c.query(text)
+		switch {
+		case err != nil:
+			return a, err
+		case a.result == "DONE":
+			return a, nil
+		case a.result != "BUSY" && a.result != "LAGGING" && a.result != "READONLY":
+			return a, fmt.Errorf("%w: %s", errNotServed, a.result)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return answer{}, errNotServed
+}
+
+var errNotServed = errors.New("the request was not served")
+
 // writer writes unique values through one gateway until stop is closed, and records those that were acknowledged.
 type writer struct {
 	group   *group
--- a/review/standins2/database.go
+++ b/review/standins2/database.go
@@ -158,17 +158,12 @@
 	db.group.mu.Lock()
 	full := len(db.conns) >= databaseConnections
 	db.conns[nc] = true
-	owner := db.group.owner
 	db.group.mu.Unlock()
 	defer func() {
 		db.group.mu.Lock()
 		defer db.group.mu.Unlock()
 		delete(db.conns, nc)
 	}()
-	zone := db.zone
-	if owner != nil {
-		zone = owner(nc)
-	}
 	c := &databaseConn{db: db, values: map[string]string{}, prepared: map[string]string{}}
 	lines := bufio.NewReader(nc)
 	for {
@@ -176,7 +171,6 @@
 		if err != nil || !strings.HasSuffix(line, "\r\n") {
 			return
 		}
-		db.awaitPath(zone)
 		fields := strings.SplitN(strings.TrimSuffix(line, "\r\n"), " ", 3)
 		var answer string
 		switch {
@@ -187,7 +181,6 @@
 		default:
 			return
 		}
-		db.awaitPath(zone)
 		_, err = nc.Write([]byte(answer))
 		if err != nil || strings.HasPrefix(answer, "ERR WRONGNODE") || strings.HasPrefix(answer, "ERR TOOMANY") {
 			return
@@ -195,19 +188,6 @@
 	}
 }
 
-// awaitPath waits while a zone and the database's are cut off from each other.
-func (db *database) awaitPath(zone string) {
-	for {
-		db.group.mu.Lock()
-		cut := db.group.cutZone
-		db.group.mu.Unlock()
-		if (zone == cut) == (db.zone == cut) {
-			return
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-}
-
 func (c *databaseConn) start(line string, full bool) string {
 	words := strings.Fields(line)
 	switch {
--- a/review/standins2/exec_text.go
+++ b/review/standins2/exec_text.go
@@ -24,15 +24,15 @@
 		for _, text := range []string{
 			"WRITE " + plain + " " + data, "PREPARE s1 WRITE q2c", "EXEC s1 " + prepared + " " + data,
 		} {
-			a, err := c.query(text)
-			if err != nil || a.result != "DONE" {
+			a, err := c.queryUntilServed(text)
+			if err != nil {
 				return false, fmt.Errorf("%w: %q: %+v %w", errCase, text, a, err)
 			}
 			b.record.logf("%s: sent %q, answered %s %s", g.name, text, a.result, a.digest)
 		}
 		for _, key := range []string{plain, prepared} {
-			a, err := c.query("READ " + key)
-			if err != nil || a.result != "DONE" || len(a.rows) != 1 {
+			a, err := c.queryUntilServed("READ " + key)
+			if err != nil || len(a.rows) != 1 {
 				return false, fmt.Errorf("%w: %+v %w", errCase, a, err)
 			}
 			b.record.logf("%s: %s holds %q, written was %q", g.name, key, a.rows[0], data)
--- a/review/standins2/gateway.go
+++ b/review/standins2/gateway.go
@@ -23,11 +23,11 @@
 	settings, log        string
 	peer                 string
 	gate                 *storeGate
-	// storeLink and promotion lead to the store and to the promotion service.
-	storeLink, promotion *link
-	mu                   sync.Mutex
-	cmd                  *exec.Cmd
-	ended                chan struct{}
+	// promotion leads to the promotion service.
+	promotion *link
+	mu        sync.Mutex
+	cmd       *exec.Cmd
+	ended     chan struct{}
 	// endedBy is how the last process ended.
 	endedBy string
 }
@@ -49,7 +49,6 @@
 	platformAddress = iota + 1
 	gatewayAddress
 	databaseAddress
-	translatedAddress
 )
 
 var usedAddresses = map[string]bool{}
@@ -88,15 +87,12 @@
 	if g.gate, err = s.gate(g.ip); err != nil {
 		return nil, err
 	}
-	if g.storeLink, err = newLink(g.ip, g.gate.address); err != nil {
-		return nil, err
-	}
 	if g.promotion, err = newLink(g.ip, promotions); err != nil {
 		return nil, err
 	}
 	raw, err := json.MarshalIndent(map[string]any{
 		"vm": g.name, "data_centre": zone, "region": "ee-north", "caller_address": g.caller, "ready_address": g.ready,
-		"peer_address": g.peer, "admin_address": g.admin, "store_address": g.storeLink.address(), "promotion_address": g.promotion.address(),
+		"peer_address": g.peer, "admin_address": g.admin, "store_address": g.gate.address, "promotion_address": g.promotion.address(),
 		"drain": "7000ms", "grace": "6s", "cpu_share": 0.4, "cpu_speed": 1, "memory_mb": 284,
 		"contracts": []string{"base", "drain", "config", "cost", "recover", "sql", "platform"}, "log_level": "info",
 	}, "", "  ")
--- a/review/standins2/group.go
+++ b/review/standins2/group.go
@@ -34,15 +34,11 @@
 	promoted time.Time
 	// promotionDelay is how long a promote takes.
 	promotionDelay time.Duration
-	// cutZone is the zone that is cut off from the others, or "".
-	cutZone string
-	// owner returns the zone of the process that opened a connection; nil while no zone is ever cut off.
-	owner func(nc net.Conn) string
+	// slow is how long the promotion service takes to carry an order out.
+	slow time.Duration
 	// fence is the greatest generation number that an order had, and holder who sent it.
 	fence  uint64
 	holder string
-	// ordered is the database of the last order that was carried out.
-	ordered *database
 	// orders counts the promotion orders, and lowFences those with a lower number than an earlier one.
 	orders, lowFences int
 	// late holds the values that were committed at a database after another one had been promoted, with the time.
@@ -94,9 +90,6 @@
 		if db == g.leader || db.down || g.leader.down || db.deaf || db.stoppedAt >= g.term {
 			continue
 		}
-		if (db.zone == g.cutZone) != (g.leader.zone == g.cutZone) {
-			continue
-		}
 		if db.primary && time.Since(g.promoted) < demotionDelay {
 			continue
 		}
@@ -140,7 +133,20 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	w.WriteHeader(g.order(order.ID, r.Header.Get("X-Buckthornshore-Duty-Holder"), fence))
+	holder := r.Header.Get("X-Buckthornshore-Duty-Holder")
+	g.awaitSlow(order.ID, holder)
+	w.WriteHeader(g.order(order.ID, holder, fence))
+}
+
+// awaitSlow holds an order that arrives while the promotion service is slow.
+func (g *group) awaitSlow(id, holder string) {
+	g.mu.Lock()
+	slow := g.slow
+	if slow > 0 {
+		g.record.logf("order: %s to promote %s arrives, and is carried out in %v", holder, id, slow)
+	}
+	g.mu.Unlock()
+	time.Sleep(slow)
 }
 
 func (g *group) order(id, holder string, fence uint64) int {
@@ -162,7 +168,6 @@
 	if db == nil || db.down {
 		return http.StatusConflict
 	}
-	g.ordered = db
 	if db != g.leader {
 		time.AfterFunc(g.promotionDelay, func() { g.promote(db) })
 	}
--- a/review/standins2/link.go
+++ b/review/standins2/link.go
@@ -19,10 +19,8 @@
 	healed   *sync.Cond
 }
 
-func newLink(ip, target string) (*link, error) { return newLinkAt(ip+":0", target) }
-
-func newLinkAt(address, target string) (*link, error) {
-	l, err := net.Listen("tcp", address)
+func newLink(ip, target string) (*link, error) {
+	l, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -32,12 +32,11 @@
 
 // bed is a small deployment.
 type bed struct {
-	record     *record
-	store      *store
-	group      *group
-	gateways   []*gateway
-	translator *translator
-	trouble    bool
+	record   *record
+	store    *store
+	group    *group
+	gateways []*gateway
+	trouble  bool
 }
 
 var errCase = errors.New("the case could not run")
--- a/review/standins2/store.go
+++ b/review/standins2/store.go
@@ -19,28 +19,6 @@
 	tables  map[string]map[string]storeRow
 	history []storeRow
 	changed chan struct{}
-	// aliases maps the peer address of a machine to the one at which the other machines reach it.
-	aliases map[string]string
-}
-
-// show returns a row as machines read it.
-func (s *store) show(r storeRow) storeRow {
-	if len(s.aliases) == 0 || r.Deleted || !strings.HasPrefix(r.Key, "vm/") {
-		return r
-	}
-	var fields map[string]any
-	if json.Unmarshal(r.Value, &fields) != nil {
-		return r
-	}
-	if address, ok := fields["peer_address"].(string); ok && s.aliases[address] != "" {
-		fields["peer_address"] = s.aliases[address]
-	}
-	raw, err := json.Marshal(fields)
-	if err != nil {
-		panic(err)
-	}
-	r.Value = raw
-	return r
 }
 
 type storeRow struct {
@@ -203,7 +181,7 @@
 	var rows []storeRow
 	for _, row := range s.tables[q.Get("table")] {
 		if !row.Deleted && row.Key >= from && (to == "" || row.Key < to) {
-			rows = append(rows, s.show(row))
+			rows = append(rows, row)
 		}
 	}
 	slices.SortFunc(rows, func(a, b storeRow) int { return strings.Compare(a.Key, b.Key) })
@@ -221,7 +199,7 @@
 		var rows []storeRow
 		for _, row := range s.history {
 			if row.Table == q.Get("table") && row.Version > after {
-				rows = append(rows, s.show(row))
+				rows = append(rows, row)
 			}
 		}
 		if len(rows) > 0 || ctx.Err() != nil {
