--- a/review/standins2/database.go
+++ b/review/standins2/database.go
@@ -21,10 +21,13 @@
 	stoppedAt uint64
 	// deaf is set while it receives nothing, draining once it has announced that it leaves, down while it does not run.
 	deaf, draining, down bool
-	listener             net.Listener
-	conns                map[net.Conn]bool
-	slots                chan struct{}
-	seq                  int
+	// born is when it was started, and silent is set while it is cut off from the store.
+	born     int64
+	silent   bool
+	listener net.Listener
+	conns    map[net.Conn]bool
+	slots    chan struct{}
+	seq      int
 }
 
 func (db *database) listen(l net.Listener) {
@@ -42,6 +45,9 @@
 
 // register writes the database's entry.
 func (db *database) register() {
+	if db.silent {
+		return
+	}
 	state, role := "ready", "replica"
 	if db.draining {
 		state = "draining"
@@ -52,7 +58,7 @@
 	db.seq++
 	db.group.store.put("servers", db.id, map[string]any{
 		"service": db.group.name, "address": db.address, "zone": db.zone, "version": "1", "slots": databaseSlots,
-		"state": state, "db_role": role, "cold_left_ms": 0, "seq": db.seq,
+		"state": state, "db_role": role, "cold_left_ms": 0, "seq": db.seq, "born": db.born,
 	})
 }
 
@@ -431,3 +437,19 @@
 	db.register()
 	return nil
 }
+
+// startAnew restarts the database under its id, without anything of before, as a replica.
+func (db *database) startAnew() error {
+	db.stop("crashes")
+	l, err := net.Listen("tcp", db.address)
+	if err != nil {
+		return err
+	}
+	db.group.mu.Lock()
+	defer db.group.mu.Unlock()
+	db.group.record.logf("database %s starts again under its id, with nothing of before", db.id)
+	db.down, db.stoppedAt, db.primary, db.log, db.born = false, 0, false, nil, time.Now().UnixMilli()
+	db.listen(l)
+	db.register()
+	return nil
+}
--- a/review/standins2/gateway.go
+++ b/review/standins2/gateway.go
@@ -28,8 +28,6 @@
 	mu        sync.Mutex
 	cmd       *exec.Cmd
 	ended     chan struct{}
-	// endedBy is how the last process ended.
-	endedBy string
 }
 
 // Ports below those that the system gives to connections.
@@ -122,10 +120,7 @@
 	g.cmd, g.ended = cmd, ended
 	g.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
-		g.mu.Lock()
-		g.endedBy = fmt.Sprint(err)
-		g.mu.Unlock()
+		_ = cmd.Wait() // How it ended does not matter.
 		close(ended)
 	}()
 	return nil
@@ -139,21 +134,6 @@
 	}
 }
 
-// hasEnded returns how the process ended, and false while it runs.
-func (g *gateway) hasEnded() (string, bool) {
-	g.mu.Lock()
-	ended := g.ended
-	g.mu.Unlock()
-	select {
-	case <-ended:
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		return g.endedBy, true
-	default:
-		return "", false
-	}
-}
-
 // kill ends the process for good.
 func (g *gateway) kill() {
 	if g.cmd == nil {
--- a/review/standins2/group.go
+++ b/review/standins2/group.go
@@ -87,7 +87,7 @@
 
 func (g *group) replicate() {
 	for _, db := range g.dbs {
-		if db == g.leader || db.down || g.leader.down || db.deaf || db.stoppedAt >= g.term {
+		if db == g.leader || db.down || g.leader.down || g.leader.log == nil || db.deaf || db.stoppedAt >= g.term {
 			continue
 		}
 		if db.primary && time.Since(g.promoted) < demotionDelay {
@@ -241,7 +241,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	db := &database{group: g, id: id, zone: zone, address: l.Addr().String(), term: g.term, conns: map[net.Conn]bool{}, slots: make(chan struct{}, databaseSlots)}
+	db := &database{group: g, id: id, born: time.Now().UnixMilli(), zone: zone, address: l.Addr().String(), term: g.term, conns: map[net.Conn]bool{}, slots: make(chan struct{}, databaseSlots)}
 	g.dbs = append(g.dbs, db)
 	if g.leader == nil {
 		g.leader, db.primary = db, true
--- a/review/standins2/store.go
+++ b/review/standins2/store.go
@@ -69,13 +69,10 @@
 	s.changed = make(chan struct{})
 }
 
-// storeGate is the way from one gateway to the store. While it is down, all its calls get 503, which means that nothing
-// was done.
+// storeGate is the way from one gateway to the store.
 type storeGate struct {
 	store   *store
 	address string
-	mu      sync.Mutex
-	down    bool
 }
 
 func (s *store) gate(ip string) (*storeGate, error) {
@@ -89,25 +86,14 @@
 	return g, nil
 }
 
-func (g *storeGate) setDown(down bool) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.down = down
-}
-
 // ServeHTTP implements http.Handler.
 func (g *storeGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	g.mu.Lock()
-	down := g.down
-	g.mu.Unlock()
-	switch {
-	case down:
-		w.WriteHeader(http.StatusServiceUnavailable)
-	case r.URL.Path == "/api/rows-tx":
+	switch r.URL.Path {
+	case "/api/rows-tx":
 		g.store.transact(w, r)
-	case r.URL.Path == "/api/rows-get":
+	case "/api/rows-get":
 		g.store.list(w, r)
-	case r.URL.Path == "/api/rows-feed":
+	case "/api/rows-feed":
 		g.store.feed(w, r)
 	default:
 		w.WriteHeader(http.StatusNotFound)
