Promote only a target that holds every acknowledged commit

Its commits hang, since the other replica receives nothing, so the VMs report it as failing. The row is closed as soon as any replica answers, and the new primary steps down. The choice then counts the replicas that the directory lists at that moment: two answers are needed while the entry of the crashed primary stands, one once it has expired. After a second of catching up the best replica that answers is promoted, although the primary has just said that it holds more: candidate_chosen holds=1/676 primary_held=2/946 primary_stepped_down=true.

Ruled out: a late order (the order follows the choice by 10 ms), rights that had not ended (rights_ended comes first), a wrong report (the commits do hang).

Fix, of the class: the row records which targets may hold acknowledged commits, while these are acknowledged (lease.Quorum). Neither an expired registration nor silence removes a member; it is removed when it is gone and the primary and enough others hold all that it may have held. Members are queried at their address also if they are not registered. Evidence.Choose in pkg/lease decides: a commit is held by sync_replicas+1 members, so with as many silent ones nobody is promoted, and otherwise the position that a candidate must hold follows from those that answer. The row is closed only if there is a successor, and opened again for the primary if there is none. No VM acknowledges while a registered target is not recorded.

The same on related paths: a coordinator that takes a closed row over, the leader that is sought after a restoration of the store (it was opened for a former primary that lacked commits), a replica whose entry has expired, a primary that leaves as planned. While no configuration is known, no primary is replaced, as it is not known whether commits wait; the clusters of the tests have a configuration now.

At the size of the plan: 60 to 100 bytes a member and row, only in groups whose commits wait for replicas; one write of a row more for each target that starts, announces that it leaves, or is gone. Nothing for all other groups.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -29,11 +28,13 @@
 	// stepped down.
 	catchUpTimeout    = time.Second
 	catchUpPollPeriod = 15 * time.Millisecond
+	// successorPollPeriod is how often the targets are queried while the primary serves and no replica has
+	// caught up with it. Each query takes a slot of the target.
+	successorPollPeriod = 50 * time.Millisecond
 )
 
-// errNoCandidate is returned when no replica can be reached. Closing the row would then only stop
-// VMs that may still reach the primary.
-var errNoCandidate = errors.New("lead: no replica can be reached")
+// errNoConfiguration is returned while it is not known whether commits wait for replicas.
+var errNoConfiguration = errors.New("lead: no configuration is known")
 
 // targetStatus is a target with the status that it returned.
 type targetStatus struct {
@@ -41,38 +42,109 @@
 	status target.Status
 }
 
-// isReplica reports whether a target can be a candidate.
-func (r *replacement) isReplica(t *directory.Target) bool {
-	return t.ID != r.row.Primary && !t.Leaving
-}
-
-// replicaStatuses queries the group's replicas.
-func (r *replacement) replicaStatuses(ctx context.Context) []targetStatus {
-	targets := slices.Clone(r.Directory.TargetsOf(r.group))
-	return r.statuses(ctx, slices.DeleteFunc(targets, func(t directory.Target) bool { return !r.isReplica(&t) }))
-}
-
 // statuses queries targets in parallel and returns the answers.
-func (r *replacement) statuses(ctx context.Context, targets []directory.Target) []targetStatus {
+func (l *Lead) statuses(ctx context.Context, targets []topology.Target) []targetStatus {
 	var mu sync.Mutex
 	var all []targetStatus
 	var wg sync.WaitGroup
 	for _, t := range targets {
 		wg.Go(func() {
-			s, err := r.status(ctx, t.Target)
+			s, err := l.status(ctx, t)
 			if err != nil {
-				r.Log.Info("event=status_failed", "target", t.ID, "error", err)
+				l.Log.Info("event=status_failed", "target", t.ID, "error", err)
 				return
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			all = append(all, targetStatus{target: t.Target, status: s})
+			all = append(all, targetStatus{target: t, status: s})
 		})
 	}
 	wg.Wait()
 	return all
 }
 
+// evidence is what the group's targets have answered. Each answer is that of the target at the same index.
+type evidence struct {
+	lease.Evidence
+	targets []targetStatus
+}
+
+// gather queries the targets whose logs decide which one may be promoted. It records targets first that the row's quorum
+// lacks, since the next coordinator may not see them any more.
+func (r *replacement) gather(ctx context.Context) (*evidence, error) {
+	quorum, err := r.quorum()
+	if err != nil {
+		return nil, err
+	}
+	if quorum != r.row.Quorum {
+		if err := r.change(ctx, r.row.WithQuorum(quorum)); err != nil {
+			return nil, err
+		}
+	}
+	if quorum == nil {
+		return r.newEvidence(r.statuses(ctx, r.replicasOf(r.group, r.row.Primary))), nil
+	}
+	return r.newEvidence(r.statuses(ctx, r.targetsOf(r.group, quorum.Members))), nil
+}
+
+func (r *replacement) newEvidence(targets []targetStatus) *evidence {
+	e := &evidence{Evidence: lease.Evidence{Row: r.row}, targets: targets}
+	for _, t := range targets {
+		e.Answers = append(e.Answers, r.answerOf(r.row, t))
+	}
+	return e
+}
+
+// quorum returns the row's quorum as it should be, or nil if commits do not wait for replicas.
+func (r *replacement) quorum() (*lease.Quorum, error) {
+	c := r.Directory.Configuration()
+	switch {
+	case c != nil:
+		return r.presentQuorum(r.row, c), nil
+	case r.row.Quorum != nil:
+		return r.row.Quorum.With(r.registeredMembers(r.group)), nil
+	}
+	return nil, errNoConfiguration
+}
+
+// awaitSuccessor waits until a replica could be promoted, for at most catchUpTimeout. Without one, replacing the
+// primary would only stop VMs that may still reach it.
+func (r *replacement) awaitSuccessor(ctx context.Context) error {
+	var required position.Position
+	isKnown := false
+	for end := time.Now().Add(catchUpTimeout); ; wait.For(ctx, successorPollPeriod) {
+		e, err := r.gather(ctx)
+		if err != nil {
+			return err
+		}
+		// The primary goes on committing, so a replica has caught up that holds what was required at first.
+		if !isKnown {
+			if required, isKnown = e.Required(); !isKnown {
+				return r.withheld(e, lease.ErrTooFewAnswers)
+			}
+		}
+		_, err = e.BestFrom(required)
+		if !errors.Is(err, lease.ErrCommitsMissing) {
+			return err
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return r.withheld(e, err)
+		}
+	}
+}
+
+// withheld logs why no replica is promoted.
+func (r *replacement) withheld(e *evidence, reason error) error {
+	required, isKnown := e.Required()
+	answers := make([]string, 0, len(e.Answers))
+	for _, a := range e.Answers {
+		answers = append(answers, string(a.ID)+":"+a.Received.String())
+	}
+	r.Log.Info("event=candidate_withheld", "group", r.group, "primary", r.row.Primary, "version", r.row.Version, "quorum", r.row.Quorum,
+		"answers", answers, "required", required, "required_known", isKnown, "reason", reason)
+	return reason
+}
+
 // choose picks the replica that has received the most, stops it from receiving more, and records it
 // with its position. A target that already leads the term needs no promotion.
 func (r *replacement) choose(ctx context.Context, former stepDownResult) error {
@@ -81,7 +153,7 @@
 		return err
 	}
 	if r.leadsAlready(best.status) {
-		return r.reopenFor(ctx, best)
+		return r.reopenFor(ctx, best.targetStatus)
 	}
 	s, err := r.command(ctx, controlTimeout, func(ctx context.Context) (target.Status, error) {
 		return r.Control.StopReceiving(ctx, best.target, r.row.Term+1)
@@ -90,7 +162,7 @@
 		return errors.Wrapf(err, "stop %s from receiving", best.target.ID)
 	}
 	r.Log.Info("event=candidate_chosen", "group", r.group, "candidate", best.target.ID, "holds", s.Received,
-		"primary_held", former.held, "primary_stepped_down", former.answered)
+		"primary_held", former.held, "primary_stepped_down", former.answered, "required", best.required)
 	return r.change(ctx, r.row.WithCandidate(best.target.ID, s.Received, former.answered && !s.Received.Less(former.held)))
 }
 
@@ -104,7 +176,7 @@
 // stepDown orders the old primary to stop writing; if it does, nothing it holds is lost. The row is
 // closed, so writes that it refuses from now on could not be acknowledged anyway.
 func (r *replacement) stepDown(ctx context.Context, reason string) stepDownResult {
-	t, ok := r.Directory.Target(r.row.Primary)
+	t, ok := r.targetOf(r.row, r.row.Primary)
 	if !ok {
 		return stepDownResult{}
 	}
@@ -116,7 +188,7 @@
 	var err error
 	for range attempts {
 		s, err = r.command(ctx, timeout, func(ctx context.Context) (target.Status, error) {
-			return r.Control.StepDown(ctx, t.Target, r.row.Term+1)
+			return r.Control.StepDown(ctx, t, r.row.Term+1)
 		})
 		if err == nil || errors.Is(err, errSuperseded) {
 			break
@@ -129,38 +201,31 @@
 	return stepDownResult{answered: true, held: s.Received}
 }
 
+// chosen is the replica to promote.
+type chosen struct {
+	targetStatus
+	// required is up to which position it must hold the log.
+	required position.Position
+}
+
 // best returns the replica that holds the most. If the old primary has stepped down, it
 // waits until a replica has caught up with it, for at most catchUpTimeout.
-func (r *replacement) best(ctx context.Context, former stepDownResult) (targetStatus, error) {
-	end := time.Now().Add(catchUpTimeout)
-	for {
-		all := r.replicaStatuses(ctx)
-		if len(all) < r.answersNeeded() {
-			return targetStatus{}, errNoCandidate
+func (r *replacement) best(ctx context.Context, former stepDownResult) (chosen, error) {
+	for end := time.Now().Add(catchUpTimeout); ; wait.For(ctx, catchUpPollPeriod) {
+		e, err := r.gather(ctx)
+		if err != nil {
+			return chosen{}, err
 		}
-		best := all[0]
-		for _, f := range all[1:] {
-			if r.isBetter(f.status, best.status) {
-				best = f
-			}
+		i, err := e.Choose()
+		isOver := time.Now().After(end) || ctx.Err() != nil
+		switch {
+		case err == nil && (isOver || !former.answered || !e.Answers[i].Received.Less(former.held)):
+			required, _ := e.Required()
+			return chosen{targetStatus: e.targets[i], required: required}, nil
+		case err != nil && (isOver || !errors.Is(err, lease.ErrCommitsMissing)):
+			return chosen{}, r.withheld(e, err)
 		}
-		if !former.answered || !best.status.Received.Less(former.held) || time.Now().After(end) {
-			return best, nil
-		}
-		wait.For(ctx, catchUpPollPeriod)
-	}
-}
-
-// isBetter reports whether a is the better choice for the primary than b: it has received more, or
-// already leads and needs no promotion, or has less left to apply.
-func (r *replacement) isBetter(a, b target.Status) bool {
-	if order := a.Received.Compare(b.Received); order != 0 {
-		return order > 0
-	}
-	if leads := r.leadsAlready(a); leads != r.leadsAlready(b) {
-		return leads
 	}
-	return a.Lag < b.Lag
 }
 
 // leadsAlready reports whether a replica leads the row's term.
@@ -178,19 +243,3 @@
 		"former_term", r.row.Term, "term", leader.status.Term)
 	return r.change(ctx, r.row.Returned(leader.target.ID, leader.status.Term))
 }
-
-// answersNeeded returns how many replicas must answer. If commits wait for replicas, at least one
-// replica that holds a commit must be among those that answer, whichever it is.
-func (r *replacement) answersNeeded() int {
-	c := r.Directory.Configuration()
-	if c == nil || c.SyncReplicas[r.group] == 0 {
-		return 1
-	}
-	replicas := 0
-	for _, t := range r.Directory.TargetsOf(r.group) {
-		if t.ID != r.row.Primary {
-			replicas++
-		}
-	}
-	return max(1, replicas-c.SyncReplicas[r.group]+1)
-}
--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -48,6 +48,12 @@
 	// because of overload.
 	lag       map[topology.TargetID]time.Duration
 	saturated map[topology.TargetID]bool
+	// deaf marks replicas that receive no log entries, and stalled those targets whose commits are not answered,
+	// although all else is.
+	deaf, stalled map[topology.TargetID]bool
+	// acknowledged is the last acknowledged commit, and lacking holds the targets that were promoted without it.
+	acknowledged uint64
+	lacking      []topology.TargetID
 }
 
 type order struct {
@@ -62,6 +68,7 @@
 	return &databases{
 		down: map[topology.TargetID]bool{}, refused: map[topology.TargetID]bool{}, ineffective: map[topology.TargetID]bool{}, term: 1,
 		lag: map[topology.TargetID]time.Duration{}, saturated: map[topology.TargetID]bool{},
+		deaf: map[topology.TargetID]bool{}, stalled: map[topology.TargetID]bool{},
 		isPrimary: map[topology.TargetID]bool{"a": true, "b": false, "c": false},
 		index:     map[topology.TargetID]uint64{"a": 9, "b": 9, "c": 7},
 	}
@@ -97,7 +104,9 @@
 	defer d.mu.Unlock()
 	if err == nil {
 		d.isPrimary[t.ID] = false
-		d.index["b"] = d.index[t.ID]
+		if !d.deaf["b"] {
+			d.index["b"] = d.index[t.ID]
+		}
 	}
 	return s, err
 }
@@ -117,6 +126,9 @@
 	}
 	d.isPrimary[id] = true
 	d.term++
+	if d.index[id] < d.acknowledged {
+		d.lacking = append(d.lacking, id)
+	}
 	if d.answerLost {
 		return errDown
 	}
@@ -156,6 +168,13 @@
 	return d.down[id]
 }
 
+// isFailing reports whether the statements of all VMs fail.
+func (d *databases) isFailing(id topology.TargetID) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.down[id] || d.stalled[id]
+}
+
 func (d *databases) isSaturated(id topology.TargetID) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -265,7 +284,7 @@
 func (h *health) Load(id topology.TargetID) (target.Load, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if !h.databases.isDown(id) {
+	if !h.databases.isFailing(id) {
 		delete(h.since, id)
 		return target.Load{LastAnswer: mono.System{}.Now(), Saturated: h.databases.isSaturated(id)}, true
 	}
@@ -288,7 +307,7 @@
 	addresses map[topology.VMID]string
 	// isolatedFor is how long a starting VM does not see the other VMs.
 	isolatedFor time.Duration
-	// configuration applies to all VMs; nil means none.
+	// configuration applies to all VMs.
 	configuration *directory.Configuration
 }
 
@@ -311,7 +330,7 @@
 	t.Parallel()
 	return &cluster{
 		t: t, store: metastore.NewMemory(), databases: newDatabases(),
-		vms: map[topology.VMID]*vm{}, addresses: map[topology.VMID]string{},
+		vms: map[topology.VMID]*vm{}, addresses: map[topology.VMID]string{}, configuration: &directory.Configuration{Version: 1},
 	}
 }
 
@@ -356,15 +375,13 @@
 	}
 	d := directory.New(self)
 	for _, t := range []topology.TargetID{"a", "b", "c"} {
-		d.SetTarget(directory.Target{Target: topology.Target{ID: t, Group: group}, ClaimsPrimary: t == "a"})
+		d.SetTarget(registration(t))
 	}
 	transport, err := lead.Listen(self.PeerAddress, log)
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	if c.configuration != nil {
-		d.SetConfiguration(c.configuration)
-	}
+	d.SetConfiguration(c.configuration)
 	limits := limit.NewLimiter(d, mono.System{}, quota.Policy{Window: 5 * time.Second, Excess: 0.1, Slack: 20})
 	l := lead.New(lead.Options{
 		Directory: d, Store: store, Control: c.databases, Promotions: c.databases, Transport: transport,
@@ -376,6 +393,13 @@
 	c.t.Cleanup(cancel)
 }
 
+// registration returns the entry of a target that has just started.
+func registration(id topology.TargetID) directory.Target {
+	return directory.Target{
+		Target: topology.Target{ID: id, Group: group, Address: "address-" + string(id)}, ClaimsPrimary: id == "a", Registration: string(id),
+	}
+}
+
 // stop kills a VM's process.
 func (c *cluster) stop(id topology.VMID) {
 	c.vms[id].cancel()
--- a/internal/lead/firstrow.go
+++ b/internal/lead/firstrow.go
@@ -177,6 +177,9 @@
 		Group: group, Version: lease.FirstVersion(era), Term: status.Term, Primary: primary.ID,
 		Coordinator: l.self.ID, Incarnation: l.self.Incarnation, Fence: 1, Witnesses: witnesses,
 	}
+	if c := l.Directory.Configuration(); c != nil {
+		row.Quorum = l.newQuorum(group, primary.ID, c.SyncReplicas[group])
+	}
 	if era > 0 {
 		row = row.FirstAfterRestoration()
 	}
--- a/internal/lead/interleaved_test.go
+++ b/internal/lead/interleaved_test.go
@@ -123,6 +123,7 @@
 	for _, id := range []topology.TargetID{"a", "b"} {
 		d.SetTarget(directory.Target{Target: topology.Target{ID: id, Group: "g"}})
 	}
+	d.SetConfiguration(&directory.Configuration{Version: 1})
 	l := New(Options{
 		Directory: d, Store: x.store, Promotions: x.orders, Control: x.control, Health: fixedAnswerTime{},
 		Clock: x.clock, Log: slog.New(slog.DiscardHandler), Transport: silentTransport(t),
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -49,6 +49,7 @@
 	var newCoordinator topology.VM
 	for _, group := range groups {
 		l.checkReplicaLag(ctx, group, now)
+		l.checkMembers(ctx, group, now)
 		l.mu.Lock()
 		if row := l.coordinator.Row(group); row == nil || l.ofEarlierEra(row) {
 			l.mu.Unlock()
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -150,6 +150,7 @@
 	relocation          relocation
 	primaryMissingSince map[topology.GroupID]mono.Time
 	lagState            map[topology.GroupID]lagState
+	members             map[topology.GroupID]memberState
 	firstSeen           map[topology.GroupID]mono.Time
 	// writingFirstRows is set while first rows are being written. vmCount is the last known number
 	// of VMs, and vmCountChanged when that number last changed.
@@ -234,6 +235,7 @@
 		changing:            map[topology.GroupID]bool{},
 		primaryMissingSince: map[topology.GroupID]mono.Time{},
 		lagState:            map[topology.GroupID]lagState{},
+		members:             map[topology.GroupID]memberState{},
 		following:           newFollowing(),
 		subscribed:          map[topology.VMID][]topology.GroupID{},
 		firstSeen:           map[topology.GroupID]mono.Time{},
@@ -340,6 +342,7 @@
 func (l *Lead) right(group topology.GroupID) (lease.Right, bool) {
 	now := l.Clock.Now()
 	r, ok := l.holder.Right(group, now)
+	ok = ok && l.coversRegistered(group)
 	l.want(group, now)
 	if !ok {
 		l.rightWanted = now
--- /dev/null
+++ b/internal/lead/members.go
@@ -0,0 +1,208 @@
+package lead
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/directory"
+	"github.com/buckthornshore/buckthornshore/internal/wait"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/topology"
+)
+
+// memberCheckPeriod is how often the other members are asked whether one that is gone can be removed.
+const memberCheckPeriod = time.Second
+
+func memberOf(t *directory.Target) lease.Member {
+	return lease.Member{ID: t.ID, Registration: t.Registration, Address: t.Address, Leaving: t.Leaving}
+}
+
+// registeredMembers lists the registered targets of a group as members.
+func (l *Lead) registeredMembers(group topology.GroupID) []lease.Member {
+	targets := l.Directory.TargetsOf(group)
+	members := make([]lease.Member, 0, len(targets))
+	for i := range targets {
+		members = append(members, memberOf(&targets[i]))
+	}
+	return members
+}
+
+// coversRegistered reports whether the row that this VM knows of a group records all registered targets, so that commits
+// may be acknowledged.
+func (l *Lead) coversRegistered(group topology.GroupID) bool {
+	q := l.holder.Row(group).Quorum
+	return q == nil || q.Covers(l.registeredMembers(group))
+}
+
+// newQuorum returns a quorum of the primary and all registered targets, or nil if commits do not wait for replicas.
+func (l *Lead) newQuorum(group topology.GroupID, primary topology.TargetID, syncReplicas int) *lease.Quorum {
+	q := lease.NewQuorum(syncReplicas, l.registeredMembers(group))
+	if q == nil {
+		return nil
+	}
+	return q.With([]lease.Member{{ID: primary}})
+}
+
+// targetsOf lists members of a group as targets. It leaves out those of which a later start is registered: they have
+// ended.
+func (l *Lead) targetsOf(group topology.GroupID, members []lease.Member) []topology.Target {
+	var targets []topology.Target
+	for _, m := range members {
+		t, ok := l.Directory.Target(m.ID)
+		switch {
+		case ok && !t.Superseded:
+			targets = append(targets, t.Target)
+		case !ok && m.Address != "":
+			targets = append(targets, topology.Target{ID: m.ID, Group: group, Address: m.Address})
+		}
+	}
+	return targets
+}
+
+// targetOf returns a target that is registered or a member of the row's quorum.
+func (l *Lead) targetOf(row *lease.Row, id topology.TargetID) (topology.Target, bool) {
+	if t, ok := l.Directory.Target(id); ok {
+		return t.Target, true
+	}
+	if row.Quorum == nil {
+		return topology.Target{}, false
+	}
+	for _, t := range l.targetsOf(row.Group, row.Quorum.Members) {
+		if t.ID == id {
+			return t, true
+		}
+	}
+	return topology.Target{}, false
+}
+
+// answerOf returns a target's status as an answer about its log.
+func (l *Lead) answerOf(row *lease.Row, s targetStatus) lease.Answer {
+	a := lease.Answer{
+		Member: lease.Member{ID: s.target.ID}, Received: s.status.Received, Lag: s.status.Lag,
+		Leads: s.status.Primary && s.status.Term == row.Term,
+	}
+	if t, ok := l.Directory.Target(a.ID); ok {
+		a.Member, a.Registered = memberOf(&t), !t.Superseded
+	} else if m, ok := row.Quorum.Member(a.ID); ok {
+		a.Member = m
+	}
+	return a
+}
+
+// checkMembers keeps the quorum of a group that this VM coordinates up to date: new targets are added at once, and
+// those that are gone are removed once the others hold all that they may have held.
+func (l *Lead) checkMembers(ctx context.Context, group topology.GroupID, now mono.Time) {
+	l.mu.Lock()
+	row := l.coordinator.Row(group)
+	c := l.Directory.Configuration()
+	if c == nil || row == nil || !row.Open() || l.leaving || l.changing[group] || l.ofEarlierEra(row) || l.coordinator.Withdrawn(group) {
+		l.mu.Unlock()
+		return
+	}
+	quorum := l.presentQuorum(row, c)
+	var gone []lease.Member
+	if quorum != nil && quorum == row.Quorum {
+		gone = l.goneMembers(row, now)
+	}
+	l.mu.Unlock()
+	if quorum != row.Quorum {
+		l.startChange(group, func() { l.changeQuorum(ctx, row, quorum) })
+	}
+	if len(gone) > 0 {
+		go l.removeMembers(ctx, row, gone)
+	}
+}
+
+// presentQuorum returns the row's quorum as it should be, or nil if commits do not wait for replicas. A higher number of
+// replicas than the recorded one takes no effect, since earlier commits did not wait for as many.
+func (l *Lead) presentQuorum(row *lease.Row, c *directory.Configuration) *lease.Quorum {
+	syncReplicas, isConfigured := c.SyncReplicas[row.Group]
+	q := row.Quorum
+	switch {
+	case q == nil || isConfigured && syncReplicas == 0:
+		return l.newQuorum(row.Group, row.Primary, syncReplicas)
+	case isConfigured && syncReplicas < q.SyncReplicas:
+		q = lease.NewQuorum(syncReplicas, q.Members)
+	}
+	return q.With(l.registeredMembers(row.Group))
+}
+
+func (l *Lead) changeQuorum(ctx context.Context, row *lease.Row, quorum *lease.Quorum) {
+	next := row.WithQuorum(quorum)
+	err := l.commit(ctx, row, next)
+	l.Log.Info("event=members_changed", "group", row.Group, "version", next.Version, "from", row.Quorum, "to", quorum, "error", err)
+	if err != nil {
+		wait.For(ctx, handoverRetryDelay)
+	}
+}
+
+// goneMembers returns the members that count as gone, at most once in memberCheckPeriod: a later start is registered, or
+// the registration has been absent for missingAfter while the store answers. The primary is never among them.
+func (l *Lead) goneMembers(row *lease.Row, now mono.Time) []lease.Member {
+	known := l.members[row.Group]
+	next := memberState{asked: known.asked, missingSince: map[topology.TargetID]mono.Time{}}
+	var gone []lease.Member
+	for _, m := range row.Quorum.Members {
+		t, registered := l.Directory.Target(m.ID)
+		if m.ID == row.Primary || registered && !t.Superseded {
+			continue
+		}
+		since, ok := known.missingSince[m.ID]
+		if !ok {
+			since = now
+		}
+		next.missingSince[m.ID] = since
+		if registered || now.Sub(since) > missingAfter && !l.storeLost(now) {
+			gone = append(gone, m)
+		}
+	}
+	isDue := len(gone) > 0 && now.Sub(next.asked) >= memberCheckPeriod
+	if isDue {
+		next.asked = now
+	}
+	l.members[row.Group] = next
+	if !isDue {
+		return nil
+	}
+	return gone
+}
+
+// memberState is what a coordinator knows of a group's members without a registration.
+type memberState struct {
+	// asked is when the other members were last asked about them.
+	asked mono.Time
+	// missingSince is since when each of them has had no registration.
+	missingSince map[topology.TargetID]mono.Time
+}
+
+// removeMembers removes members that are gone from the row if the others hold all that they may have held. One that
+// still answers at its address is not gone.
+func (l *Lead) removeMembers(ctx context.Context, row *lease.Row, gone []lease.Member) {
+	answering := l.statuses(ctx, l.targetsOf(row.Group, gone))
+	gone = slices.DeleteFunc(gone, func(m lease.Member) bool {
+		return slices.ContainsFunc(answering, func(s targetStatus) bool { return s.target.ID == m.ID })
+	})
+	primary, ok := l.targetOf(row, row.Primary)
+	if !ok || len(gone) == 0 {
+		return
+	}
+	leader := l.statuses(ctx, []topology.Target{primary})
+	others := slices.DeleteFunc(slices.Clone(row.Quorum.Members), func(m lease.Member) bool {
+		return m.ID == row.Primary || slices.Contains(gone, m)
+	})
+	for end := time.Now().Add(catchUpTimeout); ; wait.For(ctx, successorPollPeriod) {
+		var answers []lease.Answer
+		for _, s := range append(l.statuses(ctx, l.targetsOf(row.Group, others)), leader...) {
+			answers = append(answers, l.answerOf(row, s))
+		}
+		if quorum, proven := row.Quorum.Without(gone, row.Primary, answers); proven {
+			l.startChange(row.Group, func() { l.changeQuorum(ctx, row, quorum) })
+			return
+		}
+		if time.Now().After(end) || ctx.Err() != nil {
+			return
+		}
+	}
+}
--- a/internal/lead/promote.go
+++ b/internal/lead/promote.go
@@ -112,11 +112,11 @@
 // resumeReceiving lets a replica that was stopped for its promotion follow its primary again. A
 // replica that does not answer is down, and receives again after its restart.
 func (r *replacement) resumeReceiving(ctx context.Context, id topology.TargetID) {
-	t, ok := r.Directory.Target(id)
+	t, ok := r.targetOf(r.row, id)
 	if !ok {
 		return
 	}
-	_, err := r.command(ctx, controlTimeout, func(ctx context.Context) (target.Status, error) { return r.Control.Resume(ctx, t.Target) })
+	_, err := r.command(ctx, controlTimeout, func(ctx context.Context) (target.Status, error) { return r.Control.Resume(ctx, t) })
 	if err != nil {
 		r.Log.Info("event=resume_failed", "target", id, "error", err)
 	}
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -60,28 +60,56 @@
 	if r.row == nil {
 		return errSuperseded
 	}
-	if r.row.Open() {
+	isNew := r.row.Open()
+	if isNew {
 		if err := r.close(ctx, reason); err != nil {
 			return err
 		}
 	}
 	if r.row.Handover.Candidate == "" {
-		if r.row.Handover.Reason == lease.RestoredReason {
-			if err := r.reopenForLeader(ctx); !errors.Is(err, errNoLeader) {
-				return err
-			}
-		}
-		// Both run in parallel: a primary that is cut off takes the whole timeout of a connection.
-		former := make(chan stepDownResult, 1)
-		go func() { former <- r.stepDown(ctx, reason) }()
-		if err := r.awaitRightsEnded(ctx); err != nil {
+		if err := r.nominate(ctx, reason, isNew); err != nil || r.row.Open() {
 			return err
 		}
-		if err := r.choose(ctx, <-former); err != nil || r.row.Open() {
+	}
+	return r.promote(ctx)
+}
+
+// nominate chooses the candidate, or opens the row for a target that leads already. isNew is set if the row has just been
+// closed, as there was a replica to promote.
+func (r *replacement) nominate(ctx context.Context, reason string, isNew bool) error {
+	if r.row.Handover.Reason == lease.RestoredReason {
+		if err := r.reopenForLeader(ctx); !errors.Is(err, errNoLeader) {
 			return err
 		}
 	}
-	return r.promote(ctx)
+	if !isNew && r.row.Quorum != nil {
+		if err := r.awaitSuccessor(ctx); err != nil {
+			return r.keepPrimary(ctx, err)
+		}
+	}
+	// Both run in parallel: a primary that is cut off takes the whole timeout of a connection.
+	former := make(chan stepDownResult, 1)
+	go func() { former <- r.stepDown(ctx, reason) }()
+	if err := r.awaitRightsEnded(ctx); err != nil {
+		return err
+	}
+	return r.choose(ctx, <-former)
+}
+
+// keepPrimary opens the row for the present primary, if it still leads. reason is why no replica can be promoted.
+func (r *replacement) keepPrimary(ctx context.Context, reason error) error {
+	t, ok := r.targetOf(r.row, r.row.Primary)
+	if !ok || !errors.Is(reason, lease.ErrCommitsMissing) {
+		return reason
+	}
+	if err := r.awaitRightsEnded(ctx); err != nil {
+		return err
+	}
+	s, err := r.status(ctx, t)
+	if err != nil || !r.leadsAlready(s) {
+		return errors.CombineErrors(reason, err)
+	}
+	return r.reopenFor(ctx, targetStatus{target: t, status: s})
 }
 
 // coordinatedRow returns the row if this VM coordinates the group, or nil.
@@ -121,8 +149,8 @@
 // close stops promises and commits the closed row. Promises stop before the write is sent, because
 // its answer may be lost although it took effect.
 func (r *replacement) close(ctx context.Context, reason string) error {
-	if len(r.replicaStatuses(ctx)) == 0 {
-		return errNoCandidate
+	if err := r.awaitSuccessor(ctx); err != nil {
+		return err
 	}
 	r.mu.Lock()
 	r.coordinator.Withdraw(r.group)
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
@@ -182,23 +181,41 @@
 	if err := r.awaitRightsEnded(ctx); err != nil {
 		return err
 	}
-	targets := r.Directory.TargetsOf(r.group)
+	targets := r.possibleLeaders()
 	answers := r.statuses(ctx, targets)
 	leader, ok := r.leaderOf(answers)
 	if !ok {
 		return errNoLeader
 	}
+	e := r.newEvidence(answers)
+	if required, isKnown := e.Required(); !isKnown || leader.status.Received.Less(required) {
+		r.Log.Info("event=leader_withheld", "group", r.group, "leader", leader.target.ID, "holds", leader.status.Received,
+			"required", required, "required_known", isKnown)
+		return errNoLeader
+	}
 	if len(answers) < len(targets) {
 		if err := r.orderPromotion(ctx, leader.target.ID); err != nil {
 			return err
 		}
-		if leader, ok = r.leaderOf(r.statuses(ctx, []directory.Target{{Target: leader.target}})); !ok {
+		if leader, ok = r.leaderOf(r.statuses(ctx, []topology.Target{leader.target})); !ok {
 			return errNoLeader
 		}
 	}
 	return r.reopenFor(ctx, leader)
 }
 
+// possibleLeaders lists the targets that may lead.
+func (r *replacement) possibleLeaders() []topology.Target {
+	if r.row.Quorum != nil {
+		return r.targetsOf(r.group, r.row.Quorum.With(r.registeredMembers(r.group)).Members)
+	}
+	var targets []topology.Target
+	for _, t := range r.Directory.TargetsOf(r.group) {
+		targets = append(targets, t.Target)
+	}
+	return targets
+}
+
 // leaderOf returns the target that leads the highest term, in the row's term or a later one.
 func (r *replacement) leaderOf(answers []targetStatus) (leader targetStatus, ok bool) {
 	for _, a := range answers {
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -87,6 +87,9 @@
 	Handover *Handover `json:"handover,omitempty" msgpack:"h,omitempty"`
 	// History holds the ends of the latest terms, the oldest first.
 	History []topology.TermEnd `json:"history,omitempty" msgpack:"y,omitempty"`
+	// Quorum tells which targets may hold the acknowledged commits, if commits wait for replicas. It never changes
+	// in place.
+	Quorum *Quorum `json:"quorum,omitempty" msgpack:"q,omitempty"`
 }
 
 // Former is a former coordinator: an earlier coordinator whose promises may still be valid.
@@ -243,6 +246,13 @@
 	return n
 }
 
+// WithQuorum returns the row with another quorum.
+func (r *Row) WithQuorum(q *Quorum) *Row {
+	n := r.next()
+	n.Quorum = q
+	return n
+}
+
 // Resumed returns the row with the handover cancelled: the primary stays. Writing it
 // over an open row ensures that a change sent earlier can no longer take effect.
 func (r *Row) Resumed() *Row {
