The model of pkg/lease has databases whose commits wait for a replica

It could not show the loss of an acknowledged commit: its promotions named any target. databaseModel adds databases that crash and come back, leave to a successor, start again without their log, receive nothing, and whose registrations expire and come back, in any order with takeovers, cuts and restarts of VMs. A promoted database must hold every acknowledged commit, and commits must be acknowledged again after the last fault.

Found while it was written, in drafts of the fix: a new target that only the primary and itself hold a commit of, as no coordinator had recorded it (now no commit is acknowledged meanwhile), and a successor that passed for having the log of a target that had lost its own (now only that of one that has announced that it leaves).

Not in the model: restorations of the store together with databases.

--- a/pkg/lease/model_test.go
+++ b/pkg/lease/model_test.go
@@ -76,6 +76,8 @@
 	isBuggy     bool
 	promotions  int
 	restoration int
+	// databases are the group's databases, nil if promotions are only counted.
+	databases *databaseModel
 }
 
 const storeLink = -1
@@ -279,7 +281,9 @@
 		m.write(i, row.Returned(m.leader, m.term))
 		return false
 	}
-	m.promotions++
+	if m.databases == nil {
+		m.promotions++
+	}
 	for _, v := range m.vms {
 		if r, ok := v.holder.Right("g", m.now); ok {
 			if !m.isBuggy {
@@ -288,6 +292,9 @@
 			return true
 		}
 	}
+	if m.databases != nil {
+		return m.databases.replace(t, i, row, seed)
+	}
 	chosen := row.WithCandidate(topology.TargetID(fmt.Sprintf("t%d", m.term+1)), position.Position{Term: row.Term}, true)
 	if m.write(i, chosen) {
 		m.term++
@@ -332,6 +339,13 @@
 func (m *model) step(t *testing.T, seed uint64) (broken bool) {
 	m.now = m.now.Add(time.Duration(m.random.IntN(60)) * time.Millisecond)
 	i := m.random.IntN(modelVMs)
+	if m.databases != nil && m.random.IntN(2) == 0 {
+		m.databases.step(i)
+		return false
+	}
+	if m.databases != nil && m.databases.calm {
+		return m.databases.stepCalmly(t, i, seed)
+	}
 	switch n := m.random.IntN(100); {
 	case n < 55:
 		m.renew(i)
