Acknowledge nothing until a new target is recorded, also what has run

Where commits wait for replicas, a request that had its right before a target registered could still be acknowledged while no coordinator had recorded the target, so Confirm asks again before the answer goes out. It waits, for at most the time of a right: the row is written within some ten milliseconds, and an answer at once would be "outcome unknown" for each write in flight as a target starts. For the same reason it waits for the promise under the row that has the target.

TestNothingIsAcknowledgedUntilANewTargetIsRecorded fails without it: "the right ended", as the row that records the target ends the promise for a moment. Groups whose commits wait for no replica are served as before. What concerns this VM's own rights has moved from lead.go into rights.go.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -20,7 +20,6 @@
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
-	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/quota"
 	"github.com/buckthornshore/buckthornshore/pkg/routing"
 	"github.com/buckthornshore/buckthornshore/pkg/slotshare"
@@ -331,81 +330,3 @@
 	defer l.mu.Unlock()
 	return l.leaving
 }
-
-// Right returns this VM's current right for the group's primary.
-func (l *Lead) Right(group topology.GroupID) (lease.Right, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.right(group)
-}
-
-func (l *Lead) right(group topology.GroupID) (lease.Right, bool) {
-	now := l.Clock.Now()
-	r, ok := l.holder.Right(group, now)
-	ok = ok && l.coversRegistered(group)
-	l.want(group, now)
-	if !ok {
-		l.rightWanted = now
-	}
-	return r, ok
-}
-
-// Confirm reports whether the right is still valid.
-func (l *Lead) Confirm(r lease.Right) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.holder.Confirm(r, l.Clock.Now())
-}
-
-// Row returns the newest known row of a group, or nil.
-func (l *Lead) Row(group topology.GroupID) *lease.Row {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.holder.Row(group)
-}
-
-// Await waits until this VM has the right for the group's primary or ctx ends. It returns at once
-// while this VM is cut off.
-func (l *Lead) Await(ctx context.Context, group topology.GroupID) (lease.Right, bool) {
-	for {
-		l.mu.Lock()
-		r, ok := l.right(group)
-		changed, cut := l.changed, l.isCutOff(l.Clock.Now())
-		l.mu.Unlock()
-		if ok || cut {
-			return r, ok
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return lease.Right{}, false
-		}
-	}
-}
-
-// Frozen returns the end of the group's log while its primary is being replaced and no VM has a
-// right, and when that was last confirmed: nothing is acknowledged meanwhile. A candidate that
-// holds less than the former primary may still be dropped, so its position is not the end of the
-// log until it leads.
-func (l *Lead) Frozen(group topology.GroupID) (position.Position, mono.Time, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	row := l.holder.Row(group)
-	at := l.frozen[group]
-	if row == nil || row.Open() || !row.Handover.Complete || at.version != row.Version {
-		return position.Position{}, 0, false
-	}
-	return row.Handover.End, at.confirmedAt, true
-}
-
-// rowConfirmation is when the coordinator last confirmed a version of a row.
-type rowConfirmation struct {
-	version     uint64
-	confirmedAt mono.Time
-}
-
-// wakeWaiters wakes all callers that wait for a right.
-func (l *Lead) wakeWaiters() {
-	close(l.changed)
-	l.changed = make(chan struct{})
-}
--- a/internal/lead/members.go
+++ b/internal/lead/members.go
@@ -36,6 +36,16 @@
 	return q == nil || q.Covers(l.registeredMembers(group))
 }
 
+// isRecording reports whether a target is being recorded, so that a right can't be confirmed yet: it is missing in the row, or
+// the right has not been renewed under the row that has it.
+func (l *Lead) isRecording(r lease.Right, isValid bool) bool {
+	row := l.holder.Row(r.Group)
+	if row == nil || row.Quorum == nil || !row.Open() || row.Term != r.Term || row.Primary != r.Primary {
+		return false
+	}
+	return !isValid || !l.coversRegistered(r.Group)
+}
+
 // newQuorum returns a quorum of the primary and all registered targets, or nil if commits do not wait for replicas.
 func (l *Lead) newQuorum(group topology.GroupID, primary topology.TargetID, syncReplicas int) *lease.Quorum {
 	q := lease.NewQuorum(syncReplicas, l.registeredMembers(group))
--- a/internal/lead/quorum_test.go
+++ b/internal/lead/quorum_test.go
@@ -234,20 +234,39 @@
 	}
 }
 
-// Guards against acknowledged commits that are held by the primary and a target of which no coordinator has taken note.
-func TestNoRightUntilANewTargetIsRecorded(t *testing.T) {
+// Guards against acknowledged commits that are held by the primary and a target of which no coordinator has taken note: a
+// request gets no right, and one that has run waits.
+func TestNothingIsAcknowledgedUntilANewTargetIsRecorded(t *testing.T) {
 	c := startSyncCluster(t)
 	for _, v := range c.vms {
 		v.store.delayWrites("group/", 500*time.Millisecond)
 	}
+	held, _ := c.vms["vm-1"].lead.Right(group)
 	c.register(registration("d"))
 	for _, v := range c.vms {
 		if _, ok := v.lead.Right(group); ok {
 			t.Errorf("%s has the right", v.id)
 		}
 	}
-	c.checkGoesOn("a")
+	if !c.vms["vm-1"].lead.Confirm(held) {
+		t.Error("the right ended")
+	}
 	if n := len(c.row().Quorum.Members); n != 4 {
-		t.Fatalf("%d members", n)
+		t.Errorf("confirmed with %d members", n)
+	}
+	c.checkGoesOn("a")
+}
+
+// Guards against requests that wait for good while no coordinator can record a new target.
+func TestConfirmEndsWhileATargetIsNotRecorded(t *testing.T) {
+	c := startSyncCluster(t)
+	for _, v := range c.vms {
+		v.store.delayWrites("group/", time.Minute)
+	}
+	held, _ := c.vms["vm-1"].lead.Right(group)
+	c.register(registration("d"))
+	begun := time.Now()
+	if c.vms["vm-1"].lead.Confirm(held) || time.Since(begun) > 2*lease.Duration {
+		t.Errorf("confirmed, or after %v", time.Since(begun))
 	}
 }
