A VM with an old listing keeps its right as a member is removed

Where commits wait for replicas, a VM that is cut off from the store goes on listing a target whose entry has expired. Once the coordinator removed it from the row, the VM took it for a target that nobody had recorded, and served neither writes nor reads at the primary until its listing was renewed (found by reading the fix, before it landed). A VM now notes which listed targets its former rows recorded.

--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -150,7 +150,9 @@
 	primaryMissingSince map[topology.GroupID]mono.Time
 	lagState            map[topology.GroupID]lagState
 	members             map[topology.GroupID]memberState
-	firstSeen           map[topology.GroupID]mono.Time
+	// removedMembers are the targets that rows no longer record and that this VM still lists as registered.
+	removedMembers map[topology.GroupID]map[topology.TargetID]bool
+	firstSeen      map[topology.GroupID]mono.Time
 	// writingFirstRows is set while first rows are being written. vmCount is the last known number
 	// of VMs, and vmCountChanged when that number last changed.
 	writingFirstRows bool
@@ -235,6 +237,7 @@
 		primaryMissingSince: map[topology.GroupID]mono.Time{},
 		lagState:            map[topology.GroupID]lagState{},
 		members:             map[topology.GroupID]memberState{},
+		removedMembers:      map[topology.GroupID]map[topology.TargetID]bool{},
 		following:           newFollowing(),
 		subscribed:          map[topology.VMID][]topology.GroupID{},
 		firstSeen:           map[topology.GroupID]mono.Time{},
--- a/internal/lead/members.go
+++ b/internal/lead/members.go
@@ -29,11 +29,33 @@
 	return members
 }
 
-// coversRegistered reports whether the row that this VM knows of a group records all registered targets, so that commits
-// may be acknowledged.
+// coversRegistered reports whether all registered targets of a group are recorded in the row that this VM knows, so that
+// commits may be acknowledged.
 func (l *Lead) coversRegistered(group topology.GroupID) bool {
 	q := l.holder.Row(group).Quorum
-	return q == nil || q.Covers(l.registeredMembers(group))
+	if q == nil {
+		return true
+	}
+	removed := l.removedMembers[group]
+	return q.Covers(slices.DeleteFunc(l.registeredMembers(group), func(m lease.Member) bool { return removed[m.ID] }))
+}
+
+// noteRemovedMembers notes which members a new row no longer has although this VM still lists them as registered. They
+// were recorded, and do not become unknown targets again.
+func (l *Lead) noteRemovedMembers(former, row *lease.Row) {
+	if row.Quorum == nil || former == nil || former.Quorum == nil {
+		delete(l.removedMembers, row.Group)
+		return
+	}
+	removed := map[topology.TargetID]bool{}
+	for _, m := range l.registeredMembers(row.Group) {
+		_, is := row.Quorum.Member(m.ID)
+		_, was := former.Quorum.Member(m.ID)
+		if !is && (was || l.removedMembers[row.Group][m.ID]) {
+			removed[m.ID] = true
+		}
+	}
+	l.removedMembers[row.Group] = removed
 }
 
 // isRecording reports whether a target is being recorded, so that a right can't be confirmed yet: it is missing in the row, or
--- a/internal/lead/quorum_test.go
+++ b/internal/lead/quorum_test.go
@@ -257,6 +257,27 @@
 	c.checkGoesOn("a")
 }
 
+// Guards against a VM without a right that still lists a target which the coordinator has removed from the row, since it does not
+// learn that its registration has expired.
+func TestAVMThatListsARemovedTargetKeepsItsRight(t *testing.T) {
+	c := startSyncCluster(t)
+	coordinator := c.row().Coordinator
+	c.databases.kill("c")
+	c.vms[coordinator].directory.RemoveRegistration("c")
+	lastRight := time.Now()
+	for end := time.Now().Add(observed); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if c.allRight("a") {
+			lastRight = time.Now()
+		}
+		if gap := time.Since(lastRight); gap > longestRightGap {
+			t.Fatalf("a VM has no right for %v", gap)
+		}
+	}
+	if n := len(c.row().Quorum.Members); n != 2 {
+		t.Fatalf("%d members", n)
+	}
+}
+
 // Guards against requests that wait for good while no coordinator can record a new target.
 func TestConfirmEndsWhileATargetIsNotRecorded(t *testing.T) {
 	c := startSyncCluster(t)
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -206,6 +206,7 @@
 	}
 	// This VM now tells its successor that it has adopted the row, and the successor then takes it to have stopped.
 	l.coordinator.Supersede(row)
+	l.noteRemovedMembers(former, row)
 	l.lastAdopted = l.Clock.Now()
 	l.Directory.Relay().NoteCoordinator()
 	if former == nil || former.Coordinator != row.Coordinator {
