Look at a group's members only when something has changed

A coordinator compared the members of each group with the directory twenty times a second, with some allocations for each group, also where commits wait for no replica; a request allocated the list of members. Now groups without a quorum are left at once, others are looked at when the directory or the row has changed or a member is missing, and a request compares ids in place.

--- a/internal/lead/members.go
+++ b/internal/lead/members.go
@@ -36,8 +36,13 @@
 	if q == nil {
 		return true
 	}
-	removed := l.removedMembers[group]
-	return q.Covers(slices.DeleteFunc(l.registeredMembers(group), func(m lease.Member) bool { return removed[m.ID] }))
+	targets := l.Directory.TargetsOf(group)
+	for i := range targets {
+		if id := targets[i].ID; !q.Has(id) && !l.removedMembers[group][id] {
+			return false
+		}
+	}
+	return true
 }
 
 // noteRemovedMembers notes which members a new row no longer has although this VM still lists them as registered. They
@@ -49,9 +54,8 @@
 	}
 	removed := map[topology.TargetID]bool{}
 	for _, m := range l.registeredMembers(row.Group) {
-		_, is := row.Quorum.Member(m.ID)
-		_, was := former.Quorum.Member(m.ID)
-		if !is && (was || l.removedMembers[row.Group][m.ID]) {
+		wasRecorded := former.Quorum.Has(m.ID) || l.removedMembers[row.Group][m.ID]
+		if wasRecorded && !row.Quorum.Has(m.ID) {
 			removed[m.ID] = true
 		}
 	}
@@ -70,11 +74,10 @@
 
 // newQuorum returns a quorum of the primary and all registered targets, or nil if commits do not wait for replicas.
 func (l *Lead) newQuorum(group topology.GroupID, primary topology.TargetID, syncReplicas int) *lease.Quorum {
-	q := lease.NewQuorum(syncReplicas, l.registeredMembers(group))
-	if q == nil {
+	if syncReplicas <= 0 {
 		return nil
 	}
-	return q.With([]lease.Member{{ID: primary}})
+	return lease.NewQuorum(syncReplicas, l.registeredMembers(group)).With([]lease.Member{{ID: primary}})
 }
 
 // targetsOf lists members of a group as targets. It leaves out those of which a later start is registered: they have
@@ -115,10 +118,18 @@
 		Member: lease.Member{ID: s.target.ID}, Received: s.status.Received, Lag: s.status.Lag,
 		Leads: s.status.Primary && s.status.Term == row.Term,
 	}
-	if t, ok := l.Directory.Target(a.ID); ok {
+	t, isListed := l.Directory.Target(a.ID)
+	if isListed {
 		a.Member, a.Registered = memberOf(&t), !t.Superseded
-	} else if m, ok := row.Quorum.Member(a.ID); ok {
-		a.Member = m
+		return a
+	}
+	if row.Quorum == nil {
+		return a
+	}
+	for _, m := range row.Quorum.Members {
+		if m.ID == a.ID {
+			a.Member = m
+		}
 	}
 	return a
 }
@@ -126,19 +137,10 @@
 // checkMembers keeps the quorum of a group that this VM coordinates up to date: new targets are added at once, and
 // those that are gone are removed once the others hold all that they may have held.
 func (l *Lead) checkMembers(ctx context.Context, group topology.GroupID, now mono.Time) {
-	l.mu.Lock()
-	row := l.coordinator.Row(group)
-	c := l.Directory.Configuration()
-	if c == nil || row == nil || !row.Open() || l.leaving || l.changing[group] || l.ofEarlierEra(row) || l.coordinator.Withdrawn(group) {
-		l.mu.Unlock()
+	row, quorum, gone := l.membersToChange(group, now)
+	if row == nil {
 		return
 	}
-	quorum := l.presentQuorum(row, c)
-	var gone []lease.Member
-	if quorum != nil && quorum == row.Quorum {
-		gone = l.goneMembers(row, now)
-	}
-	l.mu.Unlock()
 	if quorum != row.Quorum {
 		l.startChange(group, func() { l.changeQuorum(ctx, row, quorum) })
 	}
@@ -147,6 +149,33 @@
 	}
 }
 
+// membersToChange returns the group's row if this VM may change it now and commits wait for replicas, the quorum that it
+// should have, and the members that are gone.
+func (l *Lead) membersToChange(group topology.GroupID, now mono.Time) (row *lease.Row, quorum *lease.Quorum, gone []lease.Member) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	row = l.coordinator.Row(group)
+	c := l.Directory.Configuration()
+	if c == nil || row == nil || row.Quorum == nil && c.SyncReplicas[group] == 0 {
+		return nil, nil, nil
+	}
+	if !row.Open() || l.leaving || l.changing[group] || l.ofEarlierEra(row) || l.coordinator.Withdrawn(group) {
+		return nil, nil, nil
+	}
+	known, changes := l.members[group], l.Directory.Changes()
+	if known.version == row.Version && known.changes == changes && len(known.missingSince) == 0 {
+		return nil, nil, nil // The usual case, checked many times a second.
+	}
+	quorum = l.presentQuorum(row, c)
+	if quorum == nil || quorum != row.Quorum {
+		return row, quorum, nil
+	}
+	known.version, known.changes = row.Version, changes
+	gone = l.goneMembers(row, &known, now)
+	l.members[group] = known
+	return row, quorum, gone
+}
+
 // presentQuorum returns the row's quorum as it should be, or nil if commits do not wait for replicas. A higher number of
 // replicas than the recorded one takes no effect, since earlier commits did not wait for as many.
 func (l *Lead) presentQuorum(row *lease.Row, c *directory.Configuration) *lease.Quorum {
@@ -170,45 +199,43 @@
 	}
 }
 
+// memberState is what a coordinator knows of a group's members.
+type memberState struct {
+	// version is the row's version, and changes the number of changes of the directory, as they were last checked.
+	version, changes uint64
+	// asked is when the other members were last asked about those that are gone.
+	asked mono.Time
+	// missingSince is since when each member without a registration has had none.
+	missingSince map[topology.TargetID]mono.Time
+}
+
 // goneMembers returns the members that count as gone, at most once in memberCheckPeriod: a later start is registered, or
 // the registration has been absent for missingAfter while the store answers. The primary is never among them.
-func (l *Lead) goneMembers(row *lease.Row, now mono.Time) []lease.Member {
-	known := l.members[row.Group]
-	next := memberState{asked: known.asked, missingSince: map[topology.TargetID]mono.Time{}}
+func (l *Lead) goneMembers(row *lease.Row, known *memberState, now mono.Time) []lease.Member {
+	missing := map[topology.TargetID]mono.Time{}
 	var gone []lease.Member
 	for _, m := range row.Quorum.Members {
-		t, registered := l.Directory.Target(m.ID)
-		if m.ID == row.Primary || registered && !t.Superseded {
+		t, isListed := l.Directory.Target(m.ID)
+		if m.ID == row.Primary || isListed && !t.Superseded {
 			continue
 		}
 		since, ok := known.missingSince[m.ID]
 		if !ok {
 			since = now
 		}
-		next.missingSince[m.ID] = since
-		if registered || now.Sub(since) > missingAfter && !l.storeLost(now) {
+		missing[m.ID] = since
+		if isListed || now.Sub(since) > missingAfter && !l.storeLost(now) {
 			gone = append(gone, m)
 		}
 	}
-	isDue := len(gone) > 0 && now.Sub(next.asked) >= memberCheckPeriod
-	if isDue {
-		next.asked = now
-	}
-	l.members[row.Group] = next
-	if !isDue {
+	known.missingSince = missing
+	if len(gone) == 0 || now.Sub(known.asked) < memberCheckPeriod {
 		return nil
 	}
+	known.asked = now
 	return gone
 }
 
-// memberState is what a coordinator knows of a group's members without a registration.
-type memberState struct {
-	// asked is when the other members were last asked about them.
-	asked mono.Time
-	// missingSince is since when each of them has had no registration.
-	missingSince map[topology.TargetID]mono.Time
-}
-
 // removeMembers removes members that are gone from the row if the others hold all that they may have held. One that
 // still answers at its address is not gone.
 func (l *Lead) removeMembers(ctx context.Context, row *lease.Row, gone []lease.Member) {
--- a/internal/lead/order_test.go
+++ b/internal/lead/order_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -198,3 +199,12 @@
 		t.Fatalf("ordered after %v", took)
 	}
 }
+
+// Guards against a coordinator that crashes as the registration of a target expires while the target answers.
+func TestAnAnswerOfATargetThatIsNotRegisteredAnyMore(t *testing.T) {
+	x := newReplacing(t, "vm-1")
+	e := x.replaces.newEvidence([]targetStatus{{target: topology.Target{ID: "gone", Group: "g"}}})
+	if i, err := e.Choose(); !errors.Is(err, lease.ErrNoReplica) {
+		t.Fatalf("answer %d, error %v", i, err)
+	}
+}
--- a/pkg/lease/quorum.go
+++ b/pkg/lease/quorum.go
@@ -63,22 +63,9 @@
 	return n
 }
 
-// Covers reports whether all registered targets are members of the quorum, also if it is nil. A commit must not be
-// acknowledged while one is not: it may be the only target that holds the commit beside the primary.
-func (q *Quorum) Covers(registered []Member) bool {
-	return q == nil || !slices.ContainsFunc(registered, func(m Member) bool { return q.index(m.ID) < 0 })
-}
-
-// Member returns a member, also if the quorum is nil.
-func (q *Quorum) Member(id topology.TargetID) (m Member, ok bool) {
-	if q == nil {
-		return Member{}, false
-	}
-	if i := q.index(id); i >= 0 {
-		return q.Members[i], true
-	}
-	return Member{}, false
-}
+// Has reports whether a target is a member. A commit must not be acknowledged while a registered target is none: it may
+// be the only one that holds the commit beside the primary.
+func (q *Quorum) Has(id topology.TargetID) bool { return q.index(id) >= 0 }
 
 func (q *Quorum) index(id topology.TargetID) int {
 	return slices.IndexFunc(q.Members, func(m Member) bool { return m.ID == id })
--- a/pkg/lease/quorum_model_test.go
+++ b/pkg/lease/quorum_model_test.go
@@ -146,7 +146,7 @@
 	if !ok || right.Primary != d.primary.ID || !d.primary.running {
 		return
 	}
-	if !d.bug.ignoresNew && !d.bug.addsNone && !d.vms[i].holder.Row("g").Quorum.Covers(d.registeredMembers()) {
+	if !d.bug.ignoresNew && !d.bug.addsNone && !d.records(d.vms[i].holder.Row("g")) {
 		return
 	}
 	d.commits++
@@ -162,6 +162,11 @@
 	}
 }
 
+// records reports whether a row records all registered databases.
+func (d *databaseModel) records(row *lease.Row) bool {
+	return !slices.ContainsFunc(d.registeredMembers(), func(m lease.Member) bool { return !row.Quorum.Has(m.ID) })
+}
+
 // receive has a replica receive the primary's log, and reports whether it has.
 func (d *databaseModel) receive(db *modelDatabase) bool {
 	if db == d.primary || !db.running || db.deaf || !db.hasRegistered || !d.primary.running {
@@ -199,7 +204,8 @@
 // leave ends a database that has announced it, and of which a coordinator has taken note. Its log goes to a new one at its
 // address.
 func (d *databaseModel) leave(db *modelDatabase) {
-	if m, ok := d.store.Quorum.Member(db.ID); !db.running || !ok || !m.Leaving {
+	hasNoted := slices.ContainsFunc(d.store.Quorum.Members, func(m lease.Member) bool { return m.ID == db.ID && m.Leaving })
+	if !db.running || !hasNoted {
 		return
 	}
 	db.running, db.registered, db.ended = false, false, true
@@ -210,9 +216,7 @@
 // after the first one counts as removed, since no system can tell then what both held.
 func (d *databaseModel) startWithoutLog(db *modelDatabase) {
 	row := d.store
-	isMember := func(o *modelDatabase) bool {
-		return slices.ContainsFunc(row.Quorum.Members, func(m lease.Member) bool { return m.ID == o.ID })
-	}
+	isMember := func(o *modelDatabase) bool { return row.Quorum.Has(o.ID) }
 	othersHold := slices.ContainsFunc(d.all, func(o *modelDatabase) bool { return o != db && !o.ended && isMember(o) && o.holds(d.acknowledged) })
 	isLost := func(o *modelDatabase) bool { return o.ended && isMember(o) }
 	if db == d.primary || db.Leaving || !othersHold || slices.ContainsFunc(d.all, isLost) {
