Record members before the leader is sought after a restoration of the store

The evidence of reopenForLeader takes the row's quorum to have all registered targets; after a restoration it may lack those of lost rows. It records them first, as the choice of a candidate does. Found by reading. A quorum is logged as "2 of a, b, c".

Tests of internal/lead and pkg/lease pass; no test tells the two apart, as the fakes lose no member with the row.

--- a/internal/lead/candidate.go
+++ b/internal/lead/candidate.go
@@ -69,22 +69,24 @@
 	targets []targetStatus
 }
 
-// gather queries the targets whose logs decide which one may be promoted. It records targets first that the row's quorum
-// lacks, since the next coordinator may not see them any more.
+// gather queries the targets whose logs decide which one may be promoted.
 func (r *replacement) gather(ctx context.Context) (*evidence, error) {
-	quorum, err := r.quorum()
-	if err != nil {
+	if err := r.recordMembers(ctx); err != nil {
 		return nil, err
 	}
-	if quorum != r.row.Quorum {
-		if err := r.change(ctx, r.row.WithQuorum(quorum)); err != nil {
-			return nil, err
-		}
-	}
-	if quorum == nil {
+	if r.row.Quorum == nil {
 		return r.newEvidence(r.statuses(ctx, r.replicasOf(r.group, r.row.Primary))), nil
 	}
-	return r.newEvidence(r.statuses(ctx, r.targetsOf(r.group, quorum.Members))), nil
+	return r.newEvidence(r.statuses(ctx, r.targetsOf(r.group, r.row.Quorum.Members))), nil
+}
+
+// recordMembers adds registered targets to the row that its quorum lacks. The next coordinator may not see them any more.
+func (r *replacement) recordMembers(ctx context.Context) error {
+	quorum, err := r.quorum()
+	if err != nil || quorum == r.row.Quorum {
+		return err
+	}
+	return r.change(ctx, r.row.WithQuorum(quorum))
 }
 
 func (r *replacement) newEvidence(targets []targetStatus) *evidence {
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -181,6 +181,9 @@
 	if err := r.awaitRightsEnded(ctx); err != nil {
 		return err
 	}
+	if err := r.recordMembers(ctx); err != nil {
+		return err
+	}
 	targets := r.possibleLeaders()
 	answers := r.statuses(ctx, targets)
 	leader, ok := r.leaderOf(answers)
@@ -207,7 +210,7 @@
 // possibleLeaders lists the targets that may lead.
 func (r *replacement) possibleLeaders() []topology.Target {
 	if r.row.Quorum != nil {
-		return r.targetsOf(r.group, r.row.Quorum.With(r.registeredMembers(r.group)).Members)
+		return r.targetsOf(r.group, r.row.Quorum.Members)
 	}
 	var targets []topology.Target
 	for _, t := range r.Directory.TargetsOf(r.group) {
--- a/pkg/lease/quorum.go
+++ b/pkg/lease/quorum.go
@@ -1,7 +1,9 @@
 package lease
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,6 +48,22 @@
 	return &Quorum{SyncReplicas: syncReplicas, Members: members}
 }
 
+// String returns how many targets hold each commit, and the members.
+func (q *Quorum) String() string {
+	if q == nil {
+		return "none"
+	}
+	ids := make([]string, 0, len(q.Members))
+	for _, m := range q.Members {
+		id := string(m.ID)
+		if m.Leaving {
+			id += " (leaving)"
+		}
+		ids = append(ids, id)
+	}
+	return fmt.Sprintf("%d of %s", q.SyncReplicas+1, strings.Join(ids, ", "))
+}
+
 // With returns the quorum with the targets that are registered: those that are new, and which of them are leaving. It
 // returns q itself if nothing changes.
 func (q *Quorum) With(registered []Member) *Quorum {
