--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -48,9 +48,9 @@
 	// because of overload.
 	lag       map[topology.TargetID]time.Duration
 	saturated map[topology.TargetID]bool
-	// deaf marks replicas that receive no log entries, and stalled those targets whose commits are not answered,
+	// notReceiving marks replicas that receive no log entries, and stalled those targets whose commits are not answered,
 	// although all else is.
-	deaf, stalled map[topology.TargetID]bool
+	notReceiving, stalled map[topology.TargetID]bool
 	// acknowledged is the last acknowledged commit, and lacking holds the targets that were promoted without it.
 	acknowledged uint64
 	lacking      []topology.TargetID
@@ -68,7 +68,7 @@
 	return &databases{
 		down: map[topology.TargetID]bool{}, refused: map[topology.TargetID]bool{}, ineffective: map[topology.TargetID]bool{}, term: 1,
 		lag: map[topology.TargetID]time.Duration{}, saturated: map[topology.TargetID]bool{},
-		deaf: map[topology.TargetID]bool{}, stalled: map[topology.TargetID]bool{},
+		notReceiving: map[topology.TargetID]bool{}, stalled: map[topology.TargetID]bool{},
 		isPrimary: map[topology.TargetID]bool{"a": true, "b": false, "c": false},
 		index:     map[topology.TargetID]uint64{"a": 9, "b": 9, "c": 7},
 	}
@@ -104,7 +104,7 @@
 	defer d.mu.Unlock()
 	if err == nil {
 		d.isPrimary[t.ID] = false
-		if !d.deaf["b"] {
+		if !d.notReceiving["b"] {
 			d.index["b"] = d.index[t.ID]
 		}
 	}
--- a/internal/lead/quorum_test.go
+++ b/internal/lead/quorum_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	c := newCluster(t)
 	c.configuration = &directory.Configuration{Version: 1, SyncReplicas: map[topology.GroupID]int{group: 1}}
-	c.databases.deaf["c"], c.databases.acknowledged = true, 9
+	c.databases.notReceiving["c"], c.databases.acknowledged = true, 9
 	c.startVMs(3)
 	c.awaitRights()
 	return c
@@ -86,7 +86,7 @@
 	if !c.allRight("b") {
 		t.Fatal("the primary was given up although no replica could be promoted")
 	}
-	c.databases.change(func() { c.databases.deaf["c"], c.databases.index["c"] = false, 12 })
+	c.databases.change(func() { c.databases.notReceiving["c"], c.databases.index["c"] = false, 12 })
 	c.checkGoesOn("c")
 }
 
@@ -115,7 +115,7 @@
 	if !c.allRight("a") {
 		t.Fatal("the primary was given up although no replica could be promoted")
 	}
-	c.databases.change(func() { c.databases.deaf["c"], c.databases.index["c"] = false, 9 })
+	c.databases.change(func() { c.databases.notReceiving["c"], c.databases.index["c"] = false, 9 })
 	c.checkGoesOn("c")
 }
 
--- a/pkg/lease/quorum_model_test.go
+++ b/pkg/lease/quorum_model_test.go
@@ -15,10 +15,10 @@
 // modelDatabase is one start of a database. One that has ended never answers again.
 type modelDatabase struct {
 	lease.Member
-	log              []modelCommit
-	term             uint64
-	running, ended   bool
-	registered, deaf bool
+	log                      []modelCommit
+	term                     uint64
+	running, ended           bool
+	registered, notReceiving bool
 	// hasRegistered is set once the database has registered. It receives nothing before.
 	hasRegistered bool
 }
@@ -170,7 +170,7 @@
 
 // receive has a replica receive the primary's log, and reports whether it has.
 func (d *databaseModel) receive(db *modelDatabase) bool {
-	if db == d.primary || !db.running || db.deaf || !db.hasRegistered || !d.primary.running {
+	if db == d.primary || !db.running || db.notReceiving || !db.hasRegistered || !d.primary.running {
 		return false
 	}
 	db.log = slices.Clip(d.primary.log)
@@ -192,7 +192,7 @@
 	case n < 65:
 		db.registered = false
 	case n < 80:
-		db.deaf = !db.deaf
+		db.notReceiving = !db.notReceiving
 	case n < 86:
 		db.Leaving = true
 	case n < 92:
@@ -384,7 +384,7 @@
 	before := len(d.acknowledged)
 	for range modelSteps {
 		for _, db := range d.all {
-			db.running, db.deaf, db.Leaving = !db.ended, false, false
+			db.running, db.notReceiving, db.Leaving = !db.ended, false, false
 			d.register(db)
 		}
 		if d.model.step(t, seed) {
