--- a/pkg/lease/quorum_model_test.go
+++ b/pkg/lease/quorum_model_test.go
@@ -346,7 +346,7 @@
 func (d *databaseModel) stepCalmly(t *testing.T, i int, seed uint64) (broken bool) {
 	isCoordinated := slices.ContainsFunc(d.vms, func(v *modelVM) bool {
 		row := v.coordinator.Row("g")
-		return row != nil && row.Era() == d.version.Era
+		return row != nil && row.Version == d.store.Version && row.Era() == d.version.Era
 	})
 	switch n := d.random.IntN(10); {
 	case n < 4:
