Orders end with their sender's authority, however the call ends

Cause, from the coordinator's logs (untouched code): the order was sent at 41.063 on a connection that was kept open, given up at 41.664, and the process was stopped; the successor ordered at 42.200. Giving up closed the connection in order, which recalls nothing: the kernel, or whatever holds the data up, goes on delivering. Ruled out: a repeated order (the process had ended long before the arrival) and an order on an old reading of the duty (5 ms old).

The class: an order may arrive as long as something delivers it, and its successor only waited a fixed time. Now lease.OrderLife states once how long after the reading that shows its sender's authority an order may arrive. The sender writes nothing after its last moment (checked at the write, on the clock that counts suspensions), closing the connection in any way, also by the end of the process, discards what was not delivered (SO_LINGER 0), and the kernel gives up by the end (TCP_USER_TIMEOUT). A successor waits OrderLife from its change of the row. It does not wait if its predecessor has recorded that none of its orders can arrive: a duty that is given away without a pending order is used at once, where 700 ms were waited for before. A row names a candidate while an order for it may arrive, an attempt ends with its commands, and a duty whose giving was not answered is claimed again before an order.

--- /dev/null
+++ b/internal/expiring/expiring.go
@@ -0,0 +1,120 @@
+// Package expiring opens TCP connections for calls that must not take effect late.
+//
+// A caller that gives up on a call does not recall what it has sent: the kernel goes on delivering it, for minutes
+// behind a cut, even after the process has ended. If another VM has taken the caller's place meanwhile, the late call
+// takes effect beside those of its successor. On a connection of this package nothing is written after the call's last
+// moment to send; closing the connection in any way, also by the end of the process, discards what has not been
+// delivered; and the kernel gives up delivering by the end of the call, also while the process is paused.
+package expiring
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
+)
+
+// ErrTooLate is returned for a call whose last moment to send has passed. Nothing of it was sent.
+var ErrTooLate = errors.New("expiring: the call's last moment to send has passed")
+
+// kernelGranularity is how much earlier than the end of a call the kernel gives up, since its timers fire late.
+const kernelGranularity = 10 * time.Millisecond
+
+// Limits are the limits of a call.
+type Limits struct {
+	// Send is the last moment at which the call may be written.
+	Send mono.Time
+	// End is the moment by which the call has arrived, or never will.
+	End mono.Time
+}
+
+type limitsKey struct{}
+
+// With returns a context with the limits of the calls that are made with it.
+func With(ctx context.Context, l Limits) context.Context {
+	return context.WithValue(ctx, limitsKey{}, l)
+}
+
+// Conn is a connection on which calls expire. It is not safe for concurrent use, except for Close.
+type Conn struct {
+	*net.TCPConn
+	clock mono.Clock
+	// limits are those of the call in progress; zero means none.
+	limits Limits
+}
+
+// Dial connects to an address. The time until the connection is open counts towards the limits of the context's call.
+func Dial(ctx context.Context, dialer *net.Dialer, clock mono.Clock, address string) (*Conn, error) {
+	if l, ok := ctx.Value(limitsKey{}).(Limits); ok {
+		left := l.Send.Sub(clock.Now())
+		if left <= 0 {
+			return nil, ErrTooLate
+		}
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, left)
+		defer cancel()
+	}
+	nc, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := nc.(*net.TCPConn)
+	if !ok {
+		nc.Close()
+		return nil, errors.Newf("expiring: %T is not a TCP connection", nc)
+	}
+	if err := tcp.SetLinger(0); err != nil {
+		_ = tcp.Close()
+		return nil, errors.Wrap(err, "expiring")
+	}
+	return &Conn{TCPConn: tcp, clock: clock}, nil
+}
+
+// Begin starts a call: the context's deadline and limits apply until the next one begins. It fails if the call's last
+// moment to send has passed.
+func (c *Conn) Begin(ctx context.Context) error {
+	deadline, _ := ctx.Deadline() // The zero time sets no deadline.
+	l, ok := ctx.Value(limitsKey{}).(Limits)
+	c.limits = l
+	if !ok {
+		return c.SetDeadline(deadline)
+	}
+	now := c.clock.Now()
+	if now.After(l.Send) {
+		return ErrTooLate
+	}
+	left := l.End.Sub(now)
+	if end := time.Now().Add(left); deadline.IsZero() || end.Before(deadline) {
+		deadline = end
+	}
+	if err := c.SetDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetUserTimeout(left - kernelGranularity)
+}
+
+// Write implements net.Conn. It sends nothing after the call's last moment to send: the process may have been paused since
+// Begin.
+func (c *Conn) Write(b []byte) (int, error) {
+	if c.limits != (Limits{}) && c.clock.Now().After(c.limits.Send) {
+		return 0, ErrTooLate
+	}
+	return c.TCPConn.Write(b)
+}
+
+// SetUserTimeout sets how long sent data may stay unacknowledged before the kernel ends the connection.
+func (c *Conn) SetUserTimeout(d time.Duration) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return err
+	}
+	var failure error
+	err = raw.Control(func(fd uintptr) {
+		failure = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(max(d, time.Millisecond).Milliseconds()))
+	})
+	return errors.CombineErrors(err, failure)
+}
--- a/internal/gatewayd/daemon.go
+++ b/internal/gatewayd/daemon.go
@@ -140,7 +140,7 @@
 	transport.Metrics = p.Metrics
 	return lead.New(lead.Options{
 		Directory: p.Directory, Store: p.Store, Control: p.Driver, Health: p.Pools,
-		Promotions: platform.NewPromotions(p.Settings.PromotionAddress),
+		Promotions: platform.NewPromotions(p.Settings.PromotionAddress, p.Clock),
 		Limits:     p.Limits,
 		Peers:      p.Seeds,
 		Transport:  transport, Clock: p.Clock, Log: p.Log,
--- a/internal/lead/cluster_test.go
+++ b/internal/lead/cluster_test.go
@@ -111,10 +111,11 @@
 	return s, err
 }
 
-func (d *databases) Promote(_ context.Context, _ topology.GroupID, id topology.TargetID, holder topology.VMID, fence uint64) error {
+func (d *databases) Promote(_ context.Context, o lead.Promotion) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.orders = append(d.orders, order{holder: holder, fence: fence, id: id})
+	id := o.Target
+	d.orders = append(d.orders, order{holder: o.Holder, fence: o.Fence, id: id})
 	if d.down[id] || d.refused[id] {
 		return lead.ErrNotPromotable
 	}
--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/buckthornshore/buckthornshore/internal/wait"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
@@ -16,21 +17,8 @@
 // dutyKey is the key of the row that records which VM may order promotions.
 const dutyKey = "duty/promotion"
 
-const (
-	// dutySettleTime is how long a new holder of the duty waits if another VM held it before. It is
-	// longer than an order of that VM may be in flight.
-	dutySettleTime = 700 * time.Millisecond
-	// maxDutyAge is the age of a reading of the duty from which it is read again before an order.
-	maxDutyAge = 300 * time.Millisecond
-	// maxOrderReadingAge is the age that the reading must not have reached as an order is sent. A VM that claims the duty
-	// right after the reading sends its first order dutySettleTime later; the rest is for the order's way.
-	maxOrderReadingAge = dutySettleTime - 200*time.Millisecond
-	// maxDutyReadings is how often the duty is looked at for one order: each answer may be applied too late.
-	maxDutyReadings = 3
-)
-
-// errDutyNotConfirmed is returned if each reading of the duty was too old for an order once it was applied.
-var errDutyNotConfirmed = errors.New("lead: no recent reading shows the duty")
+// maxDutyAge is the age of a reading of the duty from which it is read again before an order.
+const maxDutyAge = 300 * time.Millisecond
 
 // duty is the right to order promotions for all groups. One VM holds it at a time, and its fencing
 // token increases with each holder. The platform does not check the token, so a late order of a
@@ -39,6 +27,8 @@
 	Holder      topology.VMID        `json:"holder"`
 	Incarnation topology.Incarnation `json:"incarnation"`
 	Fence       uint64               `json:"fence"`
+	// Quiet is set if no order of an earlier holder could arrive any more when the holder was given the duty.
+	Quiet bool `json:"quiet,omitempty"`
 }
 
 // fencesPerEra is the number of fencing tokens in each era of the store.
@@ -58,6 +48,9 @@
 	read, seen mono.Time
 	// usableFrom is when this VM may start to send orders, provided that it holds the duty.
 	usableFrom mono.Time
+	// offered is set if it is not known whether this VM has given the duty away. The change may take effect late, so the
+	// duty must be claimed again before an order.
+	offered bool
 }
 
 // namedByDuty reports whether the duty's row names this incarnation of this VM.
@@ -86,6 +79,7 @@
 	held, fence := l.holdsDuty(), l.duty.Fence
 	if r.Version.After(l.duty.version) {
 		l.duty.seen = l.Clock.Now()
+		l.duty.offered = false
 	}
 	l.duty.duty, l.duty.version = d, r.Version
 	l.duty.read = max(l.duty.read, began)
@@ -93,54 +87,56 @@
 		// The former holder gave it to this VM, perhaps after this VM had lost it without reading so. An order that
 		// the former holder sent just before may still be in flight, and would arrive with a lower fence after an
 		// order of this VM.
-		l.duty.usableFrom = l.Clock.Now().Add(dutySettleTime)
+		l.duty.usableFrom = l.Clock.Now()
+		if !d.Quiet {
+			l.duty.usableFrom = l.Clock.Now().Add(lease.OrderLife)
+		}
 	}
 }
 
-// acquireDuty makes this VM the holder of the duty and returns its fencing token once this VM may
-// send orders.
+// acquireDuty makes this VM the holder of the duty and returns once this VM may send orders.
 //
 // entitled reports whether this VM still has a reason to hold the duty, such as a group that it coordinates. It is
 // called under the lock, after each call to the store and each wait: while this VM was cut off another one may
 // have taken the group over, and a reading of the duty shows that too.
-func (l *Lead) acquireDuty(ctx context.Context, entitled func() bool) (fence uint64, err error) {
+func (l *Lead) acquireDuty(ctx context.Context, entitled func() bool) error {
 	if err := l.readDuty(ctx); err != nil {
-		return 0, err
+		return err
 	}
 	state, err := l.checkDuty(entitled)
 	if err != nil {
-		return 0, err
+		return err
 	}
-	if !state.held {
+	if !state.held || state.offered {
 		if err := l.claimDuty(ctx, state.dutyState); err != nil {
-			return 0, err
+			return err
 		}
 	}
 	return l.confirmDuty(ctx, entitled)
 }
 
-// confirmDuty waits until the duty has settled and returns its token, if this VM still holds it by a reading that is recent
+// confirmDuty waits until the duty has settled, and reports whether this VM still holds it by a reading that is recent
 // enough for an order. The age is judged once the reading has been applied: this VM may have been paused since the reading
 // was sent.
-func (l *Lead) confirmDuty(ctx context.Context, entitled func() bool) (fence uint64, err error) {
-	for range maxDutyReadings {
+func (l *Lead) confirmDuty(ctx context.Context, entitled func() bool) error {
+	for range maxOrderReadings {
 		l.awaitDutySettled(ctx)
 		state, err := l.checkDuty(entitled)
 		now := l.Clock.Now()
 		switch {
 		case err != nil:
-			return 0, err
+			return err
 		case !state.held:
 			// Claiming it back at once would make two VMs take it from each other forever.
-			return 0, errSuperseded
-		case !now.Before(state.usableFrom) && now.Sub(state.read) < maxOrderReadingAge:
-			return state.Fence, nil
+			return errSuperseded
+		case !now.Before(state.usableFrom) && state.authority().MaySend(now):
+			return nil
 		}
 		if err := l.readDecisions(ctx); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	return 0, errDutyNotConfirmed
+	return errNotConfirmed
 }
 
 // checkedDuty is the known duty, and whether this VM holds it.
@@ -149,11 +145,14 @@
 	held bool
 }
 
+// authority returns the authority for an order that the reading of the duty gives to its holder.
+func (d *dutyState) authority() lease.Order { return lease.Order{Evidence: d.read} }
+
 // checkDuty returns the known duty if this VM may hold it.
 func (l *Lead) checkDuty(entitled func() bool) (checkedDuty, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.relocation.moving || !entitled() {
+	if l.givingDuty || !entitled() {
 		return checkedDuty{}, errSuperseded
 	}
 	return checkedDuty{dutyState: l.duty, held: l.holdsDuty()}, nil
@@ -180,18 +179,19 @@
 	return l.readDecisions(ctx)
 }
 
-// giveDuty passes the duty on to another VM, also if nobody holds it. The caller ensures that this
-// VM sends no order meanwhile. Before a later order the duty is read again, as the answer may be
-// lost after the change took effect.
+// giveDuty passes the duty on to another VM, also if nobody holds it. This VM sends no order meanwhile. Before a later
+// order the duty is claimed again if the answer was lost, as the change may have taken effect or still may.
 func (l *Lead) giveDuty(ctx context.Context, to topology.VM) {
 	l.mu.Lock()
 	state := l.duty
-	may := l.holdsDuty() || state.Holder == ""
+	may := (l.holdsDuty() || state.Holder == "") && !l.givingDuty && to.ID != ""
+	quiet := l.dutyQuiet()
+	l.givingDuty = l.givingDuty || may
 	l.mu.Unlock()
-	if !may || to.ID == "" {
+	if !may {
 		return
 	}
-	next := duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.nextFence(l.latestEra())}
+	next := duty{Holder: to.ID, Incarnation: to.Incarnation, Fence: state.nextFence(l.latestEra()), Quiet: quiet}
 	raw, err := json.Marshal(next)
 	var version metastore.Version
 	if err == nil {
@@ -199,18 +199,31 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.givingDuty = false
 	switch {
 	case err != nil:
-		l.duty.read = 0
+		l.duty.read, l.duty.offered = 0, true
 	case version.After(l.duty.version):
 		l.duty = dutyState{duty: next, version: version}
 	}
-	l.Log.Info("event=duty_given", "to", to.ID, "data_centre", to.DataCentre, "fence", next.Fence, "error", err)
+	l.Log.Info("event=duty_given", "to", to.ID, "data_centre", to.DataCentre, "fence", next.Fence, "quiet", quiet, "error", err)
+}
+
+// dutyQuiet reports whether no order of this VM or of an earlier holder of the duty can arrive any more, as long as this VM sends
+// none. The caller holds the lock.
+func (l *Lead) dutyQuiet() bool {
+	now := l.Clock.Now()
+	lost := l.duty.Fence < l.era*fencesPerEra // The store may have lost a later holder.
+	return !lost && !now.Before(l.duty.usableFrom) && !l.ordersPending(now)
 }
 
 func (l *Lead) claimDuty(ctx context.Context, former dutyState) error {
 	era := l.latestEra()
-	next := duty{Holder: l.self.ID, Incarnation: l.self.Incarnation, Fence: former.nextFence(era)}
+	lost := former.Fence < era*fencesPerEra // The store may have lost a later holder.
+	// An earlier incarnation of this VM has ended, and its orders with it.
+	own := former.Holder == l.self.ID && !lost
+	quiet := former.Holder == "" && !lost || own && former.Quiet
+	next := duty{Holder: l.self.ID, Incarnation: l.self.Incarnation, Fence: former.nextFence(era), Quiet: quiet}
 	raw, err := json.Marshal(next)
 	if err != nil {
 		return err
@@ -226,10 +239,13 @@
 	defer l.mu.Unlock()
 	now := l.Clock.Now()
 	// The write shows nothing of the groups' rows, so the age remains that of the reading before it.
-	l.duty = dutyState{duty: next, version: version, read: former.read, usableFrom: now}
-	lost := former.Fence < era*fencesPerEra
-	if former.Holder != "" && former.Holder != l.self.ID || lost {
-		l.duty.usableFrom = now.Add(dutySettleTime)
+	l.duty = dutyState{duty: next, version: version, read: former.read, usableFrom: former.usableFrom}
+	switch {
+	case quiet:
+	case own:
+		l.duty.usableFrom = max(former.usableFrom, l.started.Add(lease.OrderLife))
+	default:
+		l.duty.usableFrom = now.Add(lease.OrderLife)
 	}
 	l.Log.Info("event=duty_claimed", "fence", next.Fence, "from", former.Holder)
 	return nil
--- a/internal/lead/interleaved_test.go
+++ b/internal/lead/interleaved_test.go
@@ -60,7 +60,7 @@
 // orderCounter counts the promotion orders that it receives.
 type orderCounter struct{ orders int }
 
-func (o *orderCounter) Promote(context.Context, topology.GroupID, topology.TargetID, topology.VMID, uint64) error {
+func (o *orderCounter) Promote(context.Context, Promotion) error {
 	o.orders++
 	return nil
 }
--- a/internal/lead/lagpause_test.go
+++ b/internal/lead/lagpause_test.go
@@ -14,7 +14,7 @@
 // change of the primary every twenty seconds, so the pause between two changes doubles.
 func TestThePauseBetweenLagChangesDoubles(t *testing.T) {
 	self := topology.VM{ID: "vm-1", Incarnation: 1}
-	l := New(Options{Directory: directory.New(self)})
+	l := New(Options{Directory: directory.New(self), Clock: mono.System{}})
 	row := &lease.Row{Group: "g", Version: 1, Term: 1, Primary: "a", Coordinator: "vm-1", Incarnation: 1, Fence: 1}
 	l.coordinator.Observe(row, 1, 1)
 	now := mono.Time(time.Hour)
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -78,13 +78,29 @@
 	longestWatch = 8 * time.Second
 )
 
-// ErrNotPromotable is returned when the platform refuses a promotion because the target is not
-// running.
-var ErrNotPromotable = errors.New("lead: the target can't be promoted")
+var (
+	// ErrNotPromotable is returned when the platform refuses a promotion because the target is not
+	// running.
+	ErrNotPromotable = errors.New("lead: the target can't be promoted")
+	// ErrNotPending marks errors of a promotion order that can't arrive any more: it was answered, or it was not sent.
+	ErrNotPending = errors.New("lead: the order is not pending")
+)
+
+// Promotion is an order to the platform to promote a target.
+type Promotion struct {
+	lease.Order
+	Group  topology.GroupID
+	Target topology.TargetID
+	// Holder is the VM that holds the duty, with the fencing token Fence.
+	Holder topology.VMID
+	Fence  uint64
+}
 
-// Promotions sends promotion orders to the platform.
+// Promotions sends promotion orders to the platform. An order is not sent after its last moment to send, and does not
+// arrive after its end, however the call or the process ends. Errors that are not marked with ErrNotPending leave open
+// whether the order has arrived.
 type Promotions interface {
-	Promote(ctx context.Context, group topology.GroupID, id topology.TargetID, holder topology.VMID, fence uint64) error
+	Promote(ctx context.Context, order Promotion) error
 }
 
 // Control sends commands to targets over connections of its own.
@@ -124,6 +140,8 @@
 type Lead struct {
 	Options
 	self topology.VM
+	// started is when this VM started. All orders sent before have ended OrderLife later.
+	started mono.Time
 
 	mu          sync.Mutex
 	holder      *lease.Holder
@@ -139,13 +157,18 @@
 	era      uint64
 	eraSince mono.Time
 	// renewingDuty is set while this VM claims the duty again after a restoration of the store.
-	renewingDuty        bool
-	reports             map[topology.GroupID]map[topology.VMID]report
-	renewals            map[topology.VMID]*renewalState
-	coordinatorState    map[topology.VMID]coordinatorState
-	inquiries           map[topology.VMID]*inquiry
-	changing            map[topology.GroupID]bool // groups that this VM is currently changing
-	duty                dutyState
+	renewingDuty     bool
+	reports          map[topology.GroupID]map[topology.VMID]report
+	renewals         map[topology.VMID]*renewalState
+	coordinatorState map[topology.VMID]coordinatorState
+	inquiries        map[topology.VMID]*inquiry
+	changing         map[topology.GroupID]bool // groups that this VM is currently changing
+	replacing        map[topology.GroupID]bool // groups of which this VM is currently replacing the primary
+	duty             dutyState
+	// givingDuty is set while the duty is being given away; no order may be sent then.
+	givingDuty bool
+	// pending holds each group's latest promotion order, if the platform has not answered it. It may arrive until its end.
+	pending             map[topology.GroupID]Promotion
 	relocation          relocation
 	primaryMissingSince map[topology.GroupID]mono.Time
 	lagState            map[topology.GroupID]lagState
@@ -224,6 +247,7 @@
 	return &Lead{
 		Options:             o,
 		self:                self,
+		started:             o.Clock.Now(),
 		holder:              lease.NewHolder(),
 		coordinator:         lease.NewCoordinator(self.ID, self.Incarnation),
 		allocator:           quota.NewAllocator(),
@@ -234,10 +258,12 @@
 		coordinatorState:    map[topology.VMID]coordinatorState{},
 		inquiries:           map[topology.VMID]*inquiry{},
 		changing:            map[topology.GroupID]bool{},
+		replacing:           map[topology.GroupID]bool{},
 		primaryMissingSince: map[topology.GroupID]mono.Time{},
 		lagState:            map[topology.GroupID]lagState{},
 		members:             map[topology.GroupID]memberState{},
 		removedMembers:      map[topology.GroupID]map[topology.TargetID]bool{},
+		pending:             map[topology.GroupID]Promotion{},
 		following:           newFollowing(),
 		subscribed:          map[topology.VMID][]topology.GroupID{},
 		firstSeen:           map[topology.GroupID]mono.Time{},
--- a/internal/lead/order_test.go
+++ b/internal/lead/order_test.go
@@ -69,7 +69,7 @@
 
 // Guards against orders that are never sent, or by a reading of any age, while every answer of the store takes long.
 func TestOrdersWhileTheStoreIsSlow(t *testing.T) {
-	for answer, want := range map[time.Duration]int{maxDutyAge + 50*time.Millisecond: 1, maxOrderReadingAge + 50*time.Millisecond: 0} {
+	for answer, want := range map[time.Duration]int{maxDutyAge + 50*time.Millisecond: 1, lease.OrderLife - lease.MinOrderFlight + 50*time.Millisecond: 0} {
 		x := newReplacing(t, "vm-1")
 		var slow func()
 		slow = func() {
@@ -78,7 +78,7 @@
 		}
 		x.store.afterList = slow
 		err := x.replaces.orderPromotion(t.Context(), "b")
-		if x.orders.orders != want || want == 0 && !errors.Is(err, errDutyNotConfirmed) {
+		if x.orders.orders != want || want == 0 && !errors.Is(err, errNotConfirmed) {
 			t.Errorf("%d orders with answers after %v, error %v", x.orders.orders, answer, err)
 		}
 	}
@@ -195,7 +195,7 @@
 	if err := x.replaces.orderPromotion(t.Context(), "b"); err != nil || x.orders.orders != 1 {
 		t.Fatalf("%d orders, error %v", x.orders.orders, err)
 	}
-	if took := x.clock.Now().Sub(begun); took < dutySettleTime {
+	if took := x.clock.Now().Sub(begun); took < lease.OrderLife {
 		t.Fatalf("ordered after %v", took)
 	}
 }
--- a/internal/lead/place.go
+++ b/internal/lead/place.go
@@ -19,9 +19,6 @@
 	// relocationCoresFactor is how many times this VM's cores another VM must have to be preferred
 	// for its size.
 	relocationCoresFactor = 2
-	// orderQuietPeriod is how long this VM must have sent no promotion order before it gives the
-	// duty away, so that none can still be in flight: twice the longest call.
-	orderQuietPeriod = 3 * time.Second
 	// handBackDelay is how long a coordinator gets no group back after this VM took its groups
 	// over: as long as most outages of the store last for a single VM.
 	handBackDelay = 10 * time.Second
@@ -33,10 +30,6 @@
 	since      mono.Time
 	// checked is when this VM last looked for a safer place.
 	checked mono.Time
-	// moving is set while the duty is being given away; no order may be sent then.
-	moving bool
-	// orderedAt is when this VM last sent an order; 0 means never.
-	orderedAt mono.Time
 }
 
 // dutyHolderFor returns the holder of the promotion duty if it is another VM that is alive: the
@@ -92,13 +85,7 @@
 		return
 	}
 	l.relocation.since = now // One attempt per relocationDelay.
-	l.relocation.moving = true
-	go func() {
-		l.giveDuty(ctx, to)
-		l.mu.Lock()
-		defer l.mu.Unlock()
-		l.relocation.moving = false
-	}()
+	go l.giveDuty(ctx, to)
 }
 
 // saferVM returns the first VM by rank that is alive, if its data centre holds fewer primaries than
@@ -131,13 +118,13 @@
 // all groups, or a change or an order is or may be in progress.
 func (l *Lead) relocationBlocked(now mono.Time) bool {
 	groups := l.coordinator.Groups()
-	if len(groups) == 0 || len(groups) < len(l.groups()) || l.leaving || l.relocation.moving || l.storeLost(now) {
+	if len(groups) == 0 || len(groups) < len(l.groups()) || l.leaving || l.givingDuty || l.storeLost(now) {
 		return true
 	}
 	if !l.holdsDuty() && l.duty.Holder != "" {
 		return true
 	}
-	if l.relocation.orderedAt != 0 && now.Sub(l.relocation.orderedAt) < orderQuietPeriod {
+	if l.ordersPending(now) {
 		return true
 	}
 	for _, group := range groups {
--- a/internal/lead/promote.go
+++ b/internal/lead/promote.go
@@ -8,7 +8,6 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
-	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
@@ -74,33 +73,10 @@
 	}
 }
 
-// errNotOrdered marks errors of an order that was not sent.
-var errNotOrdered = errors.New("lead: no order was sent")
-
-// orderPromotion sends the order if this VM may, judged by what it knows when it sends it.
-func (r *replacement) orderPromotion(ctx context.Context, candidate topology.TargetID) error {
-	fence, err := r.acquireDuty(ctx, r.mayOrder)
-	if err != nil {
-		return errors.Mark(errors.Wrap(err, "the duty"), errNotOrdered)
-	}
-	r.mu.Lock()
-	now := r.Clock.Now()
-	r.relocation.orderedAt = now
-	dutyAge, rowAge := now.Sub(r.duty.read), now.Sub(r.coordinator.Confirmed(r.group))
-	r.mu.Unlock()
-	r.Log.Info("event=promotion_ordered", "group", r.group, "candidate", candidate, "version", r.row.Version, "fence", fence,
-		"row_age", rowAge, "duty_age", dutyAge)
-	return r.Promotions.Promote(ctx, r.group, candidate, r.self.ID, fence)
-}
-
-// mayOrder reports whether this VM coordinates the group under the row that the replacement works on, and was
-// confirmed as the coordinator recently. The caller holds the lock.
-func (r *replacement) mayOrder() bool {
-	return r.coordinator.Coordinates(r.row) && r.Clock.Now().Sub(r.coordinator.Confirmed(r.group)) < lease.CoordinatorLimit
-}
-
-// dropCandidate drops a candidate that failed; the next run chooses another one.
+// dropCandidate drops a candidate that failed; the next run chooses another one. The row names the candidate for as long as
+// an order to promote it may arrive.
 func (r *replacement) dropCandidate(ctx context.Context, reason string) error {
+	r.awaitOrdersEnded(ctx)
 	failed := r.row.Handover.Candidate
 	if err := r.change(ctx, r.row.WithCandidate("", position.Position{}, false)); err != nil {
 		return err
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -7,7 +7,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/metastore"
@@ -37,12 +36,21 @@
 // chooses the candidate, promotes it, and opens the row.
 func (l *Lead) replace(ctx context.Context, group topology.GroupID, reason string) {
 	r := &replacement{Lead: l, group: group, began: time.Now()}
+	r.setReplacing(true)
+	defer r.setReplacing(false)
 	err := r.run(ctx, reason)
 	registered, staying := l.countTargets(group)
 	l.Log.Info("event=primary_replacement", "group", group, "reason", reason, "targets", registered, "staying", staying,
 		"error", err, "took", time.Since(r.began))
 }
 
+// setReplacing records whether the replacement is in progress and may send commands to targets.
+func (r *replacement) setReplacing(replacing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replacing[r.group] = replacing
+}
+
 // countTargets counts the group's registered targets, and how many of them have not announced that
 // they are leaving.
 func (l *Lead) countTargets(group topology.GroupID) (registered, staying int) {
@@ -88,12 +96,14 @@
 		}
 	}
 	// Both run in parallel: a primary that is cut off takes the whole timeout of a connection.
-	former := make(chan stepDownResult, 1)
-	go func() { former <- r.stepDown(ctx, reason) }()
-	if err := r.awaitRightsEnded(ctx); err != nil {
+	stepDown := make(chan stepDownResult, 1)
+	go func() { stepDown <- r.stepDown(ctx, reason) }()
+	err := r.awaitRightsEnded(ctx)
+	former := <-stepDown // Also after an error: the command must not arrive during a later attempt.
+	if err != nil {
 		return err
 	}
-	return r.choose(ctx, <-former)
+	return r.choose(ctx, former)
 }
 
 // keepPrimary opens the row for the present primary, if it still leads. reason is why no replica can be promoted.
@@ -126,17 +136,6 @@
 	return r.coordinator.Coordinates(r.row)
 }
 
-// command sends a command to a target, unless this VM has lost the group meanwhile: the target may be the primary of
-// another coordinator's row by then, or its candidate.
-func (r *replacement) command(ctx context.Context, timeout time.Duration, send func(context.Context) (target.Status, error)) (target.Status, error) {
-	if !r.isCurrent() {
-		return target.Status{}, errSuperseded
-	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	return send(ctx)
-}
-
 // change commits the next version of the row.
 func (r *replacement) change(ctx context.Context, next *lease.Row) error {
 	if err := r.commit(ctx, r.row, next); err != nil {
@@ -164,7 +163,8 @@
 	return err
 }
 
-// awaitRightsEnded waits until no VM can acknowledge writes for the old primary any more.
+// awaitRightsEnded waits until no VM can acknowledge writes for the old primary any more, and no order of an earlier attempt
+// to replace it can arrive.
 func (r *replacement) awaitRightsEnded(ctx context.Context) error {
 	registered, err := r.registered(ctx)
 	remindedAt, pause := r.Clock.Now(), reminderPeriod
@@ -177,6 +177,7 @@
 		r.mu.Unlock()
 		if ended {
 			r.Log.Info("event=rights_ended", "group", r.group, "registered", len(registered), "took", time.Since(r.began))
+			r.awaitOrdersEnded(ctx)
 			return nil
 		}
 		if err := ctx.Err(); err != nil {
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -136,7 +136,12 @@
 	if early {
 		return row.TakenByAfterRestoration(era, l.self.ID, l.self.Incarnation, witnesses)
 	}
-	return row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, witnesses)
+	next := row.TakenBy(l.self.ID, l.self.Incarnation, l.self.ID, witnesses)
+	// An earlier incarnation of this VM has ended, and its orders with it.
+	if row.Coordinator == l.self.ID && (row.Quiet || row.Open() || !l.Clock.Now().Before(l.started.Add(lease.OrderLife))) {
+		return next.Quieted()
+	}
+	return next
 }
 
 // awaitsCoordinator reports whether a coordinator may still write its rows again after the store was
@@ -160,7 +165,7 @@
 	}
 	l.renewingDuty = true
 	go func() {
-		if _, err := l.acquireDuty(ctx, l.namedByDuty); err != nil {
+		if err := l.acquireDuty(ctx, l.namedByDuty); err != nil {
 			l.Log.Info("event=duty_not_claimed", "error", err)
 			wait.For(ctx, handoverRetryDelay)
 		}
--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -276,7 +276,7 @@
 		return
 	}
 	// Claiming the duty now lets its settling time pass before a primary fails.
-	if _, err := l.acquireDuty(ctx, needed); err != nil {
+	if err := l.acquireDuty(ctx, needed); err != nil {
 		l.Log.Info("event=duty_not_claimed", "error", err)
 	}
 }
@@ -372,7 +372,11 @@
 		if l.coordinator.Settled(group, l.Clock.Now()) {
 			row = row.Settled()
 		}
-		changes = append(changes, rowChange{from: from, to: row.TakenBy(to.ID, to.Incarnation, l.self.ID, witnesses)})
+		next := row.TakenBy(to.ID, to.Incarnation, l.self.ID, witnesses)
+		if l.quietIn(group) {
+			next = next.Quieted()
+		}
+		changes = append(changes, rowChange{from: from, to: next})
 	}
 	l.mu.Unlock()
 	written := l.writeAll(ctx, changes)
--- a/internal/lead/traffic_test.go
+++ b/internal/lead/traffic_test.go
@@ -38,7 +38,7 @@
 	return c.Status(ctx, t)
 }
 
-func (healthyFakes) Promote(context.Context, topology.GroupID, topology.TargetID, topology.VMID, uint64) error {
+func (healthyFakes) Promote(context.Context, lead.Promotion) error {
 	return nil
 }
 
--- a/internal/standin/network/link.go
+++ b/internal/standin/network/link.go
@@ -18,6 +18,9 @@
 	// silent holds the connections that Silence stopped; new connections still deliver.
 	silent map[net.Conn]bool
 	conns  map[net.Conn]net.Conn
+	// held is set while the link holds data that is sent to the target; heldBytes counts it.
+	held      bool
+	heldBytes int
 }
 
 // faults holds the active faults of a link.
@@ -65,8 +68,8 @@
 	l.mu.Lock()
 	l.conns[c] = out
 	l.mu.Unlock()
-	go l.copy(out, c, func() bool { return l.drops(c, false) })
-	l.copy(c, out, func() bool { return l.drops(c, true) })
+	go l.copy(out, c, func() bool { return l.drops(c, false) }, l.isHeld)
+	l.copy(c, out, func() bool { return l.drops(c, true) }, func() bool { return false })
 	c.Close()
 	out.Close()
 	l.mu.Lock()
@@ -83,22 +86,27 @@
 	return l.cut || l.silent[c] || answers && l.answersCut
 }
 
-// copy forwards data until the connection ends and discards it while drops returns true.
-func (l *Link) copy(to io.WriteCloser, from io.Reader, drops func() bool) {
+// copy forwards data until the connection ends, discards it while drops returns true, and holds it while holds does.
+func (l *Link) copy(to io.WriteCloser, from net.Conn, drops, holds func() bool) {
 	buf := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buf)
-		if err != nil {
-			if !drops() {
-				to.Close()
-			}
-			return
+		data := buf[:n]
+		if err == nil && holds() {
+			data, err = l.hold(from, data)
 		}
 		if drops() {
+			if err != nil {
+				return
+			}
 			continue
 		}
 		time.Sleep(l.currentDelay())
-		if _, err := to.Write(buf[:n]); err != nil {
+		if _, failed := to.Write(data); failed != nil {
+			return
+		}
+		if err != nil {
+			to.Close()
 			return
 		}
 	}
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -33,6 +33,8 @@
 	// coordinators, each with the time until which its promises may be valid.
 	takenOverAt mono.Time
 	formers     []former
+	// ordersEnd is the moment from which no order of an earlier coordinator can arrive any more; 0 if there was none.
+	ordersEnd mono.Time
 	// lastContact is when each VM last asked for a promise without naming a version
 	// newer than the row.
 	lastContact map[topology.VMID]mono.Time
@@ -88,8 +90,11 @@
 		g = &coordinatedGroup{row: row, adopted: map[topology.VMID]adoption{}, promisedUntil: map[topology.VMID]mono.Time{}, lastContact: map[topology.VMID]mono.Time{}}
 		if row.Fence > 1 {
 			g.takenOverAt = now
+			g.ordersEnd = ordersEnd(row, now)
 		}
 		c.groups[row.Group] = g
+	} else if row.Fence > g.row.Fence {
+		g.ordersEnd = ordersEnd(row, now) // Another VM has coordinated the group meanwhile.
 	}
 	if row.Version > g.row.Version || row.Version == g.row.Version && g.confirmed == 0 {
 		g.setRow(row, now)
@@ -97,6 +102,15 @@
 	g.confirmed = max(g.confirmed, began)
 }
 
+// ordersEnd returns the moment from which no order of earlier coordinators can arrive any more, for a row that was taken over.
+// A coordinator sends orders to targets only while the row is closed.
+func ordersEnd(row *Row, now mono.Time) mono.Time {
+	if row.Open() || row.Quiet {
+		return 0
+	}
+	return now.Add(OrderLife)
+}
+
 // inherit notes the earlier coordinators that a row names: each goes on giving promises until it
 // learns of the takeover or reaches its limit.
 func (g *coordinatedGroup) inherit(row *Row, now mono.Time) {
@@ -224,6 +238,15 @@
 	return 0
 }
 
+// OrdersEnd returns the moment from which no order of an earlier coordinator of the group can arrive any more, or 0 if
+// none could when this VM took the group over.
+func (c *Coordinator) OrdersEnd(group topology.GroupID) mono.Time {
+	if g := c.groups[group]; g != nil {
+		return g.ordersEnd
+	}
+	return 0
+}
+
 // Withdraw stops promises. It is called before a change that closes the row is sent,
 // since the answer to that change may be lost.
 func (c *Coordinator) Withdraw(group topology.GroupID) {
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -78,6 +78,8 @@
 	// Ended is set if the previous coordinator had stopped giving promises when this one
 	// took over.
 	Ended bool `json:"ended,omitempty" msgpack:"e,omitempty"`
+	// Quiet is set if no order of the previous coordinator could arrive any more when this one took over.
+	Quiet bool `json:"quiet,omitempty" msgpack:"u,omitempty"`
 	// Formers are the former coordinators: earlier coordinators whose promises may still
 	// be valid. They are passed from one coordinator to the next until the last of these
 	// promises has lapsed: a second takeover soon after a first must wait for all of them.
@@ -191,7 +193,7 @@
 // no VM goes on giving promises under the earlier version.
 func (r *Row) TakenBy(vm topology.VMID, incarnation topology.Incarnation, by topology.VMID, witnesses []topology.VMID) *Row {
 	n := r.next()
-	n.Ended = by == r.Coordinator
+	n.Ended, n.Quiet = by == r.Coordinator, false
 	n.Formers = slices.DeleteFunc(slices.Clone(r.Formers), func(f Former) bool { return f.VM == r.Coordinator })
 	if !n.Ended {
 		n.Formers = append(n.Formers, Former{VM: r.Coordinator, Version: n.Version, Witnesses: r.Witnesses})
@@ -202,6 +204,13 @@
 	return n
 }
 
+// Quieted returns the row, as taken over, for a previous coordinator of which no order can arrive any more.
+func (r *Row) Quieted() *Row {
+	n := *r
+	n.Quiet = true
+	return &n
+}
+
 // Settled returns the row without Formers, once the promises of all of them have lapsed.
 func (r *Row) Settled() *Row {
 	n := *r
