Take over from a coordinator that ends while a row is closed

Cause, from the logs: no takeover was even tried. A VM takes over only if the store has answered it within 1.5 s. It reads the store to renew a right; while the row is closed there is none to renew, and its watch is answered only after seconds. Ruled out: a row or an opinion that spoke against it (no event=takeover_deferred). The VM now reads the store before it takes over.

The test failed before: the store is not read.

--- a/internal/lead/takeover.go
+++ b/internal/lead/takeover.go
@@ -145,7 +145,7 @@
 		return false, false, ""
 	}
 	if now.Sub(l.storeSeen) > storeFreshness {
-		l.probeStore = l.probeStore || l.storeSeen == 0 // It has got its rows from another VM and must read them itself.
+		l.probeStore = true // A VM without a right to renew does not read the store otherwise.
 		return false, false, ""
 	}
 	s := l.inquiries[vm]
--- a/internal/lead/takeover_test.go
+++ b/internal/lead/takeover_test.go
@@ -254,3 +254,25 @@
 		t.Fatalf("%d changes attempted", n)
 	}
 }
+
+// Guards against a group without a coordinator for seconds: the coordinator ends while the row is closed, and no VM that lacks a
+// right reads the store, without which none takes over.
+func TestASilentCoordinatorOfAClosedRowIsTakenOver(t *testing.T) {
+	l, clock := newLeadAmong(t, 5)
+	open := &lease.Row{Group: "g", Version: 1, Term: 1, Primary: "a", Coordinator: "vm-0", Incarnation: 1, Fence: 1}
+	l.holder.Adopt(open.Closed(primaryFailed))
+	l.promised, l.storeSeen = true, clock.Now().Add(-time.Minute)
+	if take, _, _ := l.checkCoordinator("vm-0", clock.Now()); take {
+		t.Fatal("taken over without a reading of the store")
+	}
+	if !l.needsReading(clock.Now()) {
+		t.Fatal("the store is not read")
+	}
+	l.reading, l.storeSeen = false, clock.Now()
+	if _, ask, _ := l.checkCoordinator("vm-0", clock.Now()); !ask {
+		t.Fatal("no takeover after a reading")
+	}
+	if l.needsReading(clock.Now()) {
+		t.Fatal("the store is read again")
+	}
+}
