An entry that can't be believed belongs to no database

Operators of systems like ours report that one odd entry among those of the databases (very deeply nested, a number too large, a port out of range) ended the processes that read it, or stopped them from following the list.

Such an entry is now rejected with the code 1309, logged once until it can be decoded, and counted (invalid_registrations). Values of a reply are decoded one by one.

--- a/internal/gatewayd/watch.go
+++ b/internal/gatewayd/watch.go
@@ -131,6 +131,7 @@
 // new: most changes are heartbeats.
 func (d *daemon) applyTarget(r metastore.Row, at directory.Timing) bool {
 	if r.Deleted {
+		d.Malformed.forget(r.Key)
 		d.logUnregistered(d.Directory.RemoveRegistration(r.Key), "removed")
 		return true
 	}
--- a/internal/metrics/store.go
+++ b/internal/metrics/store.go
@@ -9,6 +9,8 @@
 	StoreCalls           = "store_calls"
 	StoreBytes           = "store_bytes"
 	ConfigurationVersion = "configuration_version"
+	// InvalidRegistrations counts the entries of databases that could not be believed, each time that one was read.
+	InvalidRegistrations = "invalid_registrations"
 
 	TagTable     = "table"
 	TagOperation = "operation"
@@ -39,6 +41,14 @@
 	s.scope.Tagged(map[string]string{TagTable: table, TagOperation: operation}).Counter(StoreBytes).Inc(int64(bytes))
 }
 
+// InvalidRegistration counts a database's entry that could not be believed.
+func (s *Store) InvalidRegistration() {
+	if s == nil {
+		return
+	}
+	s.scope.Counter(InvalidRegistrations).Inc(1)
+}
+
 // Configuration records the version in force. If VMs have different versions for longer than a
 // change takes, callers are served differently depending on their VM.
 func (s *Store) Configuration(version uint64) {
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -114,22 +114,23 @@
 	return rows
 }
 
-// ApplyRows takes in changed rows of the table and returns the groups among them. An
+// ApplyRows takes in changed rows of the table and returns the groups among them. It skips rows that can't be decoded
+// and returns the last such error. An
 // older version of a group's row doesn't replace a newer one: responses may arrive late.
-func (v *View) ApplyRows(rows []platform.Row) ([]*topology.Group, error) {
-	var groups []*topology.Group
+func (v *View) ApplyRows(rows []platform.Row) (groups []*topology.Group, failure error) {
 	for _, row := range rows {
 		if !strings.HasPrefix(row.Key, GroupPrefix) || row.Deleted {
 			continue
 		}
 		var g topology.Group
 		if err := json.Unmarshal(row.Value, &g); err != nil {
-			return groups, errors.Wrapf(err, "row %s", row.Key)
+			failure = errors.Wrapf(err, "row %s", row.Key)
+			continue
 		}
 		v.applyGroup(&g)
 		groups = append(groups, &g)
 	}
-	return groups, nil
+	return groups, failure
 }
 
 func (v *View) applyGroup(g *topology.Group) {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -1,6 +1,7 @@
 package view_test
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/view"
 	"github.com/buckthornshore/buckthornshore/pkg/config"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
+	"github.com/buckthornshore/buckthornshore/pkg/platform"
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
@@ -64,4 +66,16 @@
 		Expect(v.Assignments()).To(HaveLen(1))
 		Expect(v.Assignments()[0].Targets).To(ConsistOf(topology.TargetID("db-a"), topology.TargetID("db-b")))
 	})
+
+	// Guards against groups that nobody follows because another row of the table can't be read.
+	It("follows all groups beside a row that can't be decoded", func() {
+		v, _ := start()
+		row := func(key, value string) platform.Row {
+			return platform.Row{Key: view.GroupPrefix + key, Value: []byte(value)}
+		}
+		groups, err := v.ApplyRows([]platform.Row{row("odd", strings.Repeat("[", 20000)), row("g", `{"id":"g","version":3}`)})
+		Expect(err).To(HaveOccurred())
+		Expect(groups).To(HaveLen(1))
+		Expect(groups[0].Version).To(Equal(uint64(3)))
+	})
 })
--- a/pkg/result/codes.go
+++ b/pkg/result/codes.go
@@ -71,6 +71,7 @@
 	NotAuthorized       Code = 1306
 	NotFound            Code = 1307
 	BadArgument         Code = 1308
+	RegistrationInvalid Code = 1309
 )
 
 // Codes 1900 and up: faults of the program itself.
@@ -145,6 +146,7 @@
 	NotAuthorized:       {"NotAuthorized", "not authorized", NotRun},
 	NotFound:            {"NotFound", "not found", NotRun},
 	BadArgument:         {"BadArgument", "the command line is wrong", NotRun},
+	RegistrationInvalid: {"RegistrationInvalid", "the entry of a database can't be believed and is not used", NotRun},
 
 	Internal:        {"Internal", "internal error", Unknown},
 	InvariantBroken: {"InvariantBroken", "an invariant of the program is broken", Unknown},
