An order that is answered leaves an earlier one pending

Found in the read-through: if an order was not answered and the next one for the same target was, within 0.7 s, the group passed for one without an order in flight, and the duty for quiet. The earlier order stays pending until its end now. The test failed before (Quiet:true).

--- a/internal/lead/order.go
+++ b/internal/lead/order.go
@@ -27,8 +27,9 @@
 // orderPromotion sends the order if this VM may, judged by what it knows when it sends it. An order for another target
 // that is pending would follow this one, so its end is waited for.
 func (r *replacement) orderPromotion(ctx context.Context, candidate topology.TargetID) error {
-	if pending, ok := r.pendingOrder(); ok && pending.Target != candidate {
-		r.awaitMoment(ctx, pending.End())
+	earlier, isPending := r.pendingOrder()
+	if isPending && earlier.Target != candidate {
+		r.awaitMoment(ctx, earlier.End())
 	}
 	order, err := r.authorize(ctx, candidate)
 	if err != nil {
@@ -38,7 +39,7 @@
 		"reading_age", r.Clock.Now().Sub(order.Evidence))
 	err = r.Promotions.Promote(ctx, order)
 	if err == nil || errors.Is(err, ErrNotPromotable) || errors.Is(err, ErrNotPending) {
-		r.noteNotPending(order)
+		r.noteNotPending(order, earlier)
 	}
 	return err
 }
@@ -49,7 +50,7 @@
 		if err := r.acquireDuty(ctx, r.mayOrder); err != nil {
 			return Promotion{}, err
 		}
-		order, err := r.register(candidate)
+		order, err := r.registerOrder(candidate)
 		if !errors.Is(err, errNotConfirmed) {
 			return order, err
 		}
@@ -60,9 +61,9 @@
 	return Promotion{}, errNotConfirmed
 }
 
-// register registers an order as pending if this VM may send it. Both happen under one lock: whoever gives the duty away sees
+// registerOrder registers an order as pending if this VM may send it. Both happen under one lock: whoever gives the duty away sees
 // the order, or the order sees that the duty is being given away.
-func (r *replacement) register(candidate topology.TargetID) (Promotion, error) {
+func (r *replacement) registerOrder(candidate topology.TargetID) (Promotion, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock.Now()
@@ -85,12 +86,12 @@
 	return r.coordinator.Coordinates(r.row) && r.Clock.Now().Sub(r.coordinator.Confirmed(r.group)) < lease.CoordinatorLimit
 }
 
-// noteNotPending records that an order can't arrive any more.
-func (r *replacement) noteNotPending(order Promotion) {
+// noteNotPending records that an order can't arrive any more. One that was sent earlier still may.
+func (r *replacement) noteNotPending(order, earlier Promotion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.pending[r.group] == order {
-		delete(r.pending, r.group)
+		r.pending[r.group] = earlier
 	}
 }
 
--- a/internal/lead/pending_test.go
+++ b/internal/lead/pending_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// Guards against an order that passes for answered since the one after it was.
+func TestAnEarlierOrderIsStillPending(t *testing.T) {
+	answer := errNoAnswer
+	x, _ := ordering(t, func() error { return answer })
+	for _, answer = range []error{errNoAnswer, nil} {
+		if err := x.replaces.orderPromotion(t.Context(), "b"); !errors.Is(err, answer) {
+			t.Fatal(err)
+		}
+	}
+	x.replaces.giveDuty(t.Context(), successorVM)
+	if d := x.dutyRow(); d.Holder != "vm-2" || d.Quiet {
+		t.Fatalf("duty %+v", d)
+	}
+}
+
 // Guards against a next holder that orders at once while the former one's order is under way.
 func TestADutyThatIsGivenDuringAnOrderIsNotQuiet(t *testing.T) {
 	var x *replacing
