A row follows a target that was promoted behind its back

Callers saw: after a promotion order that arrived late, no write of the group was served any more. All of them were answered READONLY or, in the second in which the former primary still committed, lost.

Cause, from the logs of a course of held-up orders (real processes): the late order made i-2 lead term 5 while the row named i-1 in term 4. The former primary became a replica and answered, so no VM reported it as failing, and nothing else makes a coordinator look at the other databases: no row change in the 25 s until the test ended.

Now the coordinator asks a target that says in its registration that it is the primary, at most twice a second, and only while the row names another one. If it leads a later term, the row is closed, all rights end, and it is opened for the leader, as after a restoration of the store. A registration alone changes nothing.

--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -50,6 +50,7 @@
 	for _, group := range groups {
 		l.checkReplicaLag(ctx, group, now)
 		l.checkMembers(ctx, group, now)
+		l.checkLeader(ctx, group, now)
 		l.mu.Lock()
 		if row := l.coordinator.Row(group); row == nil || l.ofEarlierEra(row) {
 			l.mu.Unlock()
@@ -109,6 +110,9 @@
 	if l.leaving {
 		return ""
 	}
+	if l.leaderChecks[group].superseded == row.Version {
+		return primarySuperseded
+	}
 	if l.hasFailed(row, now) {
 		return primaryFailed
 	}
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -173,6 +173,7 @@
 	primaryMissingSince map[topology.GroupID]mono.Time
 	lagState            map[topology.GroupID]lagState
 	members             map[topology.GroupID]memberState
+	leaderChecks        map[topology.GroupID]leaderCheck
 	// removedMembers are the targets that rows no longer record and that this VM still lists as registered.
 	removedMembers map[topology.GroupID]map[topology.TargetID]bool
 	firstSeen      map[topology.GroupID]mono.Time
@@ -262,6 +263,7 @@
 		primaryMissingSince: map[topology.GroupID]mono.Time{},
 		lagState:            map[topology.GroupID]lagState{},
 		members:             map[topology.GroupID]memberState{},
+		leaderChecks:        map[topology.GroupID]leaderCheck{},
 		removedMembers:      map[topology.GroupID]map[topology.TargetID]bool{},
 		pending:             map[topology.GroupID]Promotion{},
 		following:           newFollowing(),
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -85,7 +85,7 @@
 // nominate chooses the candidate, or opens the row for a target that leads already. isNew is set if the row has just been
 // closed, as there was a replica to promote.
 func (r *replacement) nominate(ctx context.Context, reason string, isNew bool) error {
-	if r.row.Handover.Reason == lease.RestoredReason {
+	if r.row.Handover.Reason == lease.RestoredReason || r.row.Handover.Reason == primarySuperseded {
 		if err := r.reopenForLeader(ctx); !errors.Is(err, errNoLeader) {
 			return err
 		}
--- a/internal/lead/restored.go
+++ b/internal/lead/restored.go
@@ -178,8 +178,8 @@
 // errNoLeader is returned when no target answers that it leads the row's term or a later one.
 var errNoLeader = errors.New("lead: no target leads")
 
-// reopenForLeader opens a row that was closed after a restoration of the store for the target that leads
-// the highest term, once all rights have ended. A target that does not answer may lead a term that the
+// reopenForLeader opens a row that was closed after a restoration of the store, or because another target leads, for the target
+// that leads the highest term, once all rights have ended. A target that does not answer may lead a term that the
 // store has lost; then the platform is asked to promote the leader, which has no effect on the present
 // primary and makes any other target begin the next term.
 func (r *replacement) reopenForLeader(ctx context.Context) error {
