No commit is acknowledged that an unanswered order may roll back

Callers saw: writes acknowledged at a primary in whose place a late promotion order had put another database; they were rolled back.

Cause: whoever acknowledges a write checks its right, which says who leads by the row. An order that was given up, or whose sender was paused and succeeded, may take effect after the row was opened for another database, and no VM has a reason to doubt its right then. Nothing recorded that such an order exists.

Now the row names the targets of orders that were sent and not answered (Row.Unsettled): those of the coordinator itself, and the candidate of a coordinator that was succeeded while the row was closed. While it names one other than the primary, a commit is acknowledged once that target holds it (lease.Right.CustodyOf): its promotion then keeps the commit. If the target leads a later term the outcome is unknown to the caller. VMs ask such a target while commits wait, all of them sharing its answers; one whose registration is gone counts as ended. Where all orders are answered nothing changes: no message, no wait.

Weighed: asking all other databases for each commit (a round trip for every write, always); only checking that the target does not lead (still acknowledges what the promotion a moment later rolls back); waiting before the row is opened (no length is enough); keeping the target as the primary, as an order for the primary changes nothing (it may drain).

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -51,6 +51,20 @@
 	f.open("newest").expect("write a 1", "I OutcomeUnknown unknown")
 }
 
+// Guards against a caller who is told that a commit is kept which an order that arrives late may roll back.
+func TestACommitThatMayBeRolledBackHasUnknownOutcome(t *testing.T) {
+	f := start(t)
+	f.rights.mu.Lock()
+	f.rights.notKept = true
+	f.rights.mu.Unlock()
+	f.open("newest").expect("write a 1", "I OutcomeUnknown unknown")
+	c := f.open("newest")
+	c.expect("begin", "T ok")
+	c.expect("write a 2", "T ok d")
+	c.expect("commit", "I OutcomeUnknown unknown")
+	c.expect("read a", "I ok d")
+}
+
 // No VM has the right for a while, as in a failover. A write waits for the right, and is
 // refused as not run if there is none within the statement's timeout.
 func TestWriteWaitsForRight(t *testing.T) {
--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -176,6 +176,7 @@
 	row     lease.Row
 	held    bool
 	cut     bool
+	notKept bool
 	changed chan struct{}
 }
 
@@ -214,6 +215,17 @@
 	return ok && got == want
 }
 
+// ConfirmCommit also refuses commits while notKept is set.
+func (r *rights) ConfirmCommit(_ context.Context, want lease.Right, _ position.Position) error {
+	r.mu.Lock()
+	notKept := r.notKept
+	r.mu.Unlock()
+	if notKept || !r.Confirm(want) {
+		return errors.New("not confirmed")
+	}
+	return nil
+}
+
 func (r *rights) CutOff() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/primary.go
+++ b/internal/gateway/primary.go
@@ -123,11 +123,8 @@
 // checked after the answer has arrived: if it has ended, there may be another primary
 // by now, and the commit may be among those that are rolled back.
 func (r *request) acknowledge(right lease.Right, begun mono.Time, p position.Position) *result.Error {
-	if !r.server.Rights.Confirm(right) {
-		if r.writes {
-			return result.New(result.OutcomeUnknown, "the right for %s ended while it ran", right.Primary)
-		}
-		return noRight(right)
+	if failure := r.confirm(right, p); failure != nil {
+		return failure
 	}
 	r.server.router.recordPrimaryPosition(right, begun, p)
 	if r.writes {
@@ -136,6 +133,20 @@
 	return nil
 }
 
+// confirm returns nil if a read or a commit at the position may be acknowledged.
+func (r *request) confirm(right lease.Right, p position.Position) *result.Error {
+	if r.writes {
+		if err := r.server.Rights.ConfirmCommit(r.ctx, right, p); err != nil {
+			return result.New(result.OutcomeUnknown, "%s: %v", right.Primary, err)
+		}
+		return nil
+	}
+	if !r.server.Rights.Confirm(right) {
+		return noRight(right)
+	}
+	return nil
+}
+
 // connectionFailure returns the failure for an error on a target's connection. A statement that
 // was sent may have run.
 func (r *request) connectionFailure(id topology.TargetID, err error) *result.Error {
--- a/internal/gateway/router.go
+++ b/internal/gateway/router.go
@@ -40,6 +40,8 @@
 	Await(ctx context.Context, group topology.GroupID) (lease.Right, bool)
 	Right(group topology.GroupID) (lease.Right, bool)
 	Confirm(r lease.Right) bool
+	// ConfirmCommit returns nil if a commit of the right's primary may be acknowledged. It may wait until ctx ends.
+	ConfirmCommit(ctx context.Context, r lease.Right, commit position.Position) error
 	Row(group topology.GroupID) *lease.Row
 	// CutOff reports whether this VM can get no right, with no foreseeable end.
 	CutOff() bool
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -4,6 +4,7 @@
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
+	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
@@ -94,17 +95,8 @@
 	if tx.needsRight && answer.Position.Less(heldBefore) {
 		return r.endFailed(r.lostLogFailureInTransaction(answer.Position, heldBefore))
 	}
-	if tx.needsRight && !r.server.Rights.Confirm(tx.right) {
-		if r.st.Kind == statement.Commit && tx.wrote {
-			return r.endFailed(result.New(result.OutcomeUnknown, "the right for %s ended while it committed", tx.targetID))
-		}
-		if r.st.Kind != statement.Commit {
-			return r.endFailed(aborted("the right for %s ended", tx.targetID))
-		}
-	} else if tx.needsRight {
-		r.server.router.recordPrimaryPosition(tx.right, begun, answer.Position)
-	} else {
-		r.server.router.recordPosition(tx.class.Group, tx.targetID, answer.Position)
+	if failure := r.confirmInTransaction(begun, answer.Position); failure != nil {
+		return r.endFailed(failure)
 	}
 	if r.st.Kind == statement.Commit {
 		r.committed(answer.Position)
@@ -113,6 +105,29 @@
 	return answer
 }
 
+// confirmInTransaction records the position of a statement's answer. It returns the failure if the success may not be
+// reported: the right has ended, or the commit may be rolled back. A transaction that wrote nothing may end without a right.
+func (r *request) confirmInTransaction(begun mono.Time, p position.Position) *result.Error {
+	tx := r.tx
+	if !tx.needsRight {
+		r.server.router.recordPosition(tx.class.Group, tx.targetID, p)
+		return nil
+	}
+	isCommit := r.st.Kind == statement.Commit
+	if isCommit && tx.wrote {
+		if err := r.server.Rights.ConfirmCommit(r.ctx, tx.right, p); err != nil {
+			return result.New(result.OutcomeUnknown, "%s: %v", tx.targetID, err)
+		}
+	} else if !r.server.Rights.Confirm(tx.right) {
+		if isCommit {
+			return nil
+		}
+		return aborted("the right for %s ended", tx.targetID)
+	}
+	r.server.router.recordPrimaryPosition(tx.right, begun, p)
+	return nil
+}
+
 // lostLogFailureInTransaction returns the failure of a transaction whose primary has lost its log. Nothing of the
 // transaction is kept, unless its commit was sent.
 func (r *request) lostLogFailureInTransaction(holds, heldBefore position.Position) *result.Error {
--- a/internal/lead/judge.go
+++ b/internal/lead/judge.go
@@ -50,6 +50,7 @@
 	for _, group := range groups {
 		l.checkReplicaLag(ctx, group, now)
 		l.checkMembers(ctx, group, now)
+		l.checkUnsettled(ctx, group, now)
 		l.checkLeader(ctx, group, now)
 		l.mu.Lock()
 		if row := l.coordinator.Row(group); row == nil || l.ofEarlierEra(row) {
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -168,7 +168,12 @@
 	// givingDuty is set while the duty is being given away; no order may be sent then.
 	givingDuty bool
 	// pending holds each group's latest promotion order, if the platform has not answered it. It may arrive until its end.
-	pending             map[topology.GroupID]Promotion
+	pending map[topology.GroupID]Promotion
+	// unanswered holds when this VM sent orders that were not answered, and unsettled when this coordinator learned of the
+	// targets that its rows name as such; both by group and target.
+	unanswered, unsettled map[topology.GroupID]map[topology.TargetID]mono.Time
+	// logs are those of targets that commits wait for.
+	logs                *targetLogs
 	relocation          relocation
 	primaryMissingSince map[topology.GroupID]mono.Time
 	lagState            map[topology.GroupID]lagState
@@ -245,7 +250,7 @@
 // New returns a Lead that holds no right. The VM must already be registered in the store.
 func New(o Options) *Lead {
 	self := o.Directory.Self()
-	return &Lead{
+	l := &Lead{
 		Options:             o,
 		self:                self,
 		started:             o.Clock.Now(),
@@ -266,6 +271,8 @@
 		leaderChecks:        map[topology.GroupID]leaderCheck{},
 		removedMembers:      map[topology.GroupID]map[topology.TargetID]bool{},
 		pending:             map[topology.GroupID]Promotion{},
+		unanswered:          map[topology.GroupID]map[topology.TargetID]mono.Time{},
+		unsettled:           map[topology.GroupID]map[topology.TargetID]mono.Time{},
 		following:           newFollowing(),
 		subscribed:          map[topology.VMID][]topology.GroupID{},
 		firstSeen:           map[topology.GroupID]mono.Time{},
@@ -277,6 +284,8 @@
 		starved:             map[topology.TargetID]mono.Time{},
 		changed:             make(chan struct{}),
 	}
+	l.logs = newTargetLogs(l)
+	return l
 }
 
 // Run runs the Lead until ctx ends.
--- a/internal/lead/order.go
+++ b/internal/lead/order.go
@@ -40,6 +40,8 @@
 	err = r.Promotions.Promote(ctx, order)
 	if err == nil || errors.Is(err, ErrNotPromotable) || errors.Is(err, ErrNotPending) {
 		r.noteNotPending(order, earlier)
+	} else {
+		r.noteUnanswered(order)
 	}
 	return err
 }
--- a/internal/lead/replace.go
+++ b/internal/lead/replace.go
@@ -136,8 +136,9 @@
 	return r.coordinator.Coordinates(r.row)
 }
 
-// change commits the next version of the row.
+// change commits the next version of the row, with the targets of this VM's unanswered orders.
 func (r *replacement) change(ctx context.Context, next *lease.Row) error {
+	next = next.WithUnsettled(r.unansweredOrders(r.group)...)
 	if err := r.commit(ctx, r.row, next); err != nil {
 		return err
 	}
--- a/internal/lead/rights.go
+++ b/internal/lead/rights.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
@@ -54,6 +57,47 @@
 	}
 }
 
+var (
+	errRightEnded = errors.New("lead: the right has ended")
+	errNotKept    = errors.New("lead: an order that was not answered may roll the commit back")
+)
+
+// ConfirmCommit returns nil if a commit may be acknowledged under the right. While an order to promote a target was not
+// answered, it waits until that target holds the commit, or ctx ends.
+func (l *Lead) ConfirmCommit(ctx context.Context, r lease.Right, commit position.Position) error {
+	if !l.Confirm(r) {
+		return errRightEnded
+	}
+	keepers := l.keepers(r.Group)
+	if len(keepers) == 0 {
+		return nil
+	}
+	for _, id := range keepers {
+		if custody := l.logs.await(ctx, r, id, commit); custody != lease.Held {
+			l.Log.Info("event=commit_not_kept", "group", r.Group, "primary", r.Primary, "term", r.Term, "commit", commit, "target", id,
+				"replaced", custody == lease.Replaced)
+			return errNotKept
+		}
+	}
+	if !l.Confirm(r) {
+		return errRightEnded
+	}
+	return nil
+}
+
+// keepers returns the registered targets that must hold a commit before it is acknowledged. One that is not registered has
+// ended.
+func (l *Lead) keepers(group topology.GroupID) []topology.TargetID {
+	row := l.Row(group)
+	if row == nil || len(row.Unsettled) == 0 {
+		return nil
+	}
+	return slices.DeleteFunc(row.Keepers(), func(id topology.TargetID) bool {
+		t, ok := l.Directory.Target(id)
+		return !ok || t.Superseded
+	})
+}
+
 // Row returns the newest known row of a group, or nil.
 func (l *Lead) Row(group topology.GroupID) *lease.Row {
 	l.mu.Lock()
--- a/internal/lead/rows.go
+++ b/internal/lead/rows.go
@@ -215,7 +215,7 @@
 		l.coordinatorState[row.Coordinator] = coordinatorState{lastAnswer: l.Clock.Now()}
 	}
 	l.Log.Info("event=row_adopted", "group", row.Group, "version", row.Version, "term", row.Term, "primary", row.Primary,
-		"coordinator", row.Coordinator, "incarnation", row.Incarnation, "open", row.Open(), "from", from)
+		"coordinator", row.Coordinator, "incarnation", row.Incarnation, "open", row.Open(), "unsettled", row.Unsettled, "from", from)
 	if x := l.renewals[row.Coordinator]; x != nil {
 		x.sent = 0 // Request a promise of the coordinator at once.
 	}
--- a/internal/lead/superseded.go
+++ b/internal/lead/superseded.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
@@ -25,7 +26,7 @@
 }
 
 // checkLeader finds out whether another target than the primary leads a later term. It asks those that say so in their
-// registration.
+// registration, and those that a late order may promote.
 func (l *Lead) checkLeader(ctx context.Context, group topology.GroupID, now mono.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -44,11 +45,12 @@
 
 // otherLeaders returns the targets that may lead in place of the row's primary.
 func (l *Lead) otherLeaders(row *lease.Row) []topology.Target {
+	keepers := row.Keepers()
 	var targets []topology.Target
 	all := l.Directory.TargetsOf(row.Group)
 	for i := range all {
 		t := &all[i]
-		if t.ID != row.Primary && !t.Superseded && t.ClaimsPrimary {
+		if t.ID != row.Primary && !t.Superseded && (t.ClaimsPrimary || slices.Contains(keepers, t.ID)) {
 			targets = append(targets, t.Target)
 		}
 	}
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -92,6 +92,9 @@
 	// Quorum tells which targets may hold the acknowledged commits, if commits wait for replicas. It never changes
 	// in place.
 	Quorum *Quorum `json:"quorum,omitempty" msgpack:"q,omitempty"`
+	// Unsettled are targets that an order may still promote: it was sent, or may have been by a former coordinator, and was
+	// not answered. What one of them lacks is not acknowledged. It never changes in place.
+	Unsettled []topology.TargetID `json:"unsettled,omitempty" msgpack:"n,omitempty"`
 }
 
 // Former is a former coordinator: an earlier coordinator whose promises may still be valid.
@@ -201,6 +204,9 @@
 	n.Coordinator, n.Incarnation = vm, incarnation
 	n.Fence++
 	n.Witnesses = witnesses
+	if n.Handover != nil && n.Handover.Candidate != "" {
+		n = n.WithUnsettled(n.Handover.Candidate)
+	}
 	return n
 }
 
