An order is sent only if its receiver was heard from just before

Cause: design/0016 claimed that an order has arrived OrderLife after its reading or never does, kept by socket options. They end what the sender's kernel has, not what a proxy has acknowledged, and a reset of a paused process is never sent. Ruled out: connections kept open (each order had its own), a sender that goes on after its last moment (checked at the write), an old reading.

Into a cut only the question is written.

--- a/internal/expiring/expiring.go
+++ b/internal/expiring/expiring.go
@@ -5,6 +5,9 @@
 // takes effect beside those of its successor. On a connection of this package nothing is written after the call's last
 // moment to send; closing the connection in any way, also by the end of the process, discards what has not been
 // delivered; and the kernel gives up delivering by the end of the call, also while the process is paused.
+//
+// None of this reaches what a proxy on the path has acknowledged. A call is therefore written only if the receiver has been
+// heard from on its connection just before: a path that holds data up does not carry the answer either.
 package expiring
 
 import (
@@ -15,27 +18,17 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 )
 
-// ErrTooLate is returned for a call whose last moment to send has passed. Nothing of it was sent.
-var ErrTooLate = errors.New("expiring: the call's last moment to send has passed")
-
 // kernelGranularity is how much earlier than the end of a call the kernel gives up, since its timers fire late.
 const kernelGranularity = 10 * time.Millisecond
 
-// Limits are the limits of a call.
-type Limits struct {
-	// Send is the last moment at which the call may be written.
-	Send mono.Time
-	// End is the moment by which the call has arrived, or never will.
-	End mono.Time
-}
-
 type limitsKey struct{}
 
 // With returns a context with the limits of the calls that are made with it.
-func With(ctx context.Context, l Limits) context.Context {
+func With(ctx context.Context, l lease.Limits) context.Context {
 	return context.WithValue(ctx, limitsKey{}, l)
 }
 
@@ -44,15 +37,17 @@
 	*net.TCPConn
 	clock mono.Clock
 	// limits are those of the call in progress; zero means none.
-	limits Limits
+	limits lease.Limits
+	// heard is when something was last read, or 0.
+	heard mono.Time
 }
 
 // Dial connects to an address. The time until the connection is open counts towards the limits of the context's call.
 func Dial(ctx context.Context, dialer *net.Dialer, clock mono.Clock, address string) (*Conn, error) {
-	if l, ok := ctx.Value(limitsKey{}).(Limits); ok {
+	if l, ok := ctx.Value(limitsKey{}).(lease.Limits); ok {
 		left := l.Send.Sub(clock.Now())
 		if left <= 0 {
-			return nil, ErrTooLate
+			return nil, lease.ErrTooLate
 		}
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, left)
@@ -74,18 +69,28 @@
 	return &Conn{TCPConn: tcp, clock: clock}, nil
 }
 
+// BeginInquiry starts a call that changes nothing and shows that the receiver is reached. It ends with the context's
+// deadline or limits, like the call that follows it.
+func (c *Conn) BeginInquiry(ctx context.Context) error {
+	if err := c.Begin(ctx); err != nil {
+		return err
+	}
+	c.limits = lease.Limits{}
+	return nil
+}
+
 // Begin starts a call: the context's deadline and limits apply until the next one begins. It fails if the call's last
 // moment to send has passed.
 func (c *Conn) Begin(ctx context.Context) error {
 	deadline, _ := ctx.Deadline() // The zero time sets no deadline.
-	l, ok := ctx.Value(limitsKey{}).(Limits)
+	l, ok := ctx.Value(limitsKey{}).(lease.Limits)
 	c.limits = l
 	if !ok {
 		return c.SetDeadline(deadline)
 	}
 	now := c.clock.Now()
 	if now.After(l.Send) {
-		return ErrTooLate
+		return lease.ErrTooLate
 	}
 	left := l.End.Sub(now)
 	if end := time.Now().Add(left); deadline.IsZero() || end.Before(deadline) {
@@ -97,11 +102,22 @@
 	return c.SetUserTimeout(left - kernelGranularity)
 }
 
-// Write implements net.Conn. It sends nothing after the call's last moment to send: the process may have been paused since
-// Begin.
+// Read implements net.Conn.
+func (c *Conn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	if n > 0 {
+		c.heard = c.clock.Now()
+	}
+	return n, err
+}
+
+// Write implements net.Conn. It sends nothing after the call's last moment to send, nor if the receiver has not been heard
+// from just before: the process may have been paused since Begin.
 func (c *Conn) Write(b []byte) (int, error) {
-	if c.limits != (Limits{}) && c.clock.Now().After(c.limits.Send) {
-		return 0, ErrTooLate
+	if c.limits != (lease.Limits{}) {
+		if err := c.limits.Check(c.heard, c.clock.Now()); err != nil {
+			return 0, err
+		}
 	}
 	return c.TCPConn.Write(b)
 }
--- a/internal/expiring/expiring_test.go
+++ b/internal/expiring/expiring_test.go
@@ -10,13 +10,19 @@
 
 	"github.com/buckthornshore/buckthornshore/internal/expiring"
 	"github.com/buckthornshore/buckthornshore/internal/standin/network"
+	"github.com/buckthornshore/buckthornshore/pkg/lease"
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 )
 
-// life is how long a call of these tests may take.
-const life = 400 * time.Millisecond
+const (
+	// life is how long a call of these tests may take, and silence how long before it the receiver must have been heard from.
+	life    = 400 * time.Millisecond
+	silence = 100 * time.Millisecond
+)
+
+const greeting = "hello"
 
-// receiver accepts one connection and reads it when it is told to.
+// receiver accepts one connection, greets the sender and reads when it is told to.
 type receiver struct {
 	listener net.Listener
 	conn     chan net.Conn
@@ -32,6 +38,7 @@
 	t.Cleanup(func() { l.Close() })
 	go func() {
 		if c, err := l.Accept(); err == nil {
+			_, _ = c.Write([]byte(greeting))
 			r.conn <- c
 		}
 	}()
@@ -63,7 +70,48 @@
 // within returns a context for a call that begins now.
 func within(ctx context.Context, clock mono.Clock) context.Context {
 	now := clock.Now()
-	return expiring.With(ctx, expiring.Limits{Send: now.Add(life / 2), End: now.Add(life)})
+	return expiring.With(ctx, lease.Limits{Send: now.Add(life / 2), End: now.Add(life), MaxSilence: silence})
+}
+
+// hear reads the receiver's greeting.
+func hear(t *testing.T, c *expiring.Conn) {
+	t.Helper()
+	if _, err := io.ReadFull(c, make([]byte, len(greeting))); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against a call that is held up by a proxy on the path, which keeps it however the sender ends: nothing is sent unless
+// the receiver has just been heard from.
+func TestNothingIsSentToAReceiverThatIsNotHeard(t *testing.T) {
+	r := newReceiver(t)
+	clock := &mono.Manual{T: mono.System{}.Now()}
+	ctx := within(t.Context(), clock)
+	c := dial(t, ctx, clock, r.address())
+	write := func(want error) {
+		t.Helper()
+		if err := c.Begin(ctx); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Write([]byte("order")); !errors.Is(err, want) {
+			t.Fatalf("error %v, want %v", err, want)
+		}
+	}
+	write(lease.ErrUnheard)
+	if err := c.BeginInquiry(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Write([]byte("inquiry")); err != nil {
+		t.Fatal(err)
+	}
+	hear(t, c)
+	write(nil)
+	clock.T = clock.T.Add(silence + 1)
+	write(lease.ErrUnheard)
+	c.Close()
+	if n, _ := r.read(t); n > len("inquiry")+len("order") {
+		t.Fatalf("%d bytes arrived", n)
+	}
 }
 
 // Guards against a call that is sent by a process that was paused between its last check and the write.
@@ -76,13 +124,13 @@
 		t.Fatal(err)
 	}
 	clock.T = clock.T.Add(life/2 + 1)
-	if _, err := c.Write([]byte("late")); !errors.Is(err, expiring.ErrTooLate) {
+	if _, err := c.Write([]byte("late")); !errors.Is(err, lease.ErrTooLate) {
 		t.Fatalf("error %v", err)
 	}
-	if err := c.Begin(ctx); !errors.Is(err, expiring.ErrTooLate) {
+	if err := c.Begin(ctx); !errors.Is(err, lease.ErrTooLate) {
 		t.Fatalf("a call that begins too late: error %v", err)
 	}
-	if _, err := expiring.Dial(ctx, &net.Dialer{}, clock, r.address()); !errors.Is(err, expiring.ErrTooLate) {
+	if _, err := expiring.Dial(ctx, &net.Dialer{}, clock, r.address()); !errors.Is(err, lease.ErrTooLate) {
 		t.Fatalf("a connection for a call that begins too late: error %v", err)
 	}
 	c.Close()
@@ -102,6 +150,7 @@
 	clock := mono.System{}
 	ctx := within(t.Context(), clock)
 	c := dial(t, ctx, clock, link.Address())
+	hear(t, c)
 	link.SetHeld(true)
 	if err := c.Begin(ctx); err != nil {
 		t.Fatal(err)
@@ -130,6 +179,7 @@
 	clock := mono.System{}
 	ctx := within(t.Context(), clock)
 	c := dial(t, ctx, clock, r.address())
+	hear(t, c)
 	if err := c.Begin(ctx); err != nil {
 		t.Fatal(err)
 	}
@@ -139,7 +189,7 @@
 	const size = 32 << 20 // More than the buffers of both sides.
 	go func() { _, _ = c.Write(make([]byte, size)) }()
 	time.Sleep(2*life + 300*time.Millisecond)
-	if n, err := r.read(t); err == nil || n == size {
+	if n, err := r.read(t); err == nil || n == 0 || n == size {
 		t.Fatalf("%d bytes arrived, error %v", n, err)
 	}
 }
--- a/internal/lead/order.go
+++ b/internal/lead/order.go
@@ -150,7 +150,7 @@
 	timeout = min(timeout, authority.End().Sub(r.Clock.Now()))
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	return send(expiring.With(ctx, expiring.Limits{Send: authority.LastSend(), End: authority.End()}))
+	return send(expiring.With(ctx, authority.Limits()))
 }
 
 // authority returns the authority for a command in the group. The row is read again if the latest reading is too old.
--- a/internal/standin/network/link.go
+++ b/internal/standin/network/link.go
@@ -16,11 +16,9 @@
 	target   string
 	listener net.Listener
 	// silent holds the connections that Silence stopped; new connections still deliver.
-	silent map[net.Conn]bool
-	conns  map[net.Conn]net.Conn
-	// held is set while the link holds data that is sent to the target; heldBytes counts it.
-	held      bool
-	heldBytes int
+	silent  map[net.Conn]bool
+	conns   map[net.Conn]net.Conn
+	holding holding
 }
 
 // faults holds the active faults of a link.
@@ -68,8 +66,8 @@
 	l.mu.Lock()
 	l.conns[c] = out
 	l.mu.Unlock()
-	go l.copy(out, c, func() bool { return l.drops(c, false) }, l.isHeld)
-	l.copy(c, out, func() bool { return l.drops(c, true) }, func() bool { return false })
+	go l.copy(out, c, func() bool { return l.drops(c, false) }, l.holds)
+	l.copy(c, out, func() bool { return l.drops(c, true) }, func(int) bool { return false })
 	c.Close()
 	out.Close()
 	l.mu.Lock()
@@ -87,13 +85,13 @@
 }
 
 // copy forwards data until the connection ends, discards it while drops returns true, and holds it while holds does.
-func (l *Link) copy(to io.WriteCloser, from net.Conn, drops, holds func() bool) {
+func (l *Link) copy(to io.WriteCloser, from net.Conn, drops func() bool, holds func(message int) bool) {
 	buf := make([]byte, 32<<10)
-	for {
+	for message := 0; ; message++ {
 		n, err := from.Read(buf)
 		data := buf[:n]
-		if err == nil && holds() {
-			data, err = l.hold(from, data)
+		if err == nil && holds(message) {
+			data, err = l.hold(from, message, data)
 		}
 		if drops() {
 			if err != nil {
