--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -44,7 +44,7 @@
 	targetEvents = []string{"dial_failed", "target_connection_lost", "target_unregistered", "target_gone"}
 	groupEvents  = []string{
 		"rights_ended", "candidate_chosen", "primary_replacement", "coordinator_taken_over", "step_down_failed",
-		"promotion_unanswered", "replacement_given_up", "replicas_looked_at",
+		"promotion_unanswered", "replacement_given_up", "replicas_looked_at", "commit_not_kept", "primary_superseded",
 	}
 )
 
--- a/internal/lead/duty.go
+++ b/internal/lead/duty.go
@@ -27,7 +27,7 @@
 	Holder      topology.VMID        `json:"holder"`
 	Incarnation topology.Incarnation `json:"incarnation"`
 	Fence       uint64               `json:"fence"`
-	// Quiet is set if no order of an earlier holder could arrive any more when the holder was given the duty.
+	// Quiet is set if no order of an earlier holder was in flight any more when the holder was given the duty.
 	Quiet bool `json:"quiet,omitempty"`
 }
 
@@ -209,7 +209,7 @@
 	l.Log.Info("event=duty_given", "to", to.ID, "data_centre", to.DataCentre, "fence", next.Fence, "quiet", quiet, "error", err)
 }
 
-// dutyQuiet reports whether no order of this VM or of an earlier holder of the duty can arrive any more, as long as this VM sends
+// dutyQuiet reports whether no order of this VM or of an earlier holder of the duty is in flight any more, as long as this VM sends
 // none. The caller holds the lock.
 func (l *Lead) dutyQuiet() bool {
 	now := l.Clock.Now()
--- a/internal/lead/lead.go
+++ b/internal/lead/lead.go
@@ -82,7 +82,7 @@
 	// ErrNotPromotable is returned when the platform refuses a promotion because the target is not
 	// running.
 	ErrNotPromotable = errors.New("lead: the target can't be promoted")
-	// ErrNotPending marks errors of a promotion order that can't arrive any more: it was answered, or it was not sent.
+	// ErrNotPending marks errors of a promotion order that is not in flight any more: it was answered, or it was not sent.
 	ErrNotPending = errors.New("lead: the order is not pending")
 )
 
@@ -96,9 +96,9 @@
 	Fence  uint64
 }
 
-// Promotions sends promotion orders to the platform. An order is not sent after its last moment to send, and does not
-// arrive after its end, however the call or the process ends. Errors that are not marked with ErrNotPending leave open
-// whether the order has arrived.
+// Promotions sends promotion orders to the platform. An order is not sent after its last moment to send, nor before the
+// platform has answered on the order's connection. It is given up by its end, however the call or the process ends. Errors that
+// are not marked with ErrNotPending leave open whether the order has arrived, or still will.
 type Promotions interface {
 	Promote(ctx context.Context, order Promotion) error
 }
--- a/internal/lead/order.go
+++ b/internal/lead/order.go
@@ -88,7 +88,7 @@
 	return r.coordinator.Coordinates(r.row) && r.Clock.Now().Sub(r.coordinator.Confirmed(r.group)) < lease.CoordinatorLimit
 }
 
-// noteNotPending records that an order can't arrive any more. One that was sent earlier still may.
+// noteNotPending records that an order is not in flight any more. One that was sent earlier may still be.
 func (r *replacement) noteNotPending(order, earlier Promotion) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -115,7 +115,7 @@
 	return false
 }
 
-// quietIn reports whether no order of this VM in a group can arrive any more, as long as it sends none. The caller holds the
+// quietIn reports whether no order of this VM in a group is in flight any more, as long as it sends none. The caller holds the
 // lock.
 func (l *Lead) quietIn(group topology.GroupID) bool {
 	now := l.Clock.Now()
@@ -123,7 +123,7 @@
 	return !l.replacing[group] && (!ok || !now.Before(order.End())) && !now.Before(l.coordinator.OrdersEnd(group))
 }
 
-// awaitOrdersEnded waits until no order in the group can arrive any more, neither of this VM nor of an earlier coordinator.
+// awaitOrdersEnded waits until no order in the group is in flight any more, neither of this VM nor of an earlier coordinator.
 func (r *replacement) awaitOrdersEnded(ctx context.Context) {
 	r.mu.Lock()
 	end := r.coordinator.OrdersEnd(r.group)
--- a/internal/lead/pending_test.go
+++ b/internal/lead/pending_test.go
@@ -120,7 +120,7 @@
 	}
 }
 
-// Guards against a replacement that waits for orders of a former holder that can't arrive any more.
+// Guards against a replacement that waits for orders of a former holder that are not in flight any more.
 func TestADutyThatIsGivenQuietlyIsUsedAtOnce(t *testing.T) {
 	for _, quiet := range []bool{true, false} {
 		x, p := ordering(t, func() error { return nil })
--- a/pkg/lease/coordinator.go
+++ b/pkg/lease/coordinator.go
@@ -33,7 +33,7 @@
 	// coordinators, each with the time until which its promises may be valid.
 	takenOverAt mono.Time
 	formers     []former
-	// ordersEnd is the moment from which no order of an earlier coordinator can arrive any more; 0 if there was none.
+	// ordersEnd is the moment from which no order of an earlier coordinator is in flight any more; 0 if there was none.
 	ordersEnd mono.Time
 	// lastContact is when each VM last asked for a promise without naming a version
 	// newer than the row.
@@ -102,7 +102,7 @@
 	g.confirmed = max(g.confirmed, began)
 }
 
-// ordersEnd returns the moment from which no order of earlier coordinators can arrive any more, for a row that was taken over.
+// ordersEnd returns the moment from which no order of earlier coordinators is in flight any more, for a row that was taken over.
 // A coordinator sends orders to targets only while the row is closed.
 func ordersEnd(row *Row, now mono.Time) mono.Time {
 	if row.Open() || row.Quiet {
@@ -238,7 +238,7 @@
 	return 0
 }
 
-// OrdersEnd returns the moment from which no order of an earlier coordinator of the group can arrive any more, or 0 if
+// OrdersEnd returns the moment from which no order of an earlier coordinator of the group is in flight any more, or 0 if
 // none could when this VM took the group over.
 func (c *Coordinator) OrdersEnd(group topology.GroupID) mono.Time {
 	if g := c.groups[group]; g != nil {
--- a/pkg/lease/order.go
+++ b/pkg/lease/order.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	// OrderLife bounds what a VM that has been succeeded may still have in flight: how long after the reading that shows its
-	// authority an order may arrive. Its successor's change of the row comes after that reading, so the successor waits as long
-	// from its change before it sends an order or relies on one not coming.
+	// OrderLife bounds what the kernel of a VM that has been succeeded may still send: how long after the reading that shows its
+	// authority an order may be in flight. Its successor's change of the row comes after that reading, so the successor waits as
+	// long from its change before it sends an order or relies on one not coming. What a path that fails during this time keeps
+	// for longer is covered by Row.Unsettled.
 	OrderLife = 700 * time.Millisecond
 	// MinOrderFlight is how much of OrderLife must be left as an order is sent. It is longer than the kernel's shortest
 	// retransmission timeout of 200 ms, below which the kernel can't be kept from retransmitting.
@@ -33,7 +34,7 @@
 type Limits struct {
 	// Send is the last moment at which the call may be written.
 	Send mono.Time
-	// End is the moment by which the call has arrived, or never will.
+	// End is the moment by which the sender gives the call up.
 	End mono.Time
 	// MaxSilence is how long before the write the receiver must have been heard from at most, on the call's connection.
 	MaxSilence time.Duration
@@ -52,7 +53,7 @@
 }
 
 // Order is the authority for one order, to a target or about one. It is refused if it is sent too late, and whoever sends it
-// ensures that it arrives by its end or never.
+// stops sending by its end.
 type Order struct {
 	// Evidence is when the reading began that showed the sender's authority.
 	Evidence mono.Time
@@ -61,7 +62,7 @@
 // LastSend returns the last moment at which the order may be sent.
 func (o Order) LastSend() mono.Time { return o.Evidence.Add(OrderLife - MinOrderFlight) }
 
-// End returns the moment from which the order can't arrive any more.
+// End returns the moment from which the order is not in flight any more.
 func (o Order) End() mono.Time { return o.Evidence.Add(OrderLife) }
 
 // MaySend reports whether the order may still be sent.
--- a/pkg/lease/row.go
+++ b/pkg/lease/row.go
@@ -78,7 +78,7 @@
 	// Ended is set if the previous coordinator had stopped giving promises when this one
 	// took over.
 	Ended bool `json:"ended,omitempty" msgpack:"e,omitempty"`
-	// Quiet is set if no order of the previous coordinator could arrive any more when this one took over.
+	// Quiet is set if no order of the previous coordinator was in flight any more when this one took over.
 	Quiet bool `json:"quiet,omitempty" msgpack:"u,omitempty"`
 	// Formers are the former coordinators: earlier coordinators whose promises may still
 	// be valid. They are passed from one coordinator to the next until the last of these
@@ -210,7 +210,7 @@
 	return n
 }
 
-// Quieted returns the row, as taken over, for a previous coordinator of which no order can arrive any more.
+// Quieted returns the row, as taken over, for a previous coordinator with no order in flight any more.
 func (r *Row) Quieted() *Row {
 	n := *r
 	n.Quiet = true
