Commits don't wait for a target that ends meanwhile

A commit that waited for the target of an unanswered order went on until its deadline, with an unknown outcome, if the target's registration was removed meanwhile, although such a target has ended and the next commit would not wait for it. TestACommitDoesNotWaitForATargetThatIsGone would wait for ever before (by reading: await had no way to learn of it).

--- a/internal/lead/custody.go
+++ b/internal/lead/custody.go
@@ -34,6 +34,8 @@
 type targetLog struct {
 	state   lease.LogState
 	waiting int
+	// isGone is set if the target is not registered any more. It has ended, so nothing can promote it.
+	isGone bool
 	// changed is closed and replaced with each answer.
 	changed chan struct{}
 }
@@ -64,7 +66,10 @@
 	defer func() { log.waiting-- }()
 	for {
 		custody := r.CustodyOf(commit, log.state)
-		if custody != lease.NotHeld || ctx.Err() != nil {
+		switch {
+		case log.isGone:
+			return lease.Held
+		case custody != lease.NotHeld || ctx.Err() != nil:
 			return custody
 		}
 		changed := log.changed
@@ -81,10 +86,11 @@
 func (t *targetLogs) poll(id topology.TargetID, log *targetLog) {
 	ctx := context.Background()
 	for t.isAwaited(id, log) {
-		if registered, ok := t.lookUp(id); ok {
-			if s, err := t.status(ctx, registered); err == nil {
-				t.note(log, lease.LogState{Term: s.Term, Received: s.Received})
-			}
+		registered, ok := t.lookUp(id)
+		if !ok {
+			t.note(log, func() { log.isGone = true })
+		} else if s, err := t.status(ctx, registered); err == nil {
+			t.note(log, func() { log.isGone, log.state = false, lease.LogState{Term: s.Term, Received: s.Received} })
 		}
 		wait.For(ctx, t.period())
 	}
@@ -100,10 +106,11 @@
 	return log.waiting > 0
 }
 
-func (t *targetLogs) note(log *targetLog, state lease.LogState) {
+// note changes what is known of a target's log, and wakes the commits that wait for it.
+func (t *targetLogs) note(log *targetLog, change func()) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	log.state = state
+	change()
 	close(log.changed)
 	log.changed = make(chan struct{})
 }
--- a/internal/lead/custody_test.go
+++ b/internal/lead/custody_test.go
@@ -21,6 +21,7 @@
 	mu     sync.Mutex
 	status target.Status
 	err    error
+	isGone bool
 	asked  int
 }
 
@@ -38,7 +39,11 @@
 			a.asked++
 			return a.status, a.err
 		},
-		lookUp: func(id topology.TargetID) (topology.Target, bool) { return topology.Target{ID: id}, true },
+		lookUp: func(id topology.TargetID) (topology.Target, bool) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			return topology.Target{ID: id}, !a.isGone
+		},
 		period: func() time.Duration { return time.Millisecond },
 		logs:   map[topology.TargetID]*targetLog{},
 	}
@@ -82,6 +87,19 @@
 	}
 }
 
+// Guards against commits that wait until their deadline for a target that ends meanwhile.
+func TestACommitDoesNotWaitForATargetThatIsGone(t *testing.T) {
+	a := &answeringTarget{status: ninth}
+	time.AfterFunc(50*time.Millisecond, func() {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.isGone = true
+	})
+	if got := a.logs().await(t.Context(), rightForA, "b", tenth); got != lease.Held {
+		t.Fatalf("%v", got)
+	}
+}
+
 // Guards against a target that is overloaded by questions: all commits that wait for it share its answers, and nobody asks it
 // once none waits.
 func TestCommitsThatWaitForATargetShareItsAnswers(t *testing.T) {
