A promotion is ordered also where the platform closes its connections

A platform that closes the connection with its answer to the inquiry would never have been sent an order: every group without a primary for good. Found by reading; the users' platform keeps the connection open.

--- a/internal/expiring/expiring.go
+++ b/internal/expiring/expiring.go
@@ -122,6 +122,9 @@
 	return c.TCPConn.Write(b)
 }
 
+// HeardOn counts what was heard from the receiver on another connection, which it closes after each answer.
+func (c *Conn) HeardOn(other *Conn) { c.heard = max(c.heard, other.heard) }
+
 // SetUserTimeout sets how long sent data may stay unacknowledged before the kernel ends the connection.
 func (c *Conn) SetUserTimeout(d time.Duration) error {
 	raw, err := c.SyscallConn()
