What counts is when the receiver was asked, not when its answer is read

The answer to an inquiry may have waited in the socket while the process was paused or had no processor time: read later, it passed for contact of that moment, and an order could follow into a cut that had begun since, up to the order's last moment (450 ms after its reading). Now the moment of the question counts (lease.MaxInquiryAge, 150 ms), so the path can only have failed within it.

--- a/internal/expiring/expiring.go
+++ b/internal/expiring/expiring.go
@@ -38,8 +38,9 @@
 	clock mono.Clock
 	// limits are those of the call in progress; zero means none.
 	limits lease.Limits
-	// heard is when something was last read, or 0.
-	heard mono.Time
+	// asked is when the sender last wrote something, at first when the connection began to open. heard is when it had asked what
+	// the receiver has answered last, or 0: the answer may have waited to be read while the process was paused.
+	asked, heard mono.Time
 }
 
 // Dial connects to an address. The time until the connection is open counts towards the limits of the context's call.
@@ -53,6 +54,7 @@
 		ctx, cancel = context.WithTimeout(ctx, left)
 		defer cancel()
 	}
+	begun := clock.Now()
 	nc, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
@@ -66,7 +68,7 @@
 		_ = tcp.Close()
 		return nil, errors.Wrap(err, "expiring")
 	}
-	return &Conn{TCPConn: tcp, clock: clock}, nil
+	return &Conn{TCPConn: tcp, clock: clock, asked: begun}, nil
 }
 
 // BeginInquiry starts a call that changes nothing and shows that the receiver is reached. It ends with the context's
@@ -106,7 +108,7 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
 	if n > 0 {
-		c.heard = c.clock.Now()
+		c.heard = c.asked
 	}
 	return n, err
 }
@@ -114,11 +116,13 @@
 // Write implements net.Conn. It sends nothing after the call's last moment to send, nor if the receiver has not been heard
 // from just before: the process may have been paused since Begin.
 func (c *Conn) Write(b []byte) (int, error) {
+	now := c.clock.Now()
 	if c.limits != (lease.Limits{}) {
-		if err := c.limits.Check(c.heard, c.clock.Now()); err != nil {
+		if err := c.limits.Check(c.heard, now); err != nil {
 			return 0, err
 		}
 	}
+	c.asked = now
 	return c.TCPConn.Write(b)
 }
 
--- a/pkg/lease/order.go
+++ b/pkg/lease/order.go
@@ -17,9 +17,9 @@
 	// MinOrderFlight is how much of OrderLife must be left as an order is sent. It is longer than the kernel's shortest
 	// retransmission timeout of 200 ms, below which the kernel can't be kept from retransmitting.
 	MinOrderFlight = 250 * time.Millisecond
-	// MaxSilence is how long before an order is sent its receiver must have been heard from at most, on the order's own
-	// connection. A path that holds the order up is one that fails within this time.
-	MaxSilence = 50 * time.Millisecond
+	// MaxInquiryAge is how long before an order is sent its receiver must have been asked at most what it has answered, on the
+	// order's own connection. A path that holds the order up is one that fails within this time.
+	MaxInquiryAge = 150 * time.Millisecond
 )
 
 var (
@@ -36,17 +36,18 @@
 	Send mono.Time
 	// End is the moment by which the sender gives the call up.
 	End mono.Time
-	// MaxSilence is how long before the write the receiver must have been heard from at most, on the call's connection.
-	MaxSilence time.Duration
+	// MaxInquiryAge is how long before the write the receiver must have been asked at most what it has answered, on the call's
+	// connection.
+	MaxInquiryAge time.Duration
 }
 
-// Check returns nil if the call may be written now. heard is when the receiver was last heard from on the call's connection,
-// or 0.
+// Check returns nil if the call may be written now. heard is when the receiver was asked what it has answered last on the call's
+// connection, or 0.
 func (l Limits) Check(heard, now mono.Time) error {
 	switch {
 	case now.After(l.Send):
 		return ErrTooLate
-	case heard == 0 || now.Sub(heard) > l.MaxSilence:
+	case heard == 0 || now.Sub(heard) > l.MaxInquiryAge:
 		return ErrUnheard
 	}
 	return nil
@@ -70,5 +71,5 @@
 
 // Limits returns the limits of the call that carries the order.
 func (o Order) Limits() Limits {
-	return Limits{Send: o.LastSend(), End: o.End(), MaxSilence: MaxSilence}
+	return Limits{Send: o.LastSend(), End: o.End(), MaxInquiryAge: MaxInquiryAge}
 }
