An EXEC is sent as its caller wrote it, but for the statement's name

Cause: the name of the prepared statement differs at a target, so the driver built the text anew from its parts, and trimmed blanks so that an EXEC without arguments has none at its end. Fix: the caller's text is sent as it is, with the name replaced in place.

--- a/internal/target/driver.go
+++ b/internal/target/driver.go
@@ -22,7 +22,7 @@
 const (
 	// Caller sends Text to the target unchanged.
 	Caller CommandKind = iota
-	// Execute runs the prepared statement Name.
+	// Execute sends Text with its statement's name replaced by Name.
 	Execute
 	Begin
 	BeginReadOnly
@@ -40,7 +40,8 @@
 	// ID is the caller's statement ID, or statement.OwnID for a command of the proxy.
 	ID   string
 	Text string
-	// Name and Value are the arguments of Execute, Set, PrepareRead and PrepareWrite.
+	// Name and Value are the arguments of Set, PrepareRead and PrepareWrite. Name is also that of Execute. Holders of
+	// the previous version read the arguments of Execute in Value.
 	Name, Value string
 	// Priority is the priority of the request, and Useful the time within which its answer meets
 	// the objective of its class, or 0 if that is its whole remaining time. A holder uses both to
