A prepared statement's name on a connection stands for one statement, exactly

Cause: a connection named a statement by the 64-bit FNV-1a hash of its shape and looked it up by that name. Sessions share connections, and a customer can choose a shape with the hash of another's; "8yn0iYCKYHlIj4-BwPqk" and "GReLUrM4wMqfg9yzV3KQ" have the same one. Ruled out: the maps of sessions and of holders, which are keyed by whole names of one session or one connection. Before: TestPreparedNamesOfShapesWithTheSameHashDiffer failed: the second shape got the first one's name and was never prepared. The test of resets passed before as well, since names came from shapes; with a counter it guards the counter. After: both pass, as do internal/forward, internal/gateway and TestADatabaseRunsTheTextThatItsCallerSent. Fix: names come from a counter of the connection that a reset doesn't set back; statements are looked up by kind and whole shape.

--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -2,10 +2,8 @@
 
 import (
 	"errors"
-	"hash/fnv"
 	"math/rand/v2"
 	"os"
-	"strconv"
 	"time"
 
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
@@ -42,7 +40,7 @@
 	// values are the session values set on the connection, prepared the names of its prepared
 	// statements.
 	values   map[string]string
-	prepared map[string]bool
+	prepared statement.Names
 	// inTransaction is set while a transaction is open at the target.
 	inTransaction bool
 	// broken is set if the connection can't be used any more.
@@ -167,18 +165,23 @@
 		l.broken = true
 		return err
 	}
-	l.values, l.prepared = nil, nil
+	l.cleared()
 	return nil
 }
 
-// EnsurePrepared prepares a statement unless the connection has it already, and returns its name.
-// The name depends on the statement alone: names chosen by two sessions could collide.
+// cleared records that the connection has neither values nor prepared statements.
+func (l *Link) cleared() {
+	l.values = nil
+	l.prepared.Clear()
+}
+
+// EnsurePrepared prepares a statement unless the connection has it already, and returns its name on the
+// connection. Names chosen by two sessions could collide.
 func (l *Link) EnsurePrepared(deadline time.Time, p statement.Prepared) (string, error) {
-	name := statementName(p)
-	if l.prepared[name] {
+	if name, ok := l.prepared.Lookup(p); ok {
 		return name, nil
 	}
-	if len(l.prepared) >= maxPreparedPerLink && !l.inTransaction {
+	if l.prepared.Len() >= maxPreparedPerLink && !l.inTransaction {
 		values := l.values
 		if err := l.reset(deadline); err != nil {
 			return "", err
@@ -191,28 +194,15 @@
 	if p.Writes {
 		kind = PrepareWrite
 	}
+	name := l.prepared.Next()
 	if err := l.runInternal(deadline, Command{Kind: kind, Name: name, Value: p.Shape}); err != nil {
-		l.broken = true
+		l.broken = true // It isn't known whether the statement was prepared.
 		return "", err
 	}
-	if l.prepared == nil {
-		l.prepared = map[string]bool{}
-	}
-	l.prepared[name] = true
+	l.prepared.Add(p, name)
 	return name, nil
 }
 
-// statementName returns a short name derived from the statement's shape and kind.
-func statementName(p statement.Prepared) string {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(p.Shape)) // Write of a hash.Hash never returns an error.
-	prefix := "r"
-	if p.Writes {
-		prefix = "w"
-	}
-	return prefix + strconv.FormatUint(h.Sum64(), 36)
-}
-
 // Begin opens a transaction. The target refuses it unless its log contains the position after.
 func (l *Link) Begin(deadline time.Time, readOnly bool, after position.Position) error {
 	c := Command{Kind: Begin, After: after}
@@ -234,7 +224,7 @@
 		l.broken = true
 		return position.Position{}, a.Failure
 	}
-	l.values, l.prepared = nil, nil
+	l.cleared()
 	return a.Position, nil
 }
 
--- /dev/null
+++ b/internal/target/prepared_test.go
@@ -0,0 +1,66 @@
+package target_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+)
+
+// collidingShapes have the same 64-bit FNV-1a hash.
+var collidingShapes = [...]string{"8yn0iYCKYHlIj4-BwPqk", "GReLUrM4wMqfg9yzV3KQ"}
+
+// Guards against a session that runs another session's prepared statement because a hash of both is the same.
+func TestPreparedNamesOfShapesWithTheSameHashDiffer(t *testing.T) {
+	f := &fakeTarget{}
+	l := acquire(t, newPool(f, 1), nil)
+	shapes := map[string]string{}
+	for _, shape := range collidingShapes {
+		name, err := l.EnsurePrepared(soon(), statement.Prepared{Shape: shape})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range f.sent {
+			if c.Kind == target.PrepareRead && c.Name == name {
+				shapes[name] = c.Value
+			}
+		}
+		if shapes[name] != shape {
+			t.Errorf("the name of %q stands for %q", shape, shapes[name])
+		}
+	}
+}
+
+// Guards against a name that stands for another statement after a reset of its connection.
+func TestANameIsNotUsedAgainAfterAReset(t *testing.T) {
+	f := &fakeTarget{}
+	l := acquire(t, newPool(f, 1), nil)
+	seen := map[string]string{}
+	for i := range 2*200 + 2 {
+		shape := strings.Repeat("x", i+1)
+		name, err := l.EnsurePrepared(soon(), statement.Prepared{Shape: shape})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if other, ok := seen[name]; ok && other != shape {
+			t.Fatalf("%q stands for two statements", name)
+		}
+		seen[name] = shape
+	}
+	if n := countSent(f, target.Reset); n != 2 {
+		t.Errorf("%d resets", n)
+	}
+}
+
+func countSent(f *fakeTarget, kind target.CommandKind) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, c := range f.sent {
+		if c.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
