A session keeps 128 KiB of values and statements at most, and no messages

Cause: the state of a session was bounded in number (64 values, 256 statements) but not in bytes, and each entry was a part of the message that brought it, so a value of one byte kept a message of up to 1 MiB: 320 MiB a session. So a SET or PREPARE with more than 128 KiB, which was served before, is refused. Without a bound, a few sessions of one customer end the sessions of all others on their VM.

--- a/pkg/statement/context.go
+++ b/pkg/statement/context.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
@@ -11,6 +12,8 @@
 const (
 	MaxValues   = 64
 	MaxPrepared = 256
+	// MaxBytes bounds the size of all values and prepared statements with their names, in bytes.
+	MaxBytes = 128 << 10
 )
 
 // Prepared is a statement that a session has prepared.
@@ -25,6 +28,8 @@
 type Context struct {
 	values   map[string]string
 	prepared map[string]Prepared
+	// bytes is the size of all values and prepared statements with their names.
+	bytes int
 }
 
 // Values returns the session's values. The map must not be modified.
@@ -38,39 +43,72 @@
 	case Prepare:
 		return c.prepare(s.Name, Prepared{Shape: s.Shape, Writes: s.Writes})
 	case Deallocate:
-		if _, ok := c.prepared[s.Name]; !ok {
-			return unknownStatement(s.Name)
-		}
-		delete(c.prepared, s.Name)
-		return nil
+		return c.deallocate(s.Name)
 	}
 	return result.New(result.Internal, "%s changes no session", s.Kind)
 }
 
 func (c *Context) set(name, value string) *result.Error {
-	if _, ok := c.values[name]; !ok && len(c.values) >= MaxValues {
+	old, ok := c.values[name]
+	if !ok && len(c.values) >= MaxValues {
 		return result.New(result.BadOption, "more than %d values", MaxValues)
 	}
+	if failure := c.replace(sizeOf(name, old, ok), sizeOf(name, value, true)); failure != nil {
+		return failure
+	}
 	updated := maps.Clone(c.values) // Running statements may still read the old map.
 	if updated == nil {
 		updated = map[string]string{}
 	}
-	updated[name] = value
+	// The strings are parts of a message, which they would keep in memory.
+	updated[strings.Clone(name)] = strings.Clone(value)
 	c.values = updated
 	return nil
 }
 
 func (c *Context) prepare(name string, p Prepared) *result.Error {
-	if _, ok := c.prepared[name]; !ok && len(c.prepared) >= MaxPrepared {
+	old, ok := c.prepared[name]
+	if !ok && len(c.prepared) >= MaxPrepared {
 		return result.New(result.BadOption, "more than %d prepared statements", MaxPrepared)
 	}
+	if failure := c.replace(sizeOf(name, old.Shape, ok), sizeOf(name, p.Shape, true)); failure != nil {
+		return failure
+	}
 	if c.prepared == nil {
 		c.prepared = map[string]Prepared{}
 	}
-	c.prepared[name] = p
+	p.Shape = strings.Clone(p.Shape)
+	c.prepared[strings.Clone(name)] = p
+	return nil
+}
+
+func (c *Context) deallocate(name string) *result.Error {
+	old, ok := c.prepared[name]
+	if !ok {
+		return unknownStatement(name)
+	}
+	c.bytes -= sizeOf(name, old.Shape, true)
+	delete(c.prepared, name)
 	return nil
 }
 
+// replace counts an entry of the session in place of an older one, unless the session would become too large.
+func (c *Context) replace(oldSize, newSize int) *result.Error {
+	if c.bytes-oldSize+newSize > MaxBytes {
+		return result.New(result.BadOption, "values and prepared statements of more than %d bytes", MaxBytes)
+	}
+	c.bytes += newSize - oldSize
+	return nil
+}
+
+// sizeOf returns the size of an entry in bytes, or 0 if it doesn't exist.
+func sizeOf(name, text string, exists bool) int {
+	if !exists {
+		return 0
+	}
+	return len(name) + len(text)
+}
+
 // Prepared returns the statement prepared under the name.
 func (c *Context) Prepared(name string) (Prepared, *result.Error) {
 	p, ok := c.prepared[name]
