The statements kept on a connection are bounded in bytes, also in a transaction

Cause: a connection was reset after 200 statements whatever their size, and never in a transaction, where a reset would clear the caller's values. After: a connection with more than 256 KiB is reset; in a transaction the bounds are higher by those of a session (456 statements, 384 KiB), so all that a session has prepared fits into one; a statement beyond is refused as not run, which aborts the transaction. The bound in bytes is twice a session's, so that two full sessions that take turns cause no reset at each turn.

--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -14,10 +14,6 @@
 	"github.com/buckthornshore/buckthornshore/pkg/waitlist"
 )
 
-// maxPreparedPerLink is the number of prepared statements beyond which a connection
-// is reset.
-const maxPreparedPerLink = 200
-
 const (
 	// insistPause is the average pause before a command with Insist is sent again after a
 	// refusal: about as long as a statement takes at a target. The pause is randomized, so that
@@ -181,14 +177,8 @@
 	if name, ok := l.prepared.Lookup(p); ok {
 		return name, nil
 	}
-	if l.prepared.Len() >= maxPreparedPerLink && !l.inTransaction {
-		values := l.values
-		if err := l.reset(deadline); err != nil {
-			return "", err
-		}
-		if err := l.ApplyValues(deadline, values); err != nil {
-			return "", err
-		}
+	if err := l.makeRoomFor(deadline, p); err != nil {
+		return "", err
 	}
 	kind := PrepareRead
 	if p.Writes {
@@ -203,6 +193,22 @@
 	return name, nil
 }
 
+// makeRoomFor resets a connection that would have too many prepared statements. It refuses a statement in a
+// transaction, whose values and statements a reset would clear.
+func (l *Link) makeRoomFor(deadline time.Time, p statement.Prepared) error {
+	switch {
+	case !l.prepared.IsFull(p, l.inTransaction):
+		return nil
+	case l.inTransaction:
+		return result.New(result.BadOption, "too many prepared statements for one transaction")
+	}
+	values := l.values
+	if err := l.reset(deadline); err != nil {
+		return err
+	}
+	return l.ApplyValues(deadline, values)
+}
+
 // Begin opens a transaction. The target refuses it unless its log contains the position after.
 func (l *Link) Begin(deadline time.Time, readOnly bool, after position.Position) error {
 	c := Command{Kind: Begin, After: after}
--- a/internal/target/prepared_test.go
+++ b/internal/target/prepared_test.go
@@ -5,6 +5,8 @@
 	"testing"
 
 	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/position"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
 )
 
@@ -37,7 +39,7 @@
 	f := &fakeTarget{}
 	l := acquire(t, newPool(f, 1), nil)
 	seen := map[string]string{}
-	for i := range 2*200 + 2 {
+	for i := range 2*statement.MaxNames + 2 {
 		shape := strings.Repeat("x", i+1)
 		name, err := l.EnsurePrepared(soon(), statement.Prepared{Shape: shape})
 		if err != nil {
@@ -53,6 +55,47 @@
 	}
 }
 
+// Guards against a connection that keeps the shapes of many sessions without a limit.
+func TestLargeShapesResetTheirConnection(t *testing.T) {
+	f := &fakeTarget{}
+	l := acquire(t, newPool(f, 1), nil)
+	if err := l.ApplyValues(soon(), map[string]string{"a": "1"}); err != nil {
+		t.Fatal(err)
+	}
+	const large = statement.MaxNamesBytes / 2
+	for i := range 6 {
+		if _, err := l.EnsurePrepared(soon(), statement.Prepared{Shape: strings.Repeat("x", large+i)}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if resets, sets := countSent(f, target.Reset), countSent(f, target.Set); resets != 5 || sets != 6 {
+		t.Errorf("%d resets, %d values set", resets, sets)
+	}
+}
+
+// Guards against a transaction that prepares without a limit: its connection can't be reset.
+func TestATransactionPreparesABoundedNumberOfStatements(t *testing.T) {
+	f := &fakeTarget{}
+	l := acquire(t, newPool(f, 1), nil)
+	if err := l.Begin(soon(), false, position.Position{}); err != nil {
+		t.Fatal(err)
+	}
+	var err error
+	n := 0
+	for ; err == nil && n < 10*statement.MaxPrepared; n++ {
+		_, err = l.EnsurePrepared(soon(), statement.Prepared{Shape: strings.Repeat("x", n)})
+	}
+	if err == nil {
+		t.Fatalf("%d statements were prepared", n)
+	}
+	if e := result.From(err); e.Code != result.BadOption || n <= statement.MaxPrepared || l.Broken() {
+		t.Errorf("after %d statements: %v, broken %v", n, err, l.Broken())
+	}
+	if countSent(f, target.Reset) != 0 {
+		t.Error("reset within a transaction")
+	}
+}
+
 func countSent(f *fakeTarget, kind target.CommandKind) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/statement/names.go
+++ b/pkg/statement/names.go
@@ -1,5 +1,13 @@
 package statement
 
+// Bounds on the statements that are prepared on one connection. A session's statements always fit into one transaction,
+// in which a connection can't be reset.
+const (
+	MaxNames = 200
+	// MaxNamesBytes is the size of their shapes in bytes.
+	MaxNamesBytes = 256 << 10
+)
+
 // Names assigns names to the statements that are prepared on one connection. Each statement is looked up as a whole, and
 // a name is never assigned twice: sessions share connections, so a name that stood for two statements would run
 // another session's statement.
@@ -7,6 +15,8 @@
 type Names struct {
 	byStatement map[Prepared]string
 	assigned    uint64
+	// bytes is the size of the shapes.
+	bytes int
 }
 
 // Lookup returns the name under which the statement is prepared, and false if it isn't.
@@ -15,8 +25,15 @@
 	return name, ok
 }
 
-// Len returns the number of prepared statements.
-func (n *Names) Len() int { return len(n.byStatement) }
+// IsFull reports whether another statement would exceed the bounds. In a transaction they are higher by those of a
+// session. The only statement of a connection may exceed the bound in bytes.
+func (n *Names) IsFull(p Prepared, inTransaction bool) bool {
+	most, mostBytes := MaxNames, MaxNamesBytes
+	if inTransaction {
+		most, mostBytes = most+MaxPrepared, mostBytes+MaxBytes
+	}
+	return len(n.byStatement) >= most || len(n.byStatement) > 0 && n.bytes+len(p.Shape) > mostBytes
+}
 
 // Next returns a name that has never been assigned.
 func (n *Names) Next() string {
@@ -38,7 +55,8 @@
 		n.byStatement = map[Prepared]string{}
 	}
 	n.byStatement[p] = name
+	n.bytes += len(p.Shape)
 }
 
 // Clear forgets all statements. Their names are not assigned again.
-func (n *Names) Clear() { n.byStatement = nil }
+func (n *Names) Clear() { n.byStatement, n.bytes = nil, 0 }
--- a/pkg/statement/names_test.go
+++ b/pkg/statement/names_test.go
@@ -42,3 +42,51 @@
 		t.Fatalf("found as %q after a reset", name)
 	}
 }
+
+// Guards against a connection that keeps shapes without a limit. One statement is always accepted after a reset.
+func TestStatementsOfAConnectionAreBounded(t *testing.T) {
+	large := strings.Repeat("x", statement.MaxNamesBytes)
+	var n statement.Names
+	if n.IsFull(statement.Prepared{Shape: large + large}, false) {
+		t.Error("an empty connection takes no large statement")
+	}
+	n.Add(statement.Prepared{Shape: "y"}, n.Next())
+	if !n.IsFull(statement.Prepared{Shape: large}, false) || n.IsFull(statement.Prepared{Shape: large[:1000]}, false) {
+		t.Error("the bound in bytes doesn't hold")
+	}
+	for i := range statement.MaxNames - 1 {
+		n.Add(statement.Prepared{Shape: strings.Repeat("z", i)}, n.Next())
+	}
+	if !n.IsFull(statement.Prepared{Shape: "q"}, false) {
+		t.Error("the bound in number doesn't hold")
+	}
+}
+
+// Guards against a session whose statements don't all fit into one transaction, in which a connection can't be reset,
+// and against a transaction that prepares without a limit.
+func TestASessionsStatementsFitIntoOneTransaction(t *testing.T) {
+	var n statement.Names
+	n.Add(statement.Prepared{Shape: strings.Repeat("x", statement.MaxNamesBytes)}, n.Next())
+	half := statement.MaxBytes / 2
+	for _, c := range "ab" {
+		p := statement.Prepared{Shape: strings.Repeat(string(c), half)}
+		if n.IsFull(p, true) {
+			t.Fatal("a statement of the session is refused")
+		}
+		n.Add(p, n.Next())
+	}
+	if !n.IsFull(statement.Prepared{Shape: "more"}, true) {
+		t.Error("no bound in bytes in a transaction")
+	}
+	n.Clear()
+	for i := range statement.MaxNames + statement.MaxPrepared {
+		p := statement.Prepared{Shape: strings.Repeat("z", i)}
+		if n.IsFull(p, true) {
+			t.Fatalf("statement %d is refused", i)
+		}
+		n.Add(p, n.Next())
+	}
+	if !n.IsFull(statement.Prepared{Shape: "more"}, true) {
+		t.Error("no bound in number in a transaction")
+	}
+}
