A success without the target's digest is not passed on

Cause: nothing looked whether a read, write, execution or commit was answered with a digest, so DONE without one reached the caller as a success (MIXED). A target that has run a statement always gives it; without it the answer belongs to another command, or proves nothing. Ruled out: answers after their deadline. They are read and dropped before the connection is used again, also if half of one came in time. The connection is closed, here and at a holder, and it counts as unknown whether the statement ran: a write and the commit of a transaction that wrote are answered so; a read is tried again; any other statement aborts its transaction, which the close rolls back. Changed fixtures: the fakes of internal/target gave no digest at all; they now give one for a caller's statement, as a target does. No check changed.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -102,6 +102,8 @@
 	// before is called before a statement of a caller runs. An error breaks the
 	// connection; a failure is returned as the answer.
 	before func(text string) (*result.Error, error)
+	// noDigest is a statement of a caller that it answers without a digest.
+	noDigest string
 }
 
 func (d *database) statements() string {
@@ -159,7 +161,9 @@
 		c.state = statement.Idle
 	case target.Caller:
 		d.ran = append(d.ran, cmd.Text)
-		digest = "d"
+		if cmd.Text != d.noDigest {
+			digest = "d"
+		}
 		if cmd.Text == "commit" {
 			c.state = statement.Idle
 		}
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -1,11 +1,12 @@
 package target
 
 import (
-	"errors"
 	"math/rand/v2"
 	"os"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/buckthornshore/buckthornshore/pkg/mono"
 	"github.com/buckthornshore/buckthornshore/pkg/position"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
@@ -24,6 +25,10 @@
 	insistReserve = 100 * time.Millisecond
 )
 
+// ErrNoDigest is returned for a success without the digest with which a target proves that it has run a statement. The
+// answer may belong to another command, so it isn't known whether the statement ran.
+var ErrNoDigest = errors.New("target: success without a digest")
+
 // Link is a pooled connection, which one request or transaction holds at a time.
 type Link struct {
 	pool *Pool
@@ -112,6 +117,11 @@
 	}
 	l.inTransaction = a.State != statement.Idle
 	l.pool.commandAnswered(l, begun, c.Kind, a.Failure)
+	if c.needsDigest() && a.Failure == nil && a.Digest == "" {
+		l.broken = true
+		l.pool.log.Warn("event=success_without_digest", "request", c.ID, "target", l.pool.target.ID, "outcome", "connection_closed")
+		return a, ErrNoDigest
+	}
 	return a, nil
 }
 
--- a/internal/target/pool_test.go
+++ b/internal/target/pool_test.go
@@ -94,7 +94,11 @@
 	if c.state == 0 {
 		c.state = statement.Idle
 	}
-	return statement.Answer{State: c.state}, nil
+	a := statement.Answer{State: c.state}
+	if cmd.Kind == target.Caller || cmd.Kind == target.Execute {
+		a.Digest = "d"
+	}
+	return a, nil
 }
 
 func newPool(f *fakeTarget, share int) *target.Pool {
--- a/internal/target/slots_test.go
+++ b/internal/target/slots_test.go
@@ -189,7 +189,7 @@
 			refusals++
 			return statement.Answer{State: statement.Open, Failure: result.New(result.TargetBusy, "full")}, nil
 		}
-		return statement.Answer{State: statement.Open}, nil
+		return statement.Answer{Digest: "d", State: statement.Open}, nil
 	}
 	f.mu.Unlock()
 	var all sync.WaitGroup
