A success in the wrong state of a transaction is not passed on

Cause: nothing compared the state that a target reports after a statement with the one that it must have. If a target has lost a transaction, or its begin had no effect, the statements after it ran on their own and were answered as parts of it (PINNED, and UNASKED: kept without a commit); a single write that ran inside a transaction was answered as kept and rolled back with its connection. Not seen in a run with real processes; found while going through what an answer must show. The tests bring it about with a fake target. The connection is closed; a write that may be kept, and the commit after it, have unknown outcome; a transaction that wrote nothing is aborted; after a begin without effect nothing is sent.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -104,6 +104,10 @@
 	before func(text string) (*result.Error, error)
 	// noDigest is a statement of a caller that it answers without a digest.
 	noDigest string
+	// states are states that the connection gets before a statement of a caller. ignoresBegin is set if a begin is
+	// answered but opens no transaction.
+	states       map[string]statement.State
+	ignoresBegin bool
 }
 
 func (d *database) statements() string {
@@ -156,11 +160,16 @@
 	digest := ""
 	switch cmd.Kind {
 	case target.Begin, target.BeginReadOnly:
-		c.state = statement.Open
+		if !d.ignoresBegin {
+			c.state = statement.Open
+		}
 	case target.Rollback:
 		c.state = statement.Idle
 	case target.Caller:
 		d.ran = append(d.ran, cmd.Text)
+		if s, ok := d.states[cmd.Text]; ok {
+			c.state = s
+		}
 		if cmd.Text != d.noDigest {
 			digest = "d"
 		}
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/internal/wait"
@@ -190,10 +192,17 @@
 	}
 	begun := r.server.Clock.Now()
 	answer, err := link.Run(wallDeadline, cmd)
+	if succeeded := err == nil && answer.Failure == nil; succeeded && answer.State != r.st.Kind.StateAfter(r.tx != nil) {
+		link.Discard()
+		err = errWrongState
+	}
 	r.recordAnswer(begun, answer, err)
 	return answer, err
 }
 
+// errWrongState is the failure of a statement that ran outside its transaction, or in one though it has none.
+var errWrongState = errors.New("gateway: wrong transaction state at the target")
+
 // notSent is a failure before the caller's statement was sent: it has not run.
 type notSent struct{ error }
 
--- a/internal/gateway/session.go
+++ b/internal/gateway/session.go
@@ -265,7 +265,7 @@
 		return statement.Done(statement.Idle)
 	case statement.Commit:
 		s.tx = nil
-		if why.Ran == result.NotRun {
+		if why.Ran == result.NotRun || why.Code == result.OutcomeUnknown {
 			return statement.Fail(why, statement.Idle)
 		}
 		return statement.Fail(result.New(result.TransactionAborted, "an earlier statement failed"), statement.Idle)
--- a/internal/gateway/transaction.go
+++ b/internal/gateway/transaction.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"github.com/cockroachdb/errors"
+
 	"github.com/buckthornshore/buckthornshore/internal/directory"
 	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/lease"
@@ -167,10 +169,11 @@
 }
 
 // connectionFailureInTransaction returns the failure for an error on the transaction's connection. A
-// lost connection rolls the transaction back, unless its commit was sent on it.
+// lost connection rolls the transaction back, unless its commit was sent on it or it was no longer open.
 func (r *request) connectionFailureInTransaction(err error) *result.Error {
 	why := r.connectionFailure(r.tx.targetID, err)
-	if r.st.Kind == statement.Commit && r.tx.wrote && why.Ran != result.NotRun {
+	mayBeKept := r.st.Kind == statement.Commit || errors.Is(err, errWrongState)
+	if mayBeKept && r.tx.wrote && why.Ran != result.NotRun {
 		if why.Code == result.DeadlineExceeded {
 			return why
 		}
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -225,7 +225,14 @@
 	if readOnly {
 		c.Kind = BeginReadOnly
 	}
-	return l.runInternal(deadline, c)
+	if err := l.runInternal(deadline, c); err != nil {
+		return err
+	}
+	if !l.inTransaction {
+		l.Discard()
+		return result.New(result.TargetUnreachable, "%s opened no transaction", l.pool.target.ID)
+	}
+	return nil
 }
 
 // Position returns the target's newest position. It sends a reset, which takes no slot at the target and
@@ -283,6 +290,9 @@
 	l.pool.release(l)
 }
 
+// Discard has the connection closed on release.
+func (l *Link) Discard() { l.broken = true }
+
 // Broken reports whether the connection can't be used any more.
 func (l *Link) Broken() bool { return l.broken }
 
--- a/pkg/statement/statement.go
+++ b/pkg/statement/statement.go
@@ -64,6 +64,15 @@
 	Failed State = 'E'
 )
 
+// StateAfter returns the state of a target's connection after a statement of the kind has succeeded there, in a
+// transaction or on its own.
+func (k Kind) StateAfter(inTransaction bool) State {
+	if inTransaction && k != Commit {
+		return Open
+	}
+	return Idle
+}
+
 // Answer is the complete answer to one statement.
 type Answer struct {
 	Rows []string
