The rest of a late answer from a holder is not read as an answer

Cause: a VM that reaches a target through a holder gives up a request at its deadline, and reads the answer afterwards so that the connection can be used again. If the deadline passed within the answer, the decoder had already consumed its beginning, and began a new message in the middle of the old one. Ruled out: an answer that comes late as a whole, which a second test plays; the holder's side, which reads without a deadline; the connections to databases, which keep an interrupted line. Conclusion: after an error within a message a stream fails for good, which closes the connection. A deadline that passes before the first byte of an answer leaves it usable, as before.

--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -8,6 +8,7 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/buckthornshore/buckthornshore/internal/target"
@@ -22,9 +23,12 @@
 // stream reads and writes messages on a connection. Each message is buffered and written at
 // once: the encoder writes each field separately, which would send a packet for each.
 type stream struct {
+	in  *bufio.Reader
 	out *bufio.Writer
 	enc *msgpack.Encoder
 	dec *msgpack.Decoder
+	// damaged is the error that interrupted a message. What follows on the connection is the rest of it.
+	damaged error
 }
 
 func newStream(nc net.Conn) *stream {
@@ -32,7 +36,8 @@
 	enc := msgpack.NewEncoder(out)
 	enc.UseArrayEncodedStructs(true) // Omits the field names.
 	enc.UseCompactInts(true)
-	return &stream{out: out, enc: enc, dec: msgpack.NewDecoder(nc)}
+	in := bufio.NewReader(nc)
+	return &stream{in: in, out: out, enc: enc, dec: msgpack.NewDecoder(in)}
 }
 
 // writerSize is the size of a connection's write buffer in bytes: a few times that of the usual message.
@@ -45,7 +50,18 @@
 	return s.out.Flush()
 }
 
-func (s *stream) receive(message any) error { return s.dec.Decode(message) }
+// receive reads a message. After an error within a message it fails forever; a deadline that passes before a message
+// begins leaves the stream usable.
+func (s *stream) receive(message any) error {
+	if s.damaged != nil {
+		return errors.Newf("an earlier message was interrupted: %v", s.damaged)
+	}
+	if _, err := s.in.Peek(1); err != nil {
+		return err
+	}
+	s.damaged = s.dec.Decode(message)
+	return s.damaged
+}
 
 // openRequest is the first message on a connection: it names a target for the requests that follow,
 // or requests rows.
