A holder refuses a statement that is not prepared on its connection

Cause: the holder looked an Execute's name up in the map of the connection's prepared statements and took the zero value for a name that it does not have: it prepared an empty shape at the target and ran that, with success (PINNED). Ruled out by reading and by the test: VMs of this version send such a name only after a fault, since both sides forget all names at a reset and keep them after a rollback, a late answer and a change of the holder's pool. Before: TestAHolderRefusesAnUnknownStatement fails at each run; the target gets "prepare , execute" before any preparation, after a reset and within a transaction, 3 of 3. After: 0 of 3, UnknownStatement and not run; an open transaction stays open.

--- /dev/null
+++ b/internal/forward/refusals_test.go
@@ -0,0 +1,72 @@
+package forward_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/buckthornshore/buckthornshore/internal/target"
+	"github.com/buckthornshore/buckthornshore/pkg/result"
+	"github.com/buckthornshore/buckthornshore/pkg/statement"
+)
+
+// dialHolder opens a connection to a holder without the pool of a VM, which keeps to the protocol.
+func dialHolder(t *testing.T, driver target.Driver) target.Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	c, err := driver.Dial(ctx, theTarget, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// run runs a command that the holder answers without a lost connection.
+func run(t *testing.T, c target.Conn, cmd target.Command) statement.Answer {
+	t.Helper()
+	a, err := c.Run(soon(), cmd)
+	if err != nil {
+		t.Fatalf("%+v: %v", cmd, err)
+	}
+	return a
+}
+
+// Guards against a statement that the holder doesn't know and that runs as an empty one: before a preparation, after
+// a reset, and within a transaction, which stays open.
+func TestAHolderRefusesAnUnknownStatement(t *testing.T) {
+	db, driver := startDriver(t, nil, 3)
+	c := dialHolder(t, driver)
+	prepare := target.Command{Kind: target.PrepareWrite, ID: statement.OwnID, Name: "w1", Value: "shape"}
+	execute := target.Command{Kind: target.Execute, ID: "1", Name: "w1", Text: "EXEC p k v"}
+	refused := func(when string, state statement.State) {
+		t.Helper()
+		before := db.statements()
+		a := run(t, c, execute)
+		if a.Failure == nil || a.Failure.Code != result.UnknownStatement || a.Failure.Ran != result.NotRun || a.State != state {
+			t.Errorf("%s: %+v %v", when, a, a.Failure)
+		}
+		if after := db.statements(); after != before {
+			t.Errorf("%s: at the target: %s", when, strings.TrimPrefix(after, before))
+		}
+	}
+	refused("before a preparation", statement.Idle)
+	run(t, c, prepare)
+	if a := run(t, c, execute); a.Failure != nil {
+		t.Fatal(a.Failure)
+	}
+	run(t, c, target.Command{Kind: target.Reset, ID: statement.OwnID})
+	refused("after a reset", statement.Idle)
+	run(t, c, target.Command{Kind: target.Begin, ID: statement.OwnID})
+	refused("within a transaction", statement.Open)
+	run(t, c, prepare)
+	if a := run(t, c, execute); a.Failure != nil || a.State != statement.Open {
+		t.Fatalf("%+v", a)
+	}
+	run(t, c, target.Command{Kind: target.Rollback, ID: statement.OwnID})
+	if a := run(t, c, execute); a.Failure != nil {
+		t.Fatalf("a statement that was prepared in a transaction: %v", a.Failure)
+	}
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -168,6 +168,10 @@
 	case target.Rollback:
 		s.release()
 		return s.holderResponse()
+	case target.Execute:
+		if _, ok := s.prepared[c.Name]; !ok {
+			return s.refuse(result.New(result.UnknownStatement, "%q is not prepared on this connection", c.Name))
+		}
 	case target.Reset:
 		s.values = nil
 		clear(s.prepared)
@@ -175,6 +179,13 @@
 	return s.runAtTarget(r)
 }
 
+// refuse returns the holder's refusal of a command of which nothing was sent to the target.
+func (s *session) refuse(why *result.Error) response {
+	r := s.holderResponse()
+	r.Failure = why
+	return r
+}
+
 // runAtTarget runs a command over a link to the target, which the session keeps while a
 // transaction is open.
 func (s *session) runAtTarget(r request) response {
@@ -185,9 +196,7 @@
 		defer cancel()
 		link, failure := s.pool.Acquire(ctx, r.waitlistRequest(s.server.Clock.Now()), s.values)
 		if failure != nil {
-			r := s.holderResponse()
-			r.Failure = failure
-			return r
+			return s.refuse(failure)
 		}
 		s.link = link
 	}
