A holder bounds the memory of a connection from another VM

Cause: values and prepared statements, each of up to 1 MiB, stayed at the holder until the other VM reset its connection, which it does at 200 prepared statements. A caller that prepares large statements one after the other could fill a holder's memory through any VM. Ruled out: a session that runs with a value or statement that was refused: the VM closes its connection after a refusal, and a new one starts empty, so a statement that was refused for the others before it (Overloaded) fits there. Values that fit on no connection are refused as MessageTooLarge. Both say "not run", and nothing was sent.

--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -70,3 +71,34 @@
 		t.Fatalf("a statement that was prepared in a transaction: %v", a.Failure)
 	}
 }
+
+// Guards against a connection that uses up the holder's memory: a caller may prepare any number of statements of up
+// to 1 MiB each, one after the other.
+func TestAHolderBoundsWhatAConnectionKeeps(t *testing.T) {
+	_, driver := startDriver(t, nil, 3)
+	large := strings.Repeat("x", 1<<20-100)
+	const most = 200
+	set := func(c target.Conn, kind target.CommandKind, name string) *result.Error {
+		t.Helper()
+		return run(t, c, target.Command{Kind: kind, ID: statement.OwnID, Name: name, Value: large}).Failure
+	}
+	for kind, code := range map[target.CommandKind]result.Code{target.PrepareRead: result.Overloaded, target.Set: result.MessageTooLarge} {
+		c := dialHolder(t, driver)
+		kept := 0
+		var failure *result.Error
+		for ; kept < most && failure == nil; kept++ {
+			for range 3 { // The same name takes no further memory.
+				if failure = set(c, kind, fmt.Sprint("n", kept)); failure != nil {
+					break
+				}
+			}
+		}
+		if failure == nil || failure.Code != code || failure.Ran != result.NotRun || kept < 4 || kept > 20 {
+			t.Errorf("%d: %d of 1 MiB were kept, then %v", kind, kept, failure)
+		}
+		run(t, c, target.Command{Kind: target.Reset, ID: statement.OwnID})
+		if failure := set(c, kind, "n"); failure != nil {
+			t.Errorf("%d: after a reset %v", kind, failure)
+		}
+	}
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"log/slog"
-	"maps"
 	"net"
 	"os"
 	"slices"
@@ -84,7 +83,7 @@
 	if err := peer.send(opened); err != nil || failure != nil {
 		return
 	}
-	sess := &session{server: s, target: o.Target, pool: pool, prepared: map[string]statement.Prepared{}}
+	sess := &session{server: s, target: o.Target, pool: pool}
 	defer sess.release()
 	for {
 		var r request
@@ -111,15 +110,14 @@
 	return pool, nil
 }
 
-// session is the state of one connection from another VM: the values and prepared statements
-// set up on it, and the link to the target while a transaction is open.
+// session is the state of one connection from another VM: what is set up on it, and the link to the target while a
+// transaction is open.
 type session struct {
-	server   *Server
-	target   topology.TargetID
-	pool     *target.Pool
-	values   map[string]string
-	prepared map[string]statement.Prepared
-	link     *target.Link
+	server *Server
+	target topology.TargetID
+	pool   *target.Pool
+	setup  setup
+	link   *target.Link
 }
 
 func (s *session) release() {
@@ -155,30 +153,30 @@
 	c := r.Command
 	switch c.Kind {
 	case target.Set:
-		values := maps.Clone(s.values)
-		if values == nil {
-			values = map[string]string{}
-		}
-		values[c.Name] = c.Value
-		s.values = values
-		return s.holderResponse()
+		return s.setUp(s.setup.set(c.Name, c.Value))
 	case target.PrepareRead, target.PrepareWrite:
-		s.prepared[c.Name] = statement.Prepared{Shape: c.Value, Writes: c.Kind == target.PrepareWrite}
-		return s.holderResponse()
+		return s.setUp(s.setup.prepare(c.Name, statement.Prepared{Shape: c.Value, Writes: c.Kind == target.PrepareWrite}))
 	case target.Rollback:
 		s.release()
 		return s.holderResponse()
 	case target.Execute:
-		if _, ok := s.prepared[c.Name]; !ok {
+		if _, ok := s.setup.prepared[c.Name]; !ok {
 			return s.refuse(result.New(result.UnknownStatement, "%q is not prepared on this connection", c.Name))
 		}
 	case target.Reset:
-		s.values = nil
-		clear(s.prepared)
+		s.setup.reset()
 	}
 	return s.runAtTarget(r)
 }
 
+// setUp returns the response to a command that changes the setup.
+func (s *session) setUp(failure *result.Error) response {
+	if failure != nil {
+		return s.refuse(failure)
+	}
+	return s.holderResponse()
+}
+
 // refuse returns the holder's refusal of a command of which nothing was sent to the target.
 func (s *session) refuse(why *result.Error) response {
 	r := s.holderResponse()
@@ -194,7 +192,7 @@
 		s.followPool()
 		ctx, cancel := context.WithDeadline(context.Background(), deadline)
 		defer cancel()
-		link, failure := s.pool.Acquire(ctx, r.waitlistRequest(s.server.Clock.Now()), s.values)
+		link, failure := s.pool.Acquire(ctx, r.waitlistRequest(s.server.Clock.Now()), s.setup.values)
 		if failure != nil {
 			return s.refuse(failure)
 		}
@@ -236,7 +234,7 @@
 		p, err := s.link.Position(deadline)
 		return statement.Answer{State: statement.Idle, Position: p}, err
 	}
-	if err := s.link.ApplyValues(deadline, s.values); err != nil {
+	if err := s.link.ApplyValues(deadline, s.setup.values); err != nil {
 		return statement.Answer{}, err
 	}
 	switch c.Kind {
@@ -244,7 +242,7 @@
 		err := s.link.Begin(deadline, c.Kind == target.BeginReadOnly, c.After)
 		return statement.Answer{State: statement.Open}, err
 	case target.Execute:
-		name, err := s.link.EnsurePrepared(deadline, s.prepared[c.Name])
+		name, err := s.link.EnsurePrepared(deadline, s.setup.prepared[c.Name])
 		if err != nil {
 			return statement.Answer{}, err
 		}
