A holder refuses a command that no VM sends

Cause: the decoder takes nil, an empty map and an empty array for a message whose fields are all zero, and that was the command "send an empty text without an id". Ruled out: VMs of this version and of the previous one send none of these; arrays of another length are refused by the decoder. Before: TestAHolderRefusesWhatNoVMSends fails at each run, 10 of 10 such messages reach the target. After: 0 of 10; BadProtocol, not run.

--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -72,6 +74,48 @@
 	}
 }
 
+// Guards against a damaged message, or one of another program, that runs as a statement without an id or a text.
+func TestAHolderRefusesWhatNoVMSends(t *testing.T) {
+	db, driver, holderDirectory := startHolder(t, nil, 3)
+	for name, cmd := range map[string]target.Command{
+		"empty":                   {},
+		"no id":                   {Text: "READ a"},
+		"no text":                 {ID: "1"},
+		"execute without text":    {Kind: target.Execute, ID: "1", Name: "r1"},
+		"negative kind":           {Kind: -1, ID: "1", Text: "READ a"},
+		"kind of another version": {Kind: target.PrepareWrite + 1, ID: "1", Text: "READ a"},
+	} {
+		c := dialHolder(t, driver)
+		run(t, c, target.Command{Kind: target.PrepareRead, ID: statement.OwnID, Name: "r1", Value: "shape"})
+		if a := run(t, c, cmd); a.Failure == nil || a.Failure.Code != result.BadProtocol || a.Failure.Ran != result.NotRun {
+			t.Errorf("%s: %+v %v", name, a, a.Failure)
+		}
+		if a := run(t, c, target.Command{Kind: target.Reset, ID: statement.OwnID}); a.Failure != nil {
+			t.Errorf("after %s: %v", name, a.Failure)
+		}
+	}
+	const openRequest = "\x92\xa1t\xc0"
+	for name, message := range map[string]string{"nil": "\xc0", "map": "\x80", "array": "\x90", "array of nil": "\x92\xc0\xc0"} {
+		nc, err := net.Dial("tcp", holderDirectory.Self().PeerAddress)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = nc.SetDeadline(soon())
+		if _, err := nc.Write([]byte(openRequest + message)); err != nil {
+			t.Fatal(err)
+		}
+		_ = nc.(*net.TCPConn).CloseWrite()
+		answers, _ := io.ReadAll(nc) // Fails if the holder closes the connection at once.
+		nc.Close()
+		if strings.Contains(string(answers), "row of") {
+			t.Errorf("%s: answered %q", name, answers)
+		}
+	}
+	if ran := strings.ReplaceAll(strings.ReplaceAll(db.statements(), "reset", ""), ", ", ""); ran != "" {
+		t.Errorf("at the target: %q", db.statements())
+	}
+}
+
 // Guards against a connection that uses up the holder's memory: a caller may prepare any number of statements of up
 // to 1 MiB each, one after the other.
 func TestAHolderBoundsWhatAConnectionKeeps(t *testing.T) {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -151,6 +151,9 @@
 
 func (s *session) serve(r request) response {
 	c := r.Command
+	if failure := checkCommand(c); failure != nil {
+		return s.refuse(failure)
+	}
 	switch c.Kind {
 	case target.Set:
 		return s.setUp(s.setup.set(c.Name, c.Value))
--- a/internal/forward/setup.go
+++ b/internal/forward/setup.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 
+	"github.com/buckthornshore/buckthornshore/internal/target"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 	"github.com/buckthornshore/buckthornshore/pkg/statement"
 )
@@ -70,3 +71,17 @@
 }
 
 func entrySize(name, value string) int { return len(name) + len(value) + entryOverhead }
+
+// checkCommand refuses a command that no VM sends: a damaged message, or one of another program, can be decoded as one.
+func checkCommand(c target.Command) *result.Error {
+	switch c.Kind {
+	case target.Caller, target.Execute:
+		if c.ID == "" || c.Text == "" {
+			return result.New(result.BadProtocol, "a statement without an id or a text")
+		}
+	case target.Begin, target.BeginReadOnly, target.Rollback, target.Reset, target.Set, target.PrepareRead, target.PrepareWrite:
+	default:
+		return result.New(result.BadProtocol, "unknown kind of command %d", c.Kind)
+	}
+	return nil
+}
