--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -135,6 +135,13 @@
 func startHolder(t *testing.T, others []topology.VM, connections int) (*database, target.Driver, *directory.Directory) {
 	t.Helper()
 	db := &database{}
+	driver, holderDirectory := startHolderOf(t, db, others, connections)
+	return db, driver, holderDirectory
+}
+
+// startHolderOf is startHolder for the target that a driver connects to.
+func startHolderOf(t testing.TB, db target.Driver, others []topology.VM, connections int) (target.Driver, *directory.Directory) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -164,7 +171,7 @@
 	}
 	server := &forward.Server{Directory: holderDirectory, Pools: pools, Clock: mono.System{}, Log: log}
 	go server.Serve(ctx, l)
-	return db, forward.NewDriver(directoryOf(other), db), holderDirectory
+	return forward.NewDriver(directoryOf(other), db), holderDirectory
 }
 
 func acquire(t *testing.T, p *target.Pool) *target.Link {
