--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -146,3 +146,54 @@
 		}
 	}
 }
+
+// Guards against a statement that runs although the target refuses a value or a preparation that the holder has
+// accepted before, and against a refusal that is not proof that nothing ran.
+func TestAStatementDoesNotRunWithoutItsSetup(t *testing.T) {
+	refusal := result.New(result.BadProtocol, "too long")
+	for name, c := range map[string]struct {
+		refused target.CommandKind
+		run     target.Command
+	}{
+		"value":               {target.Set, target.Command{ID: "1", Text: "write a"}},
+		"value, prepared":     {target.Set, target.Command{Kind: target.Execute, ID: "1", Text: "EXEC p a", Name: "w1"}},
+		"prepared":            {target.PrepareWrite, target.Command{Kind: target.Execute, ID: "1", Text: "EXEC p a", Name: "w1"}},
+		"value, begin":        {target.Set, target.Command{Kind: target.Begin, ID: statement.OwnID}},
+		"begin":               {target.Begin, target.Command{Kind: target.Begin, ID: statement.OwnID}},
+		"the statement":       {target.Caller, target.Command{ID: "1", Text: "write a"}},
+		"the prepared itself": {target.Execute, target.Command{Kind: target.Execute, ID: "1", Text: "EXEC p a", Name: "w1"}},
+	} {
+		for _, asError := range []bool{false, true} {
+			db, driver := startDriver(t, nil, 3)
+			var ran []target.Command
+			db.answer = func(cmd target.Command) (statement.Answer, error) {
+				switch {
+				case cmd.Kind == c.refused && asError:
+					return statement.Answer{}, refusal
+				case cmd.Kind == c.refused:
+					return statement.Fail(refusal, statement.Idle), nil
+				case cmd.Kind == c.run.Kind:
+					ran = append(ran, cmd)
+				}
+				return statement.Answer{}, nil
+			}
+			conn := dialHolder(t, driver)
+			for _, cmd := range []target.Command{
+				{Kind: target.Set, ID: statement.OwnID, Name: "v", Value: "1"},
+				{Kind: target.PrepareWrite, ID: statement.OwnID, Name: "w1", Value: "shape"},
+			} {
+				if a := run(t, conn, cmd); a.Failure != nil {
+					t.Fatalf("%s: %v", name, a.Failure)
+				}
+			}
+			for range 2 { // The second one must not run with what the refused one has left behind.
+				if a := run(t, conn, c.run); a.Failure == nil || *a.Failure != *refusal || a.State != statement.Idle {
+					t.Errorf("%s, as an error %v: %+v %v", name, asError, a, a.Failure)
+				}
+			}
+			if len(ran) > 0 {
+				t.Errorf("%s, as an error %v: ran %+v", name, asError, ran)
+			}
+		}
+	}
+}
