A holder bounds the size of a request from another VM

Cause: the decoder reads a string of any stated length as long as it arrives, so that one damaged or foreign connection could fill a holder's memory. Ruled out: requests of VMs, which have a text and arguments of at most 1 MiB each; the test sends the largest one. Before: TestAHolderBoundsARequest fails, the holder took all 16,777,216 bytes that the test sends of one request. After: it refuses the request with MessageTooLarge after 3 MiB and closes the connection; nothing is run.

--- a/internal/forward/message.go
+++ b/internal/forward/message.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"math"
 	"net"
 	"time"
 
@@ -23,12 +24,14 @@
 // stream reads and writes messages on a connection. Each message is buffered and written at
 // once: the encoder writes each field separately, which would send a packet for each.
 type stream struct {
-	in  *bufio.Reader
+	in  *limitedReader
 	out *bufio.Writer
 	enc *msgpack.Encoder
 	dec *msgpack.Decoder
 	// damaged is the error that interrupted a message. What follows on the connection is the rest of it.
 	damaged error
+	// limit is the maximum size of a received message in bytes.
+	limit int
 }
 
 func newStream(nc net.Conn) *stream {
@@ -36,10 +39,13 @@
 	enc := msgpack.NewEncoder(out)
 	enc.UseArrayEncodedStructs(true) // Omits the field names.
 	enc.UseCompactInts(true)
-	in := bufio.NewReader(nc)
-	return &stream{in: in, out: out, enc: enc, dec: msgpack.NewDecoder(in)}
+	in := &limitedReader{Reader: bufio.NewReader(nc)}
+	return &stream{in: in, out: out, enc: enc, dec: msgpack.NewDecoder(in), limit: math.MaxInt}
 }
 
+// maxRequestBytes is the maximum size of a request in bytes: a text and arguments of 1 MiB each, and the other fields.
+const maxRequestBytes = 3 << 20
+
 // writerSize is the size of a connection's write buffer in bytes: a few times that of the usual message.
 const writerSize = 1024
 
@@ -59,6 +65,7 @@
 	if _, err := s.in.Peek(1); err != nil {
 		return err
 	}
+	s.in.left = s.limit
 	s.damaged = s.dec.Decode(message)
 	return s.damaged
 }
--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -197,3 +197,45 @@
 		}
 	}
 }
+
+// Guards against a request that fills the holder's memory as long as it arrives: the largest one that a VM sends has a
+// text and arguments of 1 MiB each.
+func TestAHolderBoundsARequest(t *testing.T) {
+	db, _, holderDirectory := startHolder(t, nil, 3)
+	nc, err := net.Dial("tcp", holderDirectory.Self().PeerAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	_ = nc.SetDeadline(soon())
+	const openRequest = "\x92\xa1t\xc0"
+	const stringOf4GiB = "\x92\x9b\x00\xa1\x31\xdb\xff\xff\xff\xff"
+	if _, err := nc.Write([]byte(openRequest + stringOf4GiB)); err != nil {
+		t.Fatal(err)
+	}
+	const mostBytes = 16 << 20
+	sent, piece := 0, make([]byte, 64<<10)
+	for sent < mostBytes {
+		n, err := nc.Write(piece)
+		sent += n
+		if err != nil {
+			break
+		}
+	}
+	if sent >= mostBytes {
+		t.Errorf("the holder took %d bytes of one request", sent)
+	}
+	if ran := db.statements(); ran != "" {
+		t.Errorf("at the target: %q", ran)
+	}
+	large := strings.Repeat("x", 1<<20-100)
+	db2, driver := startDriver(t, nil, 3)
+	c := dialHolder(t, driver)
+	run(t, c, target.Command{Kind: target.PrepareWrite, ID: statement.OwnID, Name: "w1", Value: large})
+	if a := run(t, c, target.Command{Kind: target.Execute, ID: "1", Name: "w1", Text: large, Value: large}); a.Failure != nil {
+		t.Errorf("the largest request: %v", a.Failure)
+	}
+	if ran := db2.statements(); len(ran) < 2*len(large) {
+		t.Errorf("%d bytes at the target", len(ran))
+	}
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -63,6 +63,7 @@
 func (s *Server) handle(nc net.Conn) {
 	target.LimitSilence(nc)
 	peer := newStream(nc)
+	peer.limit = maxRequestBytes
 	var o openRequest
 	if err := peer.receive(&o); err != nil {
 		return
@@ -87,7 +88,11 @@
 	defer sess.release()
 	for {
 		var r request
-		if err := peer.receive(&r); err != nil {
+		err := peer.receive(&r)
+		if errors.Is(err, errTooLarge) {
+			_ = peer.send(sess.refuse(result.New(result.MessageTooLarge, "more than %d bytes", maxRequestBytes))) // The connection is closed.
+		}
+		if err != nil {
 			return
 		}
 		if err := peer.send(sess.serve(r)); err != nil {
