A renewal of many groups is sent in several messages

Cause: a renewal that lists groups was one datagram. Above some 1,800 groups with names of ten bytes, or fewer with longer ones, it is longer than the receiver's buffer of 60,000 bytes or than a datagram can be, and was dropped, again with each retry. That is the case if a VM follows that many groups of one coordinator and the two know different rows, or if the VM fails to reach that many primaries: it then also loses the rights for the healthy ones, and its reports. Ruled out: promises, notices and questions, which are bounded by test or by the renewal they answer; news, which are bounded in bytes. Up to 32 renewals to one coordinator may be unanswered instead of 8, since the answers to earlier ones were ignored.

--- a/internal/lead/renew.go
+++ b/internal/lead/renew.go
@@ -10,8 +10,8 @@
 	"github.com/buckthornshore/buckthornshore/pkg/topology"
 )
 
-// renewalsKept is how many renewals may be in flight.
-const renewalsKept = 8
+// renewalsKept is how many renewals may be in flight: those of all groups at one coordinator take a dozen messages.
+const renewalsKept = 32
 
 func (l *Lead) tick(ctx context.Context) {
 	l.mu.Lock()
@@ -44,7 +44,14 @@
 		}
 		m := &message{}
 		l.reportByDigest(m, rows)
+		parts := inMessages(m.Groups)
+		if len(parts) > 1 {
+			m.Groups = parts[0]
+		}
 		l.sendRenewal(vm, m, now)
+		for i := 1; i < len(parts); i++ {
+			l.sendRenewal(vm, &message{Groups: parts[i]}, now)
+		}
 	}
 }
 
@@ -86,14 +93,15 @@
 	}
 }
 
-// renewInFull sends a renewal with all rows that this VM follows to a coordinator that knows other ones.
+// renewInFull sends all rows that this VM follows to a coordinator that knows other ones. The first message replaces the
+// list of groups that the coordinator has of this VM, and the others add to it.
 func (l *Lead) renewInFull(to topology.VMID, now mono.Time) {
-	m := &message{Whole: true}
+	var groups []groupEntry
 	for _, row := range l.rowsOf(to) {
-		m.Groups = append(m.Groups, l.entryFor(row.Group, row))
+		groups = append(groups, l.entryFor(row.Group, row))
 	}
-	if len(m.Groups) > 0 {
-		l.sendRenewal(to, m, now)
+	for i, part := range inMessages(groups) {
+		l.sendRenewal(to, &message{Whole: i == 0, Groups: part}, now)
 	}
 }
 
