A prepared statement that a target has forgotten is prepared again

Cause: a connection that is asked to execute a statement which its target doesn't know went on to count it as prepared, so each EXEC of it on this connection was refused, and the caller was told NOSTMT for a name whose preparing had been acknowledged (PINNED). Not seen in a run with real processes; found while going through what may differ between a connection and its target. A holder that has lost its map of a connection would be such a target. Before: an EXEC was repeated on the same connection until its time was over and refused as unknown; in a transaction at once, and the transaction stayed open. After: the connection is closed, a single EXEC is prepared and sent on another one, since it has surely not run, and a transaction is aborted. A name that the session has not prepared is refused as before.

--- a/internal/gateway/harness_test.go
+++ b/internal/gateway/harness_test.go
@@ -75,6 +75,7 @@
 var kinds = map[string]statement.Kind{
 	"begin": statement.Begin, "begin_read_only": statement.BeginReadOnly, "commit": statement.Commit,
 	"rollback": statement.Rollback, "read": statement.Read, "write": statement.Write,
+	"prepare": statement.Prepare, "execute": statement.Execute,
 }
 
 func (c *textCaller) Next() (*statement.Statement, *result.Error, error) {
@@ -83,7 +84,12 @@
 		return nil, nil, err
 	}
 	word, rest, _ := strings.Cut(s, " ")
-	return &statement.Statement{ID: "id", Text: s, Kind: kinds[word], Arguments: rest}, nil, nil
+	st := &statement.Statement{ID: "id", Text: s, Kind: kinds[word], Arguments: rest}
+	if st.Kind == statement.Prepare || st.Kind == statement.Execute {
+		st.Name, st.Arguments, _ = strings.Cut(rest, " ")
+		st.Shape, st.Writes = st.Arguments, true // All prepared statements of the tests write.
+	}
+	return st, nil, nil
 }
 
 func (c *textCaller) Answer(a statement.Answer) error {
@@ -108,6 +114,8 @@
 	// answered but opens no transaction.
 	states       map[string]statement.State
 	ignoresBegin bool
+	// prepared contains the names of prepared statements, by connection.
+	prepared map[*databaseConn]map[string]bool
 }
 
 func (d *database) statements() string {
@@ -165,6 +173,19 @@
 		}
 	case target.Rollback:
 		c.state = statement.Idle
+	case target.PrepareWrite:
+		if d.prepared == nil {
+			d.prepared = map[*databaseConn]map[string]bool{}
+		}
+		if d.prepared[c] == nil {
+			d.prepared[c] = map[string]bool{}
+		}
+		d.prepared[c][cmd.Name] = true
+	case target.Execute:
+		if !d.prepared[c][cmd.Name] {
+			return statement.Answer{Failure: result.New(result.UnknownStatement, ""), State: c.state, Position: d.position}, nil
+		}
+		d.ran, digest = append(d.ran, cmd.Text), "d"
 	case target.Caller:
 		d.ran = append(d.ran, cmd.Text)
 		if s, ok := d.states[cmd.Text]; ok {
--- a/internal/gateway/read.go
+++ b/internal/gateway/read.go
@@ -192,6 +192,9 @@
 	}
 	begun := r.server.Clock.Now()
 	answer, err := link.Run(wallDeadline, cmd)
+	if answer.Failure != nil && answer.Failure.Code == result.UnknownStatement {
+		err = notSent{result.New(result.TargetUnreachable, "%s has forgotten a prepared statement", r.target)}
+	}
 	if succeeded := err == nil && answer.Failure == nil; succeeded && answer.State != r.st.Kind.StateAfter(r.tx != nil) {
 		link.Discard()
 		err = errWrongState
@@ -203,7 +206,7 @@
 // errWrongState is the failure of a statement that ran outside its transaction, or in one though it has none.
 var errWrongState = errors.New("gateway: wrong transaction state at the target")
 
-// notSent is a failure before the caller's statement was sent: it has not run.
+// notSent is a failure before the caller's statement was sent, or one that proves that it has not run.
 type notSent struct{ error }
 
 func (e notSent) Unwrap() error { return e.error }
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -117,6 +117,9 @@
 	}
 	l.inTransaction = a.State != statement.Idle
 	l.pool.commandAnswered(l, begun, c.Kind, a.Failure)
+	if c.Kind == Execute && a.Failure != nil && a.Failure.Code == result.UnknownStatement {
+		l.broken = true // The target has forgotten what was prepared on the connection.
+	}
 	if c.needsDigest() && a.Failure == nil && a.Digest == "" {
 		l.broken = true
 		l.pool.log.Warn("event=success_without_digest", "request", c.ID, "target", l.pool.target.ID, "outcome", "connection_closed")
--- a/internal/target/prepared_test.go
+++ b/internal/target/prepared_test.go
@@ -107,3 +107,27 @@
 	}
 	return n
 }
+
+// Guards against a connection that stays in use though its target has forgotten what was prepared on it.
+func TestAConnectionWithForgottenStatementsIsDiscarded(t *testing.T) {
+	f := &fakeTarget{}
+	p := newPool(f, 1)
+	l := acquire(t, p, nil)
+	name, err := l.EnsurePrepared(soon(), statement.Prepared{Shape: "x"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.answer = func(target.Command) (statement.Answer, error) {
+		return statement.Fail(result.New(result.UnknownStatement, ""), statement.Idle), nil
+	}
+	if a, err := l.Run(soon(), target.Command{Kind: target.Execute, Name: name}); err != nil || a.Failure == nil {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	f.mu.Lock()
+	f.answer = nil
+	f.mu.Unlock()
+	l.Release()
+	if again := acquire(t, p, nil); again == l {
+		t.Fatal("the connection is used again")
+	}
+}
