--- a/internal/target/driver.go
+++ b/internal/target/driver.go
@@ -59,10 +59,6 @@
 	After position.Position
 }
 
-// needsDigest reports whether a target answers the command with a digest if it succeeds: a caller's read, write, commit
-// or execution of a prepared statement.
-func (c *Command) needsDigest() bool { return c.Kind == Caller || c.Kind == Execute }
-
 // Conn is a connection to a target. Only one goroutine may use it at a time.
 type Conn interface {
 	// Run sends a command and returns its whole answer. After an error it isn't known
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -120,7 +120,7 @@
 	if c.Kind == Execute && a.Failure != nil && a.Failure.Code == result.UnknownStatement {
 		l.broken = true // The target has forgotten what was prepared on the connection.
 	}
-	if c.needsDigest() && a.Failure == nil && a.Digest == "" {
+	if isStatement(c.Kind) && a.Failure == nil && a.Digest == "" {
 		l.broken = true
 		l.pool.log.Warn("event=success_without_digest", "request", c.ID, "target", l.pool.target.ID, "outcome", "connection_closed")
 		return a, ErrNoDigest
