--- a/internal/target/export_test.go
+++ b/internal/target/export_test.go
@@ -10,3 +10,6 @@
 	EnableFairQueue = (*Pool).enableFairQueue
 	WeightOf        = weightOf
 )
+
+// ConnOf returns a link's connection.
+func ConnOf(l *Link) Conn { return l.conn }
--- a/internal/target/link.go
+++ b/internal/target/link.go
@@ -42,7 +42,8 @@
 	// statements.
 	values   map[string]string
 	prepared statement.Names
-	// inTransaction is set while a transaction is open at the target.
+	// inTransaction is set while a transaction is open at the target. It is changed under the pool's lock and only by
+	// the request that holds the link.
 	inTransaction bool
 	// broken is set if the connection can't be used any more.
 	broken bool
@@ -115,7 +116,7 @@
 		l.broken = true
 		return a, err
 	}
-	l.inTransaction = a.State != statement.Idle
+	l.setInTransaction(a.State != statement.Idle)
 	l.pool.commandAnswered(l, begun, c.Kind, a.Failure)
 	if c.Kind == Execute && a.Failure != nil && a.Failure.Code == result.UnknownStatement {
 		l.broken = true // The target has forgotten what was prepared on the connection.
@@ -266,7 +267,13 @@
 	l.pool.endCommand(l, l.sentAt, a.Failure, err)
 	l.answerPending = false
 	l.broken = l.broken || err != nil
-	l.inTransaction = err == nil && a.State != statement.Idle
+	l.setInTransaction(err == nil && a.State != statement.Idle)
+}
+
+func (l *Link) setInTransaction(open bool) {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	l.inTransaction = open
 }
 
 // rollbackTimeout bounds the rollback of a transaction that its caller abandoned.
