A message that is longer than a datagram is reported

Cause: a message between VMs of more than 60,000 bytes was sent and cut off by the receiver, and one of more than 65,507 bytes was refused by the kernel; the sender logged the latter at debug level only, and the former not at all. Ruled out: a cut message that counts as a whole one: no strict prefix of a message is decoded, which the test plays as well. Before: 0 of 2 such messages are reported. After: 2 of 2, with their kind and size; a message of exactly 60,000 bytes arrives.

--- a/internal/lead/datagram_test.go
+++ b/internal/lead/datagram_test.go
@@ -1,9 +1,11 @@
 package lead
 
 import (
+	"bytes"
 	"fmt"
 	"log/slog"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -142,3 +144,49 @@
 		t.Errorf("%d parts of no groups", len(parts))
 	}
 }
+
+// Guards against a message that is cut off on its way and counts as a whole one, and against one that is dropped without
+// a trace since it is longer than a datagram.
+func TestAMessageThatIsTooLongIsReported(t *testing.T) {
+	var log bytes.Buffer
+	handled := make(chan *message, 10)
+	sender, receiver := silentTransport(t), silentTransport(t)
+	sender.log = slog.New(slog.NewTextHandler(&log, nil))
+	go receiver.Serve(t.Context(), func(_ string, m *message) { handled <- m })
+	address := receiver.conn.LocalAddr().String()
+	withSize := func(size int) *message {
+		m := &message{Kind: notice, From: "vm-1"}
+		empty, err := encode(m)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const stringHeader = 2 // bytes more than that of a short string
+		m.From += topology.VMID(strings.Repeat("x", size-len(empty)-stringHeader))
+		return m
+	}
+	for _, size := range []int{maxDatagramBytes, maxDatagramBytes + 1, 70_000, 1000} {
+		sender.Send(withSize(size), address)
+	}
+	for _, size := range []int{maxDatagramBytes, 1000} {
+		select {
+		case m := <-handled:
+			if raw, _ := encode(m); len(raw) != size {
+				t.Errorf("a message of %d bytes was handled, want %d", len(raw), size)
+			}
+		case <-time.After(3 * time.Second):
+			t.Fatalf("no message of %d bytes", size)
+		}
+	}
+	if n := strings.Count(log.String(), "event=message_too_large"); n != 2 {
+		t.Errorf("%d messages reported as too large:\n%s", n, log.String())
+	}
+	raw, err := encode(withSize(500))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range raw {
+		if m, err := decode(raw[:n]); err == nil {
+			t.Errorf("%d of %d bytes are decoded as %+v", n, len(raw), m)
+		}
+	}
+}
--- a/internal/lead/transport.go
+++ b/internal/lead/transport.go
@@ -41,13 +41,17 @@
 }
 
 // Send sends one message to each address. A failure is only logged, as the next renewal compensates
-// for it.
+// for it. A message that no receiver would read in full is not sent.
 func (t *Transport) Send(m *message, addresses ...string) {
 	raw, err := encode(m)
 	if err != nil {
 		t.log.Error("event=message_not_encoded", "error", err)
 		return
 	}
+	if len(raw) > maxDatagramBytes {
+		t.log.Warn("event=message_too_large", "kind", m.Kind, "bytes", len(raw), "to", len(addresses))
+		return
+	}
 	t.Metrics.Sent(m.Kind.String(), len(addresses), len(addresses)*len(raw))
 	for _, address := range addresses {
 		t.send(raw, address)
