An option that can't be sent to another VM is refused

Cause: session and request_id are strings of the protocol between daemons, which must be UTF-8. With other bytes the call to the pooler failed before anything was sent, and counted as OutcomeUnknown and as a failure of the target: a caller that sends two such requests in a row could have an entry avoid a healthy target. Ruled out: queries, parameters, names and answers, which are bytes; property tests send them through the real codec and a real call between two daemons and compare them exactly (3,000 checks): trailing blanks, NULL against an empty parameter, NUL, invalid UTF-8, names of 63 to 65 bytes with the same beginning, long texts, 4 MiB of messages. Prepared statements are named by no hash: a unit sends their text again. Before: TestARequestIsSentUnchangedBetweenVMs fails, 10 of 10 requests with such an option are answered "the outcome is unknown". After: the option is refused with BadOption, not run, and no request is sent with it.

--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"unicode/utf8"
+
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
 
@@ -29,6 +31,9 @@
 	if len(value) > maxOptionValue {
 		return result.New(result.BadOption, "%s is longer than %d bytes", optionPrefix+name, maxOptionValue)
 	}
+	if !utf8.ValidString(value) {
+		return result.New(result.BadOption, "%s is not valid UTF-8", optionPrefix+name) // It can't be sent to another VM.
+	}
 	*field = value
 	return nil
 }
