A holder says "not run" if its connection breaks before the statement was sent

Cause: a connection of the holder that broke while it set a value, prepared a statement or began a transaction was reported like one that broke under the statement itself: the outcome counted as unknown, a write was not retried, and the caller got no promise. A direct connection reports TargetUnreachable, not run. The error also counted as an answer of the target at the VM that asked. Ruled out: a late answer during the setup, which stays late; a statement that was sent, whose outcome stays unknown (TestAConnectionLostByTheHolderIsNoRefusal); a begin that reached the target: its connection is closed, which rolls it back. Before: TestAConnectionLostBeforeTheStatementIsNotRun fails, 6 of 6 cases are "beyond the holder: ..." without a result. After: 0 of 6, the statement is at the target in none, and none counts as an answer of the target.

--- a/internal/forward/refusals_test.go
+++ b/internal/forward/refusals_test.go
@@ -239,3 +239,47 @@
 		t.Errorf("%d bytes at the target", len(ran))
 	}
 }
+
+// Guards against a statement that is reported as possibly run though the connection broke before it was sent: a write
+// isn't retried then. A refusal for this is no answer of the target.
+func TestAConnectionLostBeforeTheStatementIsNotRun(t *testing.T) {
+	for name, lost := range map[string]target.CommandKind{"value": target.Set, "prepared": target.PrepareWrite, "begin": target.Begin} {
+		for _, failure := range []error{errUnreachable, result.New(result.TargetFailed, "broken")} {
+			db, driver := startDriver(t, nil, 3)
+			var ran []target.Command
+			db.answer = func(cmd target.Command) (statement.Answer, error) {
+				switch cmd.Kind {
+				case lost:
+					return statement.Answer{}, failure
+				case target.Caller, target.Execute:
+					ran = append(ran, cmd)
+				}
+				return statement.Answer{}, nil
+			}
+			c := dialHolder(t, driver)
+			commands := []target.Command{
+				{Kind: target.Set, ID: statement.OwnID, Name: "v", Value: "1"},
+				{Kind: target.PrepareWrite, ID: statement.OwnID, Name: "w1", Value: "shape"},
+				{Kind: target.Execute, ID: "1", Text: "EXEC p a", Name: "w1"},
+			}
+			if lost == target.Begin {
+				commands = []target.Command{{Kind: target.Begin, ID: statement.OwnID}}
+			}
+			for i, cmd := range commands {
+				a, err := c.Run(soon(), cmd)
+				if i < len(commands)-1 {
+					continue
+				}
+				if err != nil || a.Failure == nil || a.Failure.Code != result.TargetUnreachable || a.Failure.Ran != result.NotRun || a.State != statement.Idle {
+					t.Errorf("%s, %v: %+v %v %v", name, failure, a, a.Failure, err)
+				}
+			}
+			if e := c.(target.IndirectConn).Evidence(); e.Direct {
+				t.Errorf("%s, %v: counts as an answer of the target", name, failure)
+			}
+			if len(ran) > 0 {
+				t.Errorf("%s, %v: ran %+v", name, failure, ran)
+			}
+		}
+	}
+}
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -214,18 +214,27 @@
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return response{Late: true}
 	case err != nil:
-		return errorResponse(err)
+		return s.errorResponse(err)
 	}
 	return responseOf(answer)
 }
 
-// errorResponse returns the response for an error: a refusal by the target, which proves that
-// nothing ran, or else a lost connection.
-func errorResponse(err error) response {
+// notSent is a failure before the command was sent: it has not run.
+type notSent struct{ error }
+
+func (e notSent) Unwrap() error { return e.error }
+
+// errorResponse returns the response for an error, after which the session has no link: a refusal by the target, which
+// proves that nothing ran, a connection that was lost before the command was sent, or else a lost connection.
+func (s *session) errorResponse(err error) response {
 	var e *result.Error
 	if errors.As(err, &e) && e.Ran == result.NotRun {
 		return response{Failure: e, State: statement.Idle}
 	}
+	var before notSent
+	if errors.As(err, &before) {
+		return s.refuse(result.New(result.TargetUnreachable, "%s: %v", s.target, before.error))
+	}
 	return response{Lost: err.Error()}
 }
 
@@ -243,16 +252,18 @@
 		return statement.Answer{State: statement.Idle, Position: p}, err
 	}
 	if err := s.link.ApplyValues(deadline, s.setup.values); err != nil {
-		return statement.Answer{}, err
+		return statement.Answer{}, notSent{err}
 	}
 	switch c.Kind {
 	case target.Begin, target.BeginReadOnly:
-		err := s.link.Begin(deadline, c.Kind == target.BeginReadOnly, c.After)
-		return statement.Answer{State: statement.Open}, err
+		if err := s.link.Begin(deadline, c.Kind == target.BeginReadOnly, c.After); err != nil {
+			return statement.Answer{}, notSent{err}
+		}
+		return statement.Done(statement.Open), nil
 	case target.Execute:
 		name, err := s.link.EnsurePrepared(deadline, s.setup.prepared[c.Name])
 		if err != nil {
-			return statement.Answer{}, err
+			return statement.Answer{}, notSent{err}
 		}
 		c.Name = name
 	}
