--- a/internal/ctl/report_test.go
+++ b/internal/ctl/report_test.go
@@ -19,8 +19,7 @@
 `
 
 	report := func(logs string) lossReport {
-		lines, err := parseLog(strings.NewReader(logs))
-		Expect(err).NotTo(HaveOccurred())
+		lines := parseLog(logs)
 		r, ok := reportOf(lines, 2*time.Second)
 		Expect(ok).To(BeTrue())
 		return r
@@ -58,8 +57,7 @@
 	})
 
 	It("returns false if nothing was lost", func() {
-		lines, err := parseLog(strings.NewReader("time=2026-01-01T10:00:00.000Z level=INFO event=started vm=a\n"))
-		Expect(err).NotTo(HaveOccurred())
+		lines := parseLog("time=2026-01-01T10:00:00.000Z level=INFO event=started vm=a\n")
 		_, ok := reportOf(lines, time.Second)
 		Expect(ok).To(BeFalse())
 	})
--- a/internal/ctl/trace.go
+++ b/internal/ctl/trace.go
@@ -1,17 +1,14 @@
 package ctl
 
 import (
-	"bufio"
-	"bytes"
 	"cmp"
-	"io"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
-	"github.com/go-logfmt/logfmt"
-
+	"github.com/buckthornshore/buckthornshore/internal/logging"
 	"github.com/buckthornshore/buckthornshore/pkg/result"
 )
 
@@ -21,8 +18,6 @@
 	// four.
 	traceBefore = 4 * time.Second
 	traceAfter  = time.Second
-	// longestLogLine is a limit in bytes that no log line of a daemon reaches.
-	longestLogLine = 1 << 20
 )
 
 // logLine is one line of a daemon's log.
@@ -55,7 +50,7 @@
 	if err != nil {
 		return err
 	}
-	found := traceOf(c.Request, lines)
+	found := traceOf(logging.Value(c.Request), lines)
 	if len(found) == 0 {
 		return result.New(result.NotFound, "no line of request %q: it was answered in time, or its VM's log is missing", c.Request)
 	}
@@ -85,20 +80,18 @@
 	if err != nil {
 		return nil, result.New(result.NotFound, "%v", err)
 	}
-	return parseLog(bytes.NewReader(raw))
+	return parseLog(string(raw)), nil
 }
 
 // parseLog returns the lines that name an event. It skips others, such as the stack of a panic.
-func parseLog(r io.Reader) ([]logLine, error) {
+func parseLog(text string) []logLine {
 	var lines []logLine
-	in := bufio.NewScanner(r)
-	in.Buffer(nil, longestLogLine)
-	for in.Scan() {
-		if line, ok := parseLine(in.Text()); ok {
+	for raw := range strings.Lines(text) {
+		if line, ok := parseLine(strings.TrimSuffix(raw, "\n")); ok {
 			lines = append(lines, line)
 		}
 	}
-	return lines, in.Err()
+	return lines
 }
 
 // parseLine parses one line. It ignores a prefix that a log collector has added.
@@ -108,14 +101,12 @@
 		return logLine{}, false
 	}
 	line := logLine{Fields: map[string]string{}, text: text[begin:]}
-	d := logfmt.NewDecoder(strings.NewReader(line.text))
-	for d.ScanRecord() {
-		for d.ScanKeyval() {
-			line.Fields[string(d.Key())] = string(d.Value())
+	for rest := line.text; rest != ""; {
+		key, value, after, ok := cutPair(rest)
+		if !ok {
+			return logLine{}, false
 		}
-	}
-	if d.Err() != nil {
-		return logLine{}, false
+		line.Fields[key], rest = value, strings.TrimLeft(after, " ")
 	}
 	at, err := time.Parse(time.RFC3339Nano, line.Fields["time"])
 	if err != nil {
@@ -125,6 +116,34 @@
 	return line, line.Event != ""
 }
 
+// cutPair splits off the first key=value pair. A quoted key or value has the escapes of Go, as the daemons' logger writes
+// them.
+func cutPair(text string) (key, value, rest string, ok bool) {
+	key, rest, ok = cutText(text, "= ")
+	if !ok || !strings.HasPrefix(rest, "=") {
+		return "", "", "", false
+	}
+	value, rest, ok = cutText(rest[len("="):], " ")
+	return key, value, rest, ok && (rest == "" || rest[0] == ' ')
+}
+
+// cutText splits off a text in double quotes, or one that ends at any of the characters.
+func cutText(text, ends string) (first, rest string, ok bool) {
+	if strings.HasPrefix(text, `"`) {
+		quoted, err := strconv.QuotedPrefix(text)
+		if err != nil {
+			return "", "", false
+		}
+		first, err = strconv.Unquote(quoted)
+		return first, text[len(quoted):], err == nil
+	}
+	end := strings.IndexAny(text, ends)
+	if end < 0 {
+		end = len(text)
+	}
+	return text[:end], text[end:], true
+}
+
 // traceOf returns the lines of a request and those that may explain them, in the order of time.
 // Of the latter it keeps only the first line of a VM with the same event, target and group,
 // because an unreachable target is logged many times a second.
