The load's keys end in blanks, quotes and other bytes

Ruled out: keys with a pattern of LIKE, since the default statement reads with LIKE; values stay numbers, which the checks compare as such. Before: no key ended in anything but a digit. Conclusion: the answers' keys are compared exactly, with ends that a codec may lose.

--- a/internal/load/member.go
+++ b/internal/load/member.go
@@ -163,7 +163,7 @@
 func (m *memberLoad) keyAndValue(s *session, r *Record) (key string, value int64) {
 	switch r.Operation {
 	case PutOwn, GetOwn:
-		key = s.id + "-own-" + strconv.Itoa(s.rng.IntN(m.profile.OwnKeys))
+		key = s.id + "-own-" + endedKey(s.rng.IntN(m.profile.OwnKeys))
 		if r.Operation == PutOwn {
 			s.lastOwn++
 			value = s.lastOwn
@@ -174,13 +174,19 @@
 	case Insert:
 		return m.prefix + m.profile.Member + "-row-" + strconv.FormatUint(r.ID, 10), int64(r.ID)
 	}
-	key = m.prefix + m.profile.Member + "-shared-" + strconv.Itoa(s.rng.IntN(m.profile.SharedKeys))
+	key = m.prefix + m.profile.Member + "-shared-" + endedKey(s.rng.IntN(m.profile.SharedKeys))
 	if r.Operation == PutShared {
 		value = int64(r.ID)
 	}
 	return key, value
 }
 
+// keyEnds are ends of keys. They have no characters that LIKE takes for a pattern.
+var keyEnds = []string{"", " ", "'", "\t", "  é"}
+
+// endedKey returns the number of a key with an end that a codec or a quotation may lose.
+func endedKey(n int) string { return strconv.Itoa(n) + keyEnds[n%len(keyEnds)] }
+
 func (m *memberLoad) counterKey(n int) string {
 	return m.prefix + m.profile.Member + "-counter-" + strconv.Itoa(n)
 }
