Processes of a test end with the test's process

Cause: a test binary that is killed left its gateways behind. Ten gateways of a run that was ended elsewhere kept on calling stores and peers at ports that later tests on the machine took: at 22:41:15 one of them sent requests for the store to a database of an order course, which counted 194 violations, and others registered themselves in the stores of other tests. Ruled out for that failure: a gateway of the test itself, since the log of the left gateway has the database's answer, of the same second. Suspected, not shown: the failure "every VM is ready" of the same test, before, has the same cause. Before: a killed test binary leaves its gateways running.

--- a/internal/integration/process_test.go
+++ b/internal/integration/process_test.go
@@ -43,6 +43,8 @@
 	p.cmd = exec.Command(filepath.Join(binDir, p.args[0]), p.args[1:]...)
 	p.cmd.Stdout = file
 	p.cmd.Stderr = file
+	// A process that outlives its test would call the ports of later ones.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	Expect(p.cmd.Start()).To(Succeed())
 }
 
